--- /dev/null
+++ b/internal/cmd/commander/commander.go
@@ -0,0 +1,40 @@
+// Package commander is the command line.
+package commander
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+// Exit codes of all commands.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+// Main runs the command that args name and returns the exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	app := kingpin.New("verbenareach", "Serves model generations of unknown length on crowded engines.")
+	app.UsageWriter(stdout)
+	app.ErrorWriter(stderr)
+	app.Terminate(nil)
+	run := make(map[string]func() error)
+	addVersion(app, run, stdout)
+	selected, err := app.Parse(args)
+	if err != nil {
+		fmt.Fprintf(stderr, "verbenareach: %v\n", err)
+		return exitUsage
+	}
+	command, ok := run[selected]
+	if !ok {
+		return exitOK
+	}
+	if err := command(); err != nil {
+		fmt.Fprintf(stderr, "verbenareach: %v\n", err)
+		return exitFailure
+	}
+	return exitOK
+}
--- /dev/null
+++ b/internal/config/parser/settings.go
@@ -0,0 +1,101 @@
+// Package parser reads a process's settings file and checks it whole.
+package parser
+
+import (
+	"encoding/json"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+type (
+	// Settings are all settings of one process. Exactly the block of its role is set.
+	Settings struct {
+		// Role is entry, agent or control.
+		Role string `json:"role"`
+		// Name is unique among processes of all roles.
+		Name          string `json:"name"`
+		FailureDomain string `json:"failureDomain"`
+		Region        string `json:"region"`
+		// LogLevel is debug, info, warn or error.
+		LogLevel string   `json:"logLevel,omitempty"`
+		Entry    *Entry   `json:"entry,omitempty"`
+		Agent    *Agent   `json:"agent,omitempty"`
+		Control  *Control `json:"control,omitempty"`
+	}
+
+	// Entry are the settings of an entry.
+	Entry struct {
+		// Listen is the IP number and port for callers' HTTP.
+		Listen string `json:"listen"`
+		// PeerListen is the IP number and port for other processes.
+		PeerListen string `json:"peerListen"`
+		// Control are the drpc addresses of the control hosts.
+		Control []string `json:"control"`
+		// MaxBodyBytes bounds a request's body.
+		MaxBodyBytes int64 `json:"maxBodyBytes,omitempty"`
+		// RequestTimeout is the deadline of a request to be admitted.
+		RequestTimeout Duration `json:"requestTimeout,omitempty"`
+	}
+
+	// Agent are the settings of an agent.
+	Agent struct {
+		// Listen is the IP number and port for entries and control hosts.
+		Listen string `json:"listen"`
+		// AnnounceListen is the IP number and port at which the backend server announces itself.
+		AnnounceListen string   `json:"announceListen"`
+		Control        []string `json:"control"`
+	}
+
+	// Control are the settings of a control host.
+	Control struct {
+		// Listen is the IP number and port for other processes.
+		Listen string `json:"listen"`
+		// OperatorListen is the IP number and port for operators' HTTP.
+		OperatorListen string `json:"operatorListen"`
+		// DataFolder holds all files of the process.
+		DataFolder string `json:"dataFolder"`
+		// OperatorKeySHA256 is the hash of the operators' key, in lower-case hex.
+		OperatorKeySHA256 string `json:"operatorKeySHA256"`
+		// Peers are all control hosts at first start, this one included.
+		Peers []Peer `json:"peers"`
+	}
+
+	// Peer is one control host.
+	Peer struct {
+		Name    string `json:"name"`
+		Address string `json:"address"`
+	}
+
+	// Duration is a time.Duration written as a string such as "250ms".
+	Duration time.Duration
+)
+
+// ParseFile reads the settings file at path.
+func ParseFile(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, eris.Wrap(err, "read settings")
+	}
+	var s Settings
+	if err := json.Unmarshal(data, &s); err != nil {
+		return Settings{}, eris.Wrapf(err, "settings %s", path)
+	}
+	return s, nil
+}
+
+// MarshalText writes the duration as Go does.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// UnmarshalText reads a duration such as "250ms".
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return err
+	}
+	*d = Duration(parsed)
+	return nil
+}
--- /dev/null
+++ b/internal/control/registrar/view.go
@@ -0,0 +1,178 @@
+package registrar
+
+import "maps"
+
+type (
+	// Role says what a member does.
+	Role string
+
+	// BackendKind says what stands behind an agent.
+	BackendKind string
+
+	// Member is one entry or agent that announced itself. A restart makes a new
+	// incarnation of the same member.
+	Member struct {
+		// Name is unique; for an agent it is its backend server's name.
+		Name string `json:"name"`
+		Role Role   `json:"role"`
+		// Address is the IP number and port of the member's drpc listener.
+		Address       string `json:"address"`
+		FailureDomain string `json:"failureDomain"`
+		Region        string `json:"region"`
+		// Incarnation grows with each restart.
+		Incarnation uint64 `json:"incarnation"`
+		// Backend is set for agents.
+		Backend Backend `json:"backend"`
+		// JoinedAt is when this incarnation joined, in Unix nanoseconds.
+		JoinedAt int64 `json:"joinedAt"`
+	}
+
+	// Backend is what an agent's backend server announced of itself.
+	Backend struct {
+		Kind BackendKind `json:"kind"`
+		// Models are the loaded models of an engine.
+		Models []LoadedModel `json:"models,omitempty"`
+		// Service is the name of a plain service.
+		Service string `json:"service,omitempty"`
+		// MemoryTokens is an engine's memory in tokens.
+		MemoryTokens uint64 `json:"memoryTokens,omitempty"`
+		// ChecksFences tells whether the engine refuses old fencing numbers.
+		ChecksFences bool `json:"checksFences,omitempty"`
+	}
+
+	// LoadedModel is a model, adapter and version that an engine serves.
+	LoadedModel struct {
+		Model   string `json:"model"`
+		Adapter string `json:"adapter,omitempty"`
+		Version string `json:"version,omitempty"`
+	}
+
+	// Mark says whether a backend server is leaving for cleaning.
+	Mark struct {
+		Server string `json:"server"`
+		// Number counts the accepted marks of this server and never falls.
+		Number  uint64 `json:"number"`
+		Leaving bool   `json:"leaving"`
+		By      string `json:"by"`
+		At      int64  `json:"at"`
+	}
+
+	// View is what entries and agents know of the agreed state. It is immutable:
+	// With methods return a changed copy.
+	View struct {
+		// Index is the log index up to which the view holds all changes.
+		Index uint64
+		// contracts by workspace, members by name, marks by server.
+		contracts map[string]Contract
+		members   map[string]Member
+		marks     map[string]Mark
+		// workspaces by key hash, derived from contracts.
+		workspaces map[string]string
+	}
+)
+
+// Roles of members and kinds of backend servers.
+const (
+	RoleEntry   Role = "entry"
+	RoleAgent   Role = "agent"
+	RoleControl Role = "control"
+
+	BackendEngine  BackendKind = "engine"
+	BackendService BackendKind = "service"
+)
+
+// Contract returns a workspace's contract.
+func (v View) Contract(workspace string) (Contract, bool) {
+	c, ok := v.contracts[workspace]
+	return c, ok
+}
+
+// ContractByKey returns the contract that an API key belongs to.
+func (v View) ContractByKey(key string) (Contract, bool) {
+	workspace, ok := v.workspaces[HashKey(key)]
+	if !ok {
+		return Contract{}, false
+	}
+	return v.Contract(workspace)
+}
+
+// EachContract calls f for each contract, in no order.
+func (v View) EachContract(f func(Contract)) {
+	for _, c := range v.contracts {
+		f(c)
+	}
+}
+
+// EachMember calls f for each member, in no order.
+func (v View) EachMember(f func(Member)) {
+	for _, m := range v.members {
+		f(m)
+	}
+}
+
+// Mark returns the newest mark of a backend server; the zero Mark if it has none.
+func (v View) Mark(server string) Mark {
+	return v.marks[server]
+}
+
+// Member returns a member by name.
+func (v View) Member(name string) (Member, bool) {
+	m, ok := v.members[name]
+	return m, ok
+}
+
+// WithContract returns a view that holds c, at index.
+func (v View) WithContract(index uint64, c Contract) View {
+	old := v.contracts[c.Workspace]
+	v.Index = index
+	v.contracts = cloned(v.contracts)
+	v.contracts[c.Workspace] = c
+	v.workspaces = maps.Clone(v.workspaces)
+	if v.workspaces == nil {
+		v.workspaces = make(map[string]string)
+	}
+	for _, k := range old.Keys {
+		delete(v.workspaces, k.SHA256)
+	}
+	for _, k := range c.Keys {
+		v.workspaces[k.SHA256] = c.Workspace
+	}
+	return v
+}
+
+// WithMark returns a view that holds m, at index.
+func (v View) WithMark(index uint64, m Mark) View {
+	v.Index = index
+	v.marks = maps.Clone(v.marks)
+	if v.marks == nil {
+		v.marks = make(map[string]Mark)
+	}
+	v.marks[m.Server] = m
+	return v
+}
+
+// WithMember returns a view that holds m, at index.
+func (v View) WithMember(index uint64, m Member) View {
+	v.Index = index
+	v.members = maps.Clone(v.members)
+	if v.members == nil {
+		v.members = make(map[string]Member)
+	}
+	v.members[m.Name] = m
+	return v
+}
+
+// WithoutMember returns a view without a member, at index.
+func (v View) WithoutMember(index uint64, name string) View {
+	v.Index = index
+	v.members = maps.Clone(v.members)
+	delete(v.members, name)
+	return v
+}
+
+func cloned(contracts map[string]Contract) map[string]Contract {
+	if contracts == nil {
+		return make(map[string]Contract)
+	}
+	return maps.Clone(contracts)
+}
--- /dev/null
+++ b/internal/event/logger/agentevents.go
@@ -0,0 +1,26 @@
+package logger
+
+import "github.com/charmbracelet/log"
+
+// Events of agents.
+var (
+	AgentStarted       = Event{3001, log.InfoLevel, "agent started"}
+	AgentStopping      = Event{3002, log.InfoLevel, "agent stopping, finishing what is in progress"}
+	AgentStopped       = Event{3003, log.InfoLevel, "agent stopped"}
+	BackendAnnounced   = Event{3101, log.InfoLevel, "backend server announced itself"}
+	BackendLost        = Event{3102, log.WarnLevel, "backend server stopped announcing itself"}
+	MarkTaken          = Event{3103, log.InfoLevel, "leave or return mark taken"}
+	WorkAdmitted       = Event{3201, log.DebugLevel, "generation admitted at the backend server"}
+	WorkDeclined       = Event{3202, log.DebugLevel, "work declined at the backend server"}
+	AttemptEnded       = Event{3203, log.DebugLevel, "attempt ended"}
+	AttemptFailed      = Event{3204, log.WarnLevel, "attempt failed"}
+	AttemptAbandoned   = Event{3205, log.InfoLevel, "attempt cancelled, no caller came back"}
+	ClaimDispatched    = Event{3301, log.InfoLevel, "claimed call dispatched"}
+	ClaimRefusedAtGate = Event{3302, log.WarnLevel, "claimed call refused"}
+	ClaimOutcome       = Event{3303, log.InfoLevel, "claimed call answered"}
+
+	agentEvents = []Event{
+		AgentStarted, AgentStopping, AgentStopped, BackendAnnounced, BackendLost, MarkTaken, WorkAdmitted,
+		WorkDeclined, AttemptEnded, AttemptFailed, AttemptAbandoned, ClaimDispatched, ClaimRefusedAtGate, ClaimOutcome,
+	}
+)
--- /dev/null
+++ b/internal/event/logger/event.go
@@ -0,0 +1,49 @@
+// Package logger writes the numbered events by which a process explains itself.
+package logger
+
+import (
+	"fmt"
+
+	"github.com/charmbracelet/log"
+)
+
+type (
+	// Event is one numbered kind of thing that a process may report. Its number
+	// never changes its meaning; docs/events.md holds the catalogue.
+	Event struct {
+		// Number is unique in the catalogue. Control has 1000 to 1999, entries 2000 to 2999,
+		// agents 3000 to 3999, stand-ins 4000 to 4999, commands 5000 to 5999.
+		Number int
+		// Level is the severity under which the event is written.
+		Level log.Level
+		// Message is a short constant text; what varies goes into fields.
+		Message string
+	}
+
+	// Field is one named value of a record.
+	Field struct {
+		Key   string
+		Value any
+	}
+)
+
+// Catalogue returns all events that any process may write, by number.
+func Catalogue() []Event {
+	var all []Event
+	all = append(all, controlEvents...)
+	all = append(all, entryEvents...)
+	all = append(all, agentEvents...)
+	all = append(all, standInEvents...)
+	all = append(all, commandEvents...)
+	return all
+}
+
+// F returns a field.
+func F(key string, value any) Field {
+	return Field{Key: key, Value: value}
+}
+
+// Code returns the event's published form, such as VR1203.
+func (e Event) Code() string {
+	return fmt.Sprintf("VR%04d", e.Number)
+}
