feat: let all work reach a backend server through its agent

The agent admits or declines at a gate, buffers a generation's tokens for any entry, and runs each claimed call at most once. A claim reaches the dispatcher before the gate, so that a resend of a call that ran is never told to be declined.

--- /dev/null
+++ b/internal/agent/server/agent.go
@@ -0,0 +1,175 @@
+// Package server is the agent role: the only way to one backend server.
+package server
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc/drpcmux"
+
+	"verbenareach/internal/agent/dispatcher"
+	"verbenareach/internal/agent/gatekeeper"
+	"verbenareach/internal/control/registrar"
+	engineconnector "verbenareach/internal/engine/connector"
+	"verbenareach/internal/event/logger"
+	serviceconnector "verbenareach/internal/service/connector"
+	"verbenareach/internal/wire/acceptor"
+	"verbenareach/internal/wire/messenger"
+)
+
+const (
+	// DefaultResumeGrace is how long a generation goes on without a reader.
+	DefaultResumeGrace = 30 * time.Second
+	// DefaultKeepEnded is how long an ended generation waits for its caller.
+	DefaultKeepEnded = time.Minute
+
+	keepDelivered = 10 * time.Second
+	sweepEvery    = 500 * time.Millisecond
+)
+
+type (
+	// Agent is one running agent. Its exported fields are set before Run.
+	Agent struct {
+		// Self is what the agent announces of itself; Backend is filled in once the
+		// backend server has announced itself.
+		Self registrar.Member
+		// Listener is for other processes; AnnounceListener for the backend server.
+		// Run closes both.
+		Listener         net.Listener
+		AnnounceListener net.Listener
+		// View returns the newest agreed state known here.
+		View func() registrar.View
+		// Changed returns a channel that is closed at the next change of View.
+		Changed func() <-chan struct{}
+		// Fresh tells whether a quorum confirmed View recently.
+		Fresh func(now time.Time) bool
+		// Announce passes a changed Self on to control.
+		Announce func(self registrar.Member)
+		// RecordOutcome commits the outcome of a claim; used when the entry that
+		// claimed it is gone.
+		RecordOutcome func(ctx context.Context, claim *messenger.Claim, reply *messenger.CallReply) error
+		// AdmitMemory returns a DeclinedError when a generation would not fit; nil
+		// admits all.
+		AdmitMemory func(now time.Time, start *messenger.GenerateStart) error
+		// ResumeGrace and KeepEnded bound how long unread generations are held; 0
+		// for the defaults.
+		ResumeGrace time.Duration
+		KeepEnded   time.Duration
+		// Log receives events; nil drops them.
+		Log *logger.Logger
+
+		gate       *gatekeeper.Gate
+		dispatcher *dispatcher.Dispatcher
+		load       atomic.Pointer[messenger.Load]
+		// calls counts the calls that reached the gate.
+		calls atomic.Uint64
+
+		mu sync.Mutex
+		// sessions holds the newest attempt of each generation, by generation id.
+		sessions map[string]*session
+		// backend is what announced itself last; nil before.
+		backend *backend
+		// fence is the highest number of an order taken.
+		fence uint64
+	}
+
+	// backend is the announced backend server.
+	backend struct {
+		announced announcement
+		seenAt    time.Time
+		engine    *engineconnector.Engine
+		service   *serviceconnector.Service
+	}
+
+	// peerService serves the calls of other processes.
+	peerService struct {
+		messenger.DRPCAgentUnimplementedServer
+
+		agent *Agent
+	}
+)
+
+// Run serves until ctx ends; then it takes no new work, finishes what is in
+// progress, however long it takes, and returns.
+func (a *Agent) Run(ctx context.Context) error {
+	a.prepare()
+	a.Log.Emit(time.Now(), logger.AgentStarted, "", logger.F("server", a.Self.Name), logger.F("address", a.Listener.Addr().String()))
+	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopServing()
+	peers := &acceptor.Acceptor{Listener: a.Listener, Register: a.register}
+	announcing := &http.Server{Handler: a.announceHandler(), ReadHeaderTimeout: announceTimeout}
+	g, serving := errgroup.WithContext(serving)
+	g.Go(func() error { return peers.Run(serving) })
+	g.Go(func() error { return serveHTTP(serving, announcing, a.AnnounceListener) })
+	g.Go(func() error { a.watchMarks(serving); return nil })
+	g.Go(func() error { a.sweepSessions(serving); return nil })
+	g.Go(func() error { a.watchBackend(serving); return nil })
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+			a.drain()
+		case <-serving.Done():
+		}
+		stopServing()
+		return nil
+	})
+	err := g.Wait()
+	a.Log.Emit(time.Now(), logger.AgentStopped, "", logger.F("server", a.Self.Name))
+	return err
+}
+
+// drain returns once all work in progress has ended and was delivered.
+func (a *Agent) drain() {
+	a.Log.Emit(time.Now(), logger.AgentStopping, "", logger.F("inProgress", len(a.gate.InProgress())))
+	a.gate.Stop()
+	<-a.gate.Idle()
+	ticker := time.NewTicker(sweepEvery / 10)
+	defer ticker.Stop()
+	for a.undelivered() > 0 {
+		<-ticker.C
+	}
+}
+
+func (a *Agent) prepare() {
+	a.gate = &gatekeeper.Gate{Incarnation: a.Self.Incarnation, Fresh: a.Fresh}
+	a.dispatcher = &dispatcher.Dispatcher{Incarnation: a.Self.Incarnation}
+	a.sessions = make(map[string]*session)
+	a.load.Store(&messenger.Load{})
+	if a.ResumeGrace == 0 {
+		a.ResumeGrace = DefaultResumeGrace
+	}
+	if a.KeepEnded == 0 {
+		a.KeepEnded = DefaultKeepEnded
+	}
+}
+
+func (a *Agent) register(mux *drpcmux.Mux) error {
+	return messenger.DRPCRegisterAgent(mux, &peerService{agent: a})
+}
+
+// takeMark applies the newest mark of the view.
+func (a *Agent) takeMark(now time.Time, number uint64, leaving bool) {
+	if !a.gate.TakeMark(gatekeeper.Mark{Number: number, Leaving: leaving}) {
+		return
+	}
+	a.Log.Emit(now, logger.MarkTaken, a.Self.Name, logger.F("number", number), logger.F("leaving", leaving))
+}
+
+// watchMarks follows the agreed state until ctx ends.
+func (a *Agent) watchMarks(ctx context.Context) {
+	for {
+		changed := a.Changed()
+		mark := a.View().Mark(a.Self.Name)
+		a.takeMark(time.Now(), mark.Number, mark.Leaving)
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/agent/server/call.go
@@ -0,0 +1,125 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"verbenareach/internal/agent/gatekeeper"
+	"verbenareach/internal/event/logger"
+	"verbenareach/internal/wire/messenger"
+)
+
+const (
+	// claimedCallTimeout bounds a claimed call whose entry is gone.
+	claimedCallTimeout = 5 * time.Minute
+	recordTimeout      = 30 * time.Second
+)
+
+// Call runs one call to the plain service, a claimed one at most once.
+func (p *peerService) Call(ctx context.Context, req *messenger.CallRequest) (*messenger.CallReply, error) {
+	a := p.agent
+	if req.GetClaim() == nil {
+		ctx, cancel := context.WithDeadline(ctx, time.Unix(0, req.GetDeadline()))
+		defer cancel()
+		return a.callService(ctx, req), nil
+	}
+	now := time.Now()
+	// The dispatcher comes before the gate: a claim that ran is never told to be
+	// declined, and a claim that was declined never runs later.
+	reply, first := a.dispatcher.Dispatch(ctx, now, req.GetClaim(), func(ctx context.Context) *messenger.CallReply {
+		ctx, cancel := context.WithTimeout(ctx, claimedCallTimeout)
+		defer cancel()
+		a.Log.Emit(now, logger.ClaimDispatched, req.GetCallId(), logger.F("key", req.GetClaim().GetKey()), logger.F("epoch", req.GetClaim().GetEpoch()))
+		return a.callService(ctx, req)
+	})
+	ev := logger.ClaimOutcome
+	if reply.GetRan() != messenger.Ran_RAN_YES {
+		ev = logger.ClaimRefusedAtGate
+	}
+	a.Log.Emit(time.Now(), ev, req.GetCallId(), logger.F("ran", reply.GetRan()), logger.F("first", first), logger.F("detail", reply.GetDetail()))
+	if first && ctx.Err() != nil {
+		a.recordOrphan(ctx, req.GetClaim(), reply)
+	}
+	return reply, nil
+}
+
+// Inspect tells what is in progress.
+func (p *peerService) Inspect(context.Context, *messenger.InspectRequest) (*messenger.InspectReply, error) {
+	a := p.agent
+	reply := &messenger.InspectReply{
+		Server: a.Self.Name, Incarnation: a.Self.Incarnation, Load: a.load.Load(), MarkNumber: a.gate.Mark().Number,
+	}
+	for _, w := range a.gate.InProgress() {
+		reply.InProgress = append(reply.InProgress, &messenger.InProgress{
+			Id: w.ID, Workspace: w.Workspace, StartedAt: w.StartedAt.UnixNano(),
+		})
+	}
+	return reply, nil
+}
+
+// Locate tells whether a generation is here.
+func (p *peerService) Locate(_ context.Context, req *messenger.LocateRequest) (*messenger.LocateReply, error) {
+	a := p.agent
+	s := a.session(req.GetGenerationId())
+	if s == nil || s.start.GetWorkspace() != req.GetWorkspace() {
+		return &messenger.LocateReply{}, nil
+	}
+	next, _ := s.buffer.Next()
+	return &messenger.LocateReply{Found: true, Epoch: s.start.GetEpoch(), NextIndex: next, Incarnation: a.Self.Incarnation}, nil
+}
+
+// Mark takes a leave or return mark that came directly.
+func (p *peerService) Mark(_ context.Context, req *messenger.MarkRequest) (*messenger.MarkReply, error) {
+	a := p.agent
+	if req.GetServer() == a.Self.Name {
+		a.takeMark(time.Now(), req.GetNumber(), req.GetLeaving())
+	}
+	mark := a.gate.Mark()
+	return &messenger.MarkReply{Number: mark.Number, Leaving: mark.Leaving, InProgress: uint32(len(a.gate.InProgress()))}, nil
+}
+
+// RefuseClaim makes sure that a claim never runs here, or tells its outcome.
+func (p *peerService) RefuseClaim(ctx context.Context, req *messenger.RefuseClaimRequest) (*messenger.RefuseClaimReply, error) {
+	a := p.agent
+	reply := a.dispatcher.Refuse(ctx, time.Now(), req.GetClaim())
+	a.Log.Emit(time.Now(), logger.ClaimRefusedAtGate, req.GetClaim().GetKey(), logger.F("ran", reply.GetRan()), logger.F("detail", reply.GetDetail()))
+	return &messenger.RefuseClaimReply{Ran: reply.GetRan(), Reply: reply}, nil
+}
+
+func (a *Agent) declinedCall(err error) *messenger.CallReply {
+	reply := &messenger.CallReply{Ran: messenger.Ran_RAN_NO, Load: a.load.Load(), Detail: err.Error()}
+	var declined *gatekeeper.DeclinedError
+	if errors.As(err, &declined) {
+		reply.Reason = declined.Reason
+	}
+	return reply
+}
+
+// recordOrphan commits the outcome of a claim whose entry went away meanwhile.
+func (a *Agent) recordOrphan(ctx context.Context, claim *messenger.Claim, reply *messenger.CallReply) {
+	if a.RecordOutcome == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
+	defer cancel()
+	if err := a.RecordOutcome(ctx, claim, reply); err != nil {
+		a.Log.Emit(time.Now(), logger.ClaimOutcome, claim.GetKey(), logger.F("notRecorded", err))
+	}
+}
+
+// callService passes one call through the gate to the plain service.
+func (a *Agent) callService(ctx context.Context, req *messenger.CallRequest) *messenger.CallReply {
+	now := time.Now()
+	work := gatekeeper.Work{ID: fmt.Sprintf("%s#%d", req.GetCallId(), a.calls.Add(1)), Workspace: req.GetWorkspace(), StartedAt: now}
+	if err := a.gate.Admit(now, work, req.GetIncarnation()); err != nil {
+		return a.declinedCall(err)
+	}
+	defer a.gate.Finish(work.ID)
+	b := a.currentBackend()
+	if b == nil || b.service == nil || b.announced.Service != req.GetService() {
+		return a.declinedCall(&gatekeeper.DeclinedError{Reason: messenger.DeclineReason_DECLINE_REASON_BACKEND_DOWN})
+	}
+	return b.service.Call(ctx, req)
+}
--- /dev/null
+++ b/internal/agent/server/generate.go
@@ -0,0 +1,161 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"verbenareach/internal/agent/bufferer"
+	"verbenareach/internal/agent/gatekeeper"
+	"verbenareach/internal/wire/messenger"
+)
+
+const (
+	// progressEvery is how often an entry hears of a generation that makes no
+	// token; it takes a link for stalled after several of them.
+	progressEvery = 500 * time.Millisecond
+	// entryExpiry is after how long without an acknowledgement an entry counts as
+	// gone; they come every second.
+	entryExpiry = 10 * time.Second
+	// maxBatch bounds the tokens of one message.
+	maxBatch = 1024
+)
+
+// Generate serves one attempt of one generation to one entry.
+func (p *peerService) Generate(stream messenger.DRPCAgent_GenerateStream) error {
+	up, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	switch body := up.GetBody().(type) {
+	case *messenger.GenerateUp_Start:
+		return p.agent.serveStart(stream, body.Start)
+	case *messenger.GenerateUp_Attach:
+		return p.agent.serveAttach(stream, body.Attach)
+	default:
+		return sendDeclined(stream, nil, &gatekeeper.DeclinedError{Reason: messenger.DeclineReason_DECLINE_REASON_BAD_REQUEST})
+	}
+}
+
+func (a *Agent) serveStart(stream messenger.DRPCAgent_GenerateStream, start *messenger.GenerateStart) error {
+	s, err := a.open(time.Now(), start)
+	if err != nil {
+		return sendDeclined(stream, a.load.Load(), err)
+	}
+	admitted := &messenger.Admitted{Load: a.load.Load(), Incarnation: a.Self.Incarnation}
+	return a.serve(stream, s, s.buffer.First, admitted)
+}
+
+func (a *Agent) serveAttach(stream messenger.DRPCAgent_GenerateStream, attach *messenger.GenerateAttach) error {
+	s := a.session(attach.GetGenerationId())
+	wrongPlace := attach.GetIncarnation() != 0 && attach.GetIncarnation() != a.Self.Incarnation
+	if s == nil || wrongPlace || s.start.GetWorkspace() != attach.GetWorkspace() {
+		return sendDeclined(stream, a.load.Load(), &gatekeeper.DeclinedError{Reason: messenger.DeclineReason_DECLINE_REASON_NOT_FOUND})
+	}
+	admitted := &messenger.Admitted{Load: a.load.Load(), Incarnation: a.Self.Incarnation, Start: s.start}
+	return a.serve(stream, s, attach.GetNextIndex(), admitted)
+}
+
+// serve sends a session's tokens from index next on until it has ended and the
+// entry confirmed the end, or the entry is gone or replaced.
+func (a *Agent) serve(stream messenger.DRPCAgent_GenerateStream, s *session, next uint64, admitted *messenger.Admitted) error {
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	reader := s.buffer.Attach()
+	defer func() { s.buffer.Detach(time.Now(), reader) }()
+	if err := stream.Send(&messenger.GenerateDown{Body: &messenger.GenerateDown_Admitted{Admitted: admitted}}); err != nil {
+		return err
+	}
+	go func() {
+		defer cancel()
+		receive(stream, s)
+	}()
+	return a.pump(ctx, stream, s, reader, next)
+}
+
+// pump sends tokens, progress and at last the end.
+func (a *Agent) pump(ctx context.Context, stream messenger.DRPCAgent_GenerateStream, s *session, reader, next uint64) error {
+	epoch := s.start.GetEpoch()
+	idle := time.NewTimer(progressEvery)
+	defer idle.Stop()
+	for {
+		texts, result, replaced := s.buffer.Read(ctx, reader, next, idle)
+		var down *messenger.GenerateDown
+		switch {
+		case ctx.Err() != nil:
+			return ctx.Err()
+		case replaced:
+			return stream.Send(failedDown(epoch, "another entry serves the caller now", false))
+		case len(texts) > 0:
+			texts = texts[:min(len(texts), maxBatch)]
+			down = &messenger.GenerateDown{Body: &messenger.GenerateDown_Tokens{
+				Tokens: &messenger.Tokens{Epoch: epoch, FirstIndex: next, Texts: texts},
+			}}
+			next += uint64(len(texts))
+		case result != nil:
+			return sendResult(ctx, stream, epoch, next, result)
+		default:
+			down = &messenger.GenerateDown{Body: &messenger.GenerateDown_Progress{
+				Progress: &messenger.Progress{Load: a.load.Load(), NextIndex: next},
+			}}
+		}
+		if err := stream.Send(down); err != nil {
+			return err
+		}
+		idle.Reset(progressEvery)
+	}
+}
+
+// receive takes the entry's messages until it is gone.
+func receive(stream messenger.DRPCAgent_GenerateStream, s *session) {
+	expiry := time.AfterFunc(entryExpiry, func() { _ = stream.Close() })
+	defer expiry.Stop()
+	for {
+		up, err := stream.Recv()
+		if err != nil {
+			return
+		}
+		expiry.Reset(entryExpiry)
+		switch body := up.GetBody().(type) {
+		case *messenger.GenerateUp_Ack:
+			next, result := s.buffer.Next()
+			if result != nil && body.Ack.GetNextIndex() >= next {
+				s.buffer.ConfirmEnd()
+				return
+			}
+		case *messenger.GenerateUp_Cancel:
+			s.end(bufferer.Result{Cause: "canceled: " + body.Cancel.GetCause()})
+		}
+	}
+}
+
+// sendResult sends how the attempt ended and waits for the entry's word.
+func sendResult(ctx context.Context, stream messenger.DRPCAgent_GenerateStream, epoch uint32, next uint64, result *bufferer.Result) error {
+	down := failedDown(epoch, result.Cause, result.Resumable)
+	if result.Cause == "" {
+		down = &messenger.GenerateDown{Body: &messenger.GenerateDown_End{
+			End: &messenger.GenerateEnd{Epoch: epoch, NextIndex: next, FinishReason: result.FinishReason},
+		}}
+	}
+	if err := stream.Send(down); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return nil
+}
+
+func failedDown(epoch uint32, cause string, resumable bool) *messenger.GenerateDown {
+	return &messenger.GenerateDown{Body: &messenger.GenerateDown_Failed{
+		Failed: &messenger.GenerateFailed{Epoch: epoch, Cause: cause, Resumable: resumable},
+	}}
+}
+
+func sendDeclined(stream messenger.DRPCAgent_GenerateStream, load *messenger.Load, err error) error {
+	declined := &messenger.Declined{Load: load}
+	var reason *gatekeeper.DeclinedError
+	if errors.As(err, &reason) {
+		declined.Reason = reason.Reason
+		declined.Detail = reason.Detail
+	}
+	return stream.Send(&messenger.GenerateDown{Body: &messenger.GenerateDown_Declined{Declined: declined}})
+}
--- /dev/null
+++ b/internal/agent/server/orders.go
@@ -0,0 +1,58 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	engineconnector "verbenareach/internal/engine/connector"
+	"verbenareach/internal/event/logger"
+	"verbenareach/internal/wire/messenger"
+)
+
+// Order passes an order on unless a newer one was taken. An engine that checks
+// fencing numbers gets the number too.
+func (p *peerService) Order(ctx context.Context, req *messenger.OrderRequest) (*messenger.OrderReply, error) {
+	a := p.agent
+	if req.GetServer() != a.Self.Name {
+		return &messenger.OrderReply{CurrentFence: a.currentFence(), Detail: "for another backend server"}, nil
+	}
+	if !a.takeFence(req.GetFence()) {
+		a.Log.Emit(time.Now(), logger.OrderRefused, a.Self.Name, logger.F("fence", req.GetFence()), logger.F("current", a.currentFence()))
+		return &messenger.OrderReply{CurrentFence: a.currentFence(), Detail: "a newer order was taken"}, nil
+	}
+	b := a.currentBackend()
+	if b == nil || b.engine == nil {
+		return &messenger.OrderReply{CurrentFence: a.currentFence(), Detail: "no engine"}, nil
+	}
+	err := b.engine.Order(ctx, engineconnector.Order{
+		Fence: req.GetFence(), Kind: req.GetKind(), Model: req.GetModel(), Adapter: req.GetAdapter(), Version: req.GetVersion(), Role: req.GetRole(),
+	})
+	var refused *engineconnector.RefusedError
+	if errors.As(err, &refused) {
+		return &messenger.OrderReply{CurrentFence: a.currentFence(), Detail: refused.Error()}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	a.Log.Emit(time.Now(), logger.OrderTaken, a.Self.Name, logger.F("fence", req.GetFence()), logger.F("kind", req.GetKind()), logger.F("model", req.GetModel()))
+	return &messenger.OrderReply{Accepted: true, CurrentFence: a.currentFence()}, nil
+}
+
+func (a *Agent) currentFence() uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.fence
+}
+
+// takeFence tells whether an order with this number may pass. The same number
+// may come again, as the sender of an order may not have got the answer.
+func (a *Agent) takeFence(fence uint64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if fence < a.fence {
+		return false
+	}
+	a.fence = fence
+	return true
+}
--- /dev/null
+++ b/internal/agent/server/session.go
@@ -0,0 +1,216 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"verbenareach/internal/agent/bufferer"
+	"verbenareach/internal/agent/gatekeeper"
+	engineconnector "verbenareach/internal/engine/connector"
+	"verbenareach/internal/event/logger"
+	"verbenareach/internal/generation/sequencer"
+	"verbenareach/internal/wire/messenger"
+)
+
+type (
+	// session is one attempt of one generation at this backend server.
+	session struct {
+		// start is the entry's request; it never changes.
+		start  *messenger.GenerateStart
+		buffer *bufferer.Buffer
+		// cancel ends the attempt at the engine.
+		cancel context.CancelFunc
+		// done is closed once the engine was left.
+		done chan struct{}
+	}
+)
+
+// workID names an attempt at the gate.
+func workID(start *messenger.GenerateStart) string {
+	return sequencer.Cursor{Generation: start.GetGenerationId(), Server: "epoch", Epoch: start.GetEpoch()}.String()
+}
+
+// end finishes the attempt with a result unless it has one, and leaves the engine.
+func (s *session) end(result bufferer.Result) {
+	s.buffer.Finish(result)
+	s.cancel()
+}
+
+// open admits an attempt and starts it, or returns a DeclinedError.
+func (a *Agent) open(now time.Time, start *messenger.GenerateStart) (*session, error) {
+	former := a.session(start.GetGenerationId())
+	if former != nil && former.start.GetEpoch() >= start.GetEpoch() {
+		return nil, &gatekeeper.DeclinedError{Reason: messenger.DeclineReason_DECLINE_REASON_OLD_EPOCH}
+	}
+	work := gatekeeper.Work{ID: workID(start), Workspace: start.GetWorkspace(), StartedAt: now}
+	if err := a.gate.Admit(now, work, start.GetIncarnation()); err != nil {
+		return nil, err
+	}
+	if err := a.checkWork(now, start); err != nil {
+		a.gate.Finish(work.ID)
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &session{start: start, buffer: bufferer.NewBuffer(start.GetDelivered()), cancel: cancel, done: make(chan struct{})}
+	a.mu.Lock()
+	if newer := a.sessions[start.GetGenerationId()]; newer != nil && newer.start.GetEpoch() >= start.GetEpoch() {
+		a.mu.Unlock()
+		cancel()
+		a.gate.Finish(work.ID)
+		return nil, &gatekeeper.DeclinedError{Reason: messenger.DeclineReason_DECLINE_REASON_OLD_EPOCH}
+	}
+	a.sessions[start.GetGenerationId()] = s
+	a.mu.Unlock()
+	if former != nil {
+		former.end(bufferer.Result{Cause: "replaced by a newer attempt"})
+	}
+	go a.run(ctx, s, work.ID)
+	return s, nil
+}
+
+// checkWork declines what this backend server can't do or has no memory for.
+func (a *Agent) checkWork(now time.Time, start *messenger.GenerateStart) error {
+	b := a.currentBackend()
+	if b == nil || b.engine == nil {
+		return &gatekeeper.DeclinedError{Reason: messenger.DeclineReason_DECLINE_REASON_BACKEND_DOWN}
+	}
+	if start.GetAdmitDeadline() != 0 && now.UnixNano() > start.GetAdmitDeadline() {
+		return &gatekeeper.DeclinedError{Reason: messenger.DeclineReason_DECLINE_REASON_DEADLINE}
+	}
+	if !b.announced.backend().Serves(start.GetModel(), start.GetAdapter(), start.GetVersion()) {
+		return &gatekeeper.DeclinedError{Reason: messenger.DeclineReason_DECLINE_REASON_UNKNOWN_MODEL}
+	}
+	if a.AdmitMemory == nil {
+		return nil
+	}
+	return a.AdmitMemory(now, start)
+}
+
+// run carries one attempt from the engine to its buffer.
+func (a *Agent) run(ctx context.Context, s *session, work string) {
+	defer close(s.done)
+	defer a.gate.Finish(work)
+	defer s.cancel()
+	id := s.start.GetGenerationId()
+	a.Log.Emit(time.Now(), logger.WorkAdmitted, id, logger.F("epoch", s.start.GetEpoch()), logger.F("from", s.buffer.First))
+	result := a.generate(ctx, s)
+	s.buffer.Finish(result)
+	next, final := s.buffer.Next()
+	ev := logger.AttemptEnded
+	if final.Cause != "" {
+		ev = logger.AttemptFailed
+	}
+	a.Log.Emit(time.Now(), ev, id, logger.F("epoch", s.start.GetEpoch()), logger.F("next", next), logger.F("finish", final.FinishReason), logger.F("cause", final.Cause))
+}
+
+// generate reads the engine's tokens into the buffer until the attempt ends.
+func (a *Agent) generate(ctx context.Context, s *session) bufferer.Result {
+	b := a.currentBackend()
+	if b == nil || b.engine == nil {
+		return bufferer.Result{Cause: "the engine is gone", Resumable: true}
+	}
+	stream, err := b.engine.Start(ctx, s.start)
+	var refused *engineconnector.RefusedError
+	if errors.As(err, &refused) {
+		return bufferer.Result{Cause: refused.Error(), Resumable: refused.Status >= 500 || refused.Status == 429}
+	}
+	if err != nil {
+		return bufferer.Result{Cause: err.Error(), Resumable: true}
+	}
+	defer stream.Close()
+	g := sequencer.Generation{ID: s.start.GetGenerationId(), Epoch: s.start.GetEpoch(), Next: s.buffer.First}
+	for {
+		token, err := stream.Next()
+		if err != nil {
+			return bufferer.Result{Cause: err.Error(), Resumable: true}
+		}
+		if token.Text != "" {
+			after, skip, err := accept(g, token)
+			if err != nil {
+				return bufferer.Result{Cause: err.Error(), Resumable: true}
+			}
+			if skip == 0 {
+				s.buffer.Append(token.Text)
+			}
+			g = after
+		}
+		if token.FinishReason != "" {
+			return bufferer.Result{FinishReason: token.FinishReason}
+		}
+	}
+}
+
+// accept checks a token's index where the engine tells it.
+func accept(g sequencer.Generation, token engineconnector.Token) (after sequencer.Generation, skip int, err error) {
+	first := g.Next
+	if token.Index >= 0 {
+		first = uint64(token.Index)
+	}
+	return g.Accept(g.Epoch, first, 1)
+}
+
+func (a *Agent) session(generation string) *session {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.sessions[generation]
+}
+
+// sweepSessions ends generations that nobody came back for and forgets ended
+// ones, until ctx ends.
+func (a *Agent) sweepSessions(ctx context.Context) {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			a.sweep(time.Now())
+		case <-ctx.Done():
+			a.endAll()
+			return
+		}
+	}
+}
+
+func (a *Agent) endAll() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, s := range a.sessions {
+		s.end(bufferer.Result{Cause: "the agent stopped", Resumable: true})
+	}
+}
+
+func (a *Agent) sweep(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for id, s := range a.sessions {
+		since, delivered := s.buffer.Detached()
+		if since.IsZero() {
+			continue
+		}
+		unread := now.Sub(since)
+		_, result := s.buffer.Next()
+		switch {
+		case result == nil && unread > a.ResumeGrace:
+			s.end(bufferer.Result{Cause: "no caller came back"})
+			a.Log.Emit(now, logger.AttemptAbandoned, id)
+		case result != nil && (unread > a.KeepEnded || delivered && unread > keepDelivered):
+			delete(a.sessions, id)
+		}
+	}
+}
+
+// undelivered counts the generations whose caller may still come for tokens.
+func (a *Agent) undelivered() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := 0
+	for _, s := range a.sessions {
+		_, delivered := s.buffer.Detached()
+		_, result := s.buffer.Next()
+		if !delivered && (result == nil || result.Cause == "") {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/control/registrar/view.go
+++ b/internal/control/registrar/view.go
@@ -176,3 +176,14 @@
 	}
 	return maps.Clone(contracts)
 }
+
+// Serves tells whether an engine has a model, adapter and version loaded. An
+// empty version stands for any.
+func (b Backend) Serves(model, adapter, version string) bool {
+	for _, m := range b.Models {
+		if m.Model == model && m.Adapter == adapter && (version == "" || m.Version == version) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/engine/connector/connector.go
@@ -0,0 +1,258 @@
+// Package connector speaks to a model engine in the usual OpenAI form over HTTP.
+// No other package of the agent knows that form.
+package connector
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/rotisserie/eris"
+
+	"verbenareach/internal/wire/messenger"
+)
+
+const (
+	readBufferBytes = 64 << 10
+	maxErrorBytes = 4 << 10
+)
+
+var (
+	dataPrefix = []byte("data:")
+	doneData   = []byte("[DONE]")
+)
+
+type (
+	// Engine is one model engine. Its fields are set before first use.
+	Engine struct {
+		// Address is the engine's IP number and port.
+		Address string
+		// Client sends the requests.
+		Client *http.Client
+	}
+
+	// Stream is one running generation at an engine.
+	Stream struct {
+		// CachedTokens is the part of the prompt that the engine had in its cache.
+		CachedTokens uint32
+
+		body   io.ReadCloser
+		reader *bufio.Reader
+	}
+
+	// Token is the next piece of a generation; the last one has a finish reason and
+	// may have no text.
+	Token struct {
+		Text         string
+		FinishReason string
+		// Index is the token's place in the generation; -1 from an engine that
+		// doesn't tell.
+		Index int64
+	}
+
+	// RefusedError reports that the engine refused a request before it ran.
+	RefusedError struct {
+		Status int
+		Body   string
+	}
+
+	// BrokenError reports that a stream ended without a finish reason.
+	BrokenError struct {
+		Err error
+	}
+
+	// Load is an engine's report of its load.
+	Load struct {
+		Running           uint32  `json:"running"`
+		Waiting           uint32  `json:"waiting"`
+		MemoryTokensTotal uint64  `json:"memoryTokensTotal"`
+		MemoryTokensUsed  uint64  `json:"memoryTokensUsed"`
+		Preemptions       uint64  `json:"preemptions"`
+		StallSeconds      float64 `json:"stallSeconds"`
+		// ReportedAt is in Unix nanoseconds.
+		ReportedAt int64 `json:"reportedAt"`
+	}
+
+	// Order asks an engine to load or unload a model or to change its role.
+	Order struct {
+		// Fence is the order's fencing number.
+		Fence   uint64 `json:"fence"`
+		Kind    string `json:"kind"`
+		Model   string `json:"model,omitempty"`
+		Adapter string `json:"adapter,omitempty"`
+		Version string `json:"version,omitempty"`
+		Role    string `json:"role,omitempty"`
+	}
+
+	chunk struct {
+		Choices []choice `json:"choices"`
+	}
+
+	choice struct {
+		Text  string `json:"text"`
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+		FinishReason string `json:"finish_reason"`
+		TokenIndex   *int64 `json:"token_index"`
+	}
+)
+
+var (
+	_ error = &RefusedError{}
+	_ error = &BrokenError{}
+)
+
+// Error tells the engine's status and words.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("engine refused with status %d: %s", e.Status, e.Body)
+}
+
+// Error tells why the stream broke.
+func (e *BrokenError) Error() string {
+	return fmt.Sprintf("engine's stream broke: %v", e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *BrokenError) Unwrap() error {
+	return e.Err
+}
+
+// Load asks for the engine's newest report.
+func (e *Engine) Load(ctx context.Context) (Load, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Address+"/v1/load", nil)
+	if err != nil {
+		return Load{}, eris.Wrap(err, "engine load")
+	}
+	resp, err := e.Client.Do(r)
+	if err != nil {
+		return Load{}, eris.Wrap(err, "engine load")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return Load{}, eris.Errorf("engine load: status %d", resp.StatusCode)
+	}
+	var load Load
+	err = json.NewDecoder(resp.Body).Decode(&load)
+	return load, eris.Wrap(err, "engine load")
+}
+
+// Order sends an order. It fails with a RefusedError when the engine refuses it.
+func (e *Engine) Order(ctx context.Context, order Order) error {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return eris.Wrap(err, "engine order")
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.Address+"/v1/orders", bytes.NewReader(body))
+	if err != nil {
+		return eris.Wrap(err, "engine order")
+	}
+	resp, err := e.Client.Do(r)
+	if err != nil {
+		return eris.Wrap(err, "engine order")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode/100 != 2 {
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+		return &RefusedError{Status: resp.StatusCode, Body: string(text)}
+	}
+	return nil
+}
+
+// Start begins or continues a generation. Cancel ctx to end it at the engine.
+func (e *Engine) Start(ctx context.Context, start *messenger.GenerateStart) (*Stream, error) {
+	body, err := requestBody(start)
+	if err != nil {
+		return nil, err
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.Address+start.GetPath(), bytes.NewReader(body))
+	if err != nil {
+		return nil, eris.Wrap(err, "engine request")
+	}
+	r.Header.Set("Content-Type", "application/json")
+	resp, err := e.Client.Do(r)
+	if err != nil {
+		return nil, &BrokenError{Err: err}
+	}
+	if resp.StatusCode != http.StatusOK {
+		defer func() { _ = resp.Body.Close() }()
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+		return nil, &RefusedError{Status: resp.StatusCode, Body: string(text)}
+	}
+	cached, _ := strconv.ParseUint(resp.Header.Get("X-Cached-Tokens"), 10, 32)
+	return &Stream{CachedTokens: uint32(cached), body: resp.Body, reader: bufio.NewReaderSize(resp.Body, readBufferBytes)}, nil
+}
+
+// Close ends the stream at the engine if it still runs.
+func (s *Stream) Close() {
+	_ = s.body.Close()
+}
+
+// Next waits for the next token. It fails with a BrokenError when the stream
+// ends without a finish reason.
+func (s *Stream) Next() (Token, error) {
+	for {
+		line, err := s.reader.ReadSlice('\n')
+		if err != nil {
+			return Token{}, &BrokenError{Err: err}
+		}
+		data, ok := bytes.CutPrefix(line, dataPrefix)
+		if !ok {
+			continue
+		}
+		data = bytes.TrimSpace(data)
+		if bytes.Equal(data, doneData) {
+			return Token{}, &BrokenError{Err: errors.New("done without a finish reason")}
+		}
+		var c chunk
+		if err := json.Unmarshal(data, &c); err != nil {
+			return Token{}, &BrokenError{Err: err}
+		}
+		if len(c.Choices) == 0 {
+			continue
+		}
+		first := c.Choices[0]
+		token := Token{Text: first.Text + first.Delta.Content, FinishReason: first.FinishReason, Index: -1}
+		if first.TokenIndex != nil {
+			token.Index = *first.TokenIndex
+		}
+		return token, nil
+	}
+}
+
+// requestBody adds to the caller's body what the engine needs besides.
+func requestBody(start *messenger.GenerateStart) ([]byte, error) {
+	fields := make(map[string]json.RawMessage)
+	if err := json.Unmarshal(start.GetRequest(), &fields); err != nil {
+		return nil, &RefusedError{Status: http.StatusBadRequest, Body: err.Error()}
+	}
+	extras := []struct {
+		name  string
+		value any
+	}{
+		{"stream", true},
+		{"model", start.GetModel()},
+		{"adapter", start.GetAdapter()},
+		{"version", start.GetVersion()},
+		{"seed", start.GetSeed()},
+		{"priority", start.GetPriority()},
+		{"max_tokens", start.GetMaxTokens()},
+		{"generation_id", start.GetGenerationId()},
+		{"resume_tokens", start.GetDelivered()},
+	}
+	for _, extra := range extras {
+		value, err := json.Marshal(extra.value)
+		if err != nil {
+			return nil, eris.Wrap(err, "engine request")
+		}
+		fields[extra.name] = value
+	}
+	body, err := json.Marshal(fields)
+	return body, eris.Wrap(err, "engine request")
+}
--- a/internal/event/logger/agentevents.go
+++ b/internal/event/logger/agentevents.go
@@ -17,10 +17,13 @@
 	AttemptAbandoned   = Event{3205, log.InfoLevel, "attempt cancelled, no caller came back"}
 	ClaimDispatched    = Event{3301, log.InfoLevel, "claimed call dispatched"}
 	ClaimRefusedAtGate = Event{3302, log.WarnLevel, "claimed call refused"}
+	OrderTaken         = Event{3401, log.InfoLevel, "order passed on to the engine"}
+	OrderRefused       = Event{3402, log.WarnLevel, "order with an old fencing number refused"}
 	ClaimOutcome       = Event{3303, log.InfoLevel, "claimed call answered"}
 
 	agentEvents = []Event{
 		AgentStarted, AgentStopping, AgentStopped, BackendAnnounced, BackendLost, MarkTaken, WorkAdmitted,
 		WorkDeclined, AttemptEnded, AttemptFailed, AttemptAbandoned, ClaimDispatched, ClaimRefusedAtGate, ClaimOutcome,
+		OrderTaken, OrderRefused,
 	}
 )
--- /dev/null
+++ b/internal/wire/acceptor/acceptor.go
@@ -0,0 +1,41 @@
+// Package acceptor serves the system's own calls to other processes.
+package acceptor
+
+import (
+	"context"
+	"net"
+
+	"github.com/rotisserie/eris"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+)
+
+type (
+	// Acceptor serves drpc on one listener. Its fields are set before Run.
+	Acceptor struct {
+		// Listener is open; Run closes it.
+		Listener net.Listener
+		// Register adds the process's services.
+		Register func(mux *drpcmux.Mux) error
+	}
+)
+
+// Listen opens a TCP listener on an IP number and port.
+func Listen(ctx context.Context, address string) (net.Listener, error) {
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp", address)
+	return l, eris.Wrapf(err, "listen on %s", address)
+}
+
+// Run serves until ctx ends. One goroutine serves each connection.
+func (a *Acceptor) Run(ctx context.Context) error {
+	mux := drpcmux.New()
+	if err := a.Register(mux); err != nil {
+		return eris.Wrap(err, "register services")
+	}
+	err := drpcserver.New(mux).Serve(ctx, a.Listener)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return eris.Wrap(err, "serve")
+}
