feat: check settings files whole, with the place of each finding

The first parser stopped at the first JSON error and took unknown fields, names in place of IP numbers and out-of-range values. A table of fields now gives the check, the defaults and the rows of docs/settings.md; a test keeps the struct, the table and the page in step.

--- /dev/null
+++ b/internal/config/parser/fields.go
@@ -0,0 +1,37 @@
+package parser
+
+// Fields holds the rule of each field of the settings file, in the order of
+// docs/settings.md. A new setting needs its field in Settings, its rule here
+// and its row there; tests tell what is missing.
+var Fields = []Field{
+	{Place: "/role", Kind: KindChoice, Required: true, Choices: []string{"entry", "agent", "control"}, Doc: "What the process does; the block of the same name must be there."},
+	{Place: "/name", Kind: KindName, Required: true, Doc: "Name of the process, unique in the whole system; an agent's is its backend server's."},
+	{Place: "/failureDomain", Kind: KindName, Required: true, Doc: "Failure domain of the host."},
+	{Place: "/region", Kind: KindName, Required: true, Doc: "Region of the host."},
+	{Place: "/logLevel", Kind: KindChoice, Default: `"info"`, Choices: []string{"debug", "info", "warn", "error"}, Doc: "Least severe level of events that are logged."},
+	{Place: "/metricsListen", Kind: KindListen, Doc: "IP number and port for `/metrics`; without it, none is served."},
+
+	{Place: "/entry", Kind: KindObject, Doc: "Settings of an entry."},
+	{Place: "/entry/listen", Kind: KindListen, Required: true, Doc: "IP number and port for callers' HTTP."},
+	{Place: "/entry/peerListen", Kind: KindAddress, Required: true, Doc: "IP number and port at which other processes reach the entry."},
+	{Place: "/entry/control", Kind: KindList, Required: true, Min: "1", Max: "7", Doc: "Control hosts."},
+	{Place: "/entry/control/*", Kind: KindAddress, Doc: "IP number and port of a control host's `listen`."},
+	{Place: "/entry/maxBodyBytes", Kind: KindInteger, Unit: "bytes", Default: "4194304", Min: "1024", Max: "67108864", Doc: "Largest body of a request; a larger one is refused with 413."},
+	{Place: "/entry/requestTimeout", Kind: KindDuration, Default: `"30s"`, Min: "100ms", Max: "10m", Doc: "How long a request may wait until a backend server takes it."},
+
+	{Place: "/agent", Kind: KindObject, Doc: "Settings of an agent."},
+	{Place: "/agent/listen", Kind: KindAddress, Required: true, Doc: "IP number and port at which entries and control hosts reach the agent."},
+	{Place: "/agent/announceListen", Kind: KindListen, Required: true, Doc: "IP number and port at which the backend server announces itself."},
+	{Place: "/agent/control", Kind: KindList, Required: true, Min: "1", Max: "7", Doc: "Control hosts."},
+	{Place: "/agent/control/*", Kind: KindAddress, Doc: "IP number and port of a control host's `listen`."},
+
+	{Place: "/control", Kind: KindObject, Doc: "Settings of a control host."},
+	{Place: "/control/listen", Kind: KindAddress, Required: true, Doc: "IP number and port at which other processes reach the control host."},
+	{Place: "/control/operatorListen", Kind: KindListen, Required: true, Doc: "IP number and port for operators' HTTP."},
+	{Place: "/control/dataFolder", Kind: KindText, Required: true, Min: "1", Max: "4096", Unit: "bytes", Doc: "Folder that holds all files of the process; only one process may use it."},
+	{Place: "/control/operatorKeySHA256", Kind: KindHash, Required: true, Doc: "Hash of the operators' key."},
+	{Place: "/control/peers", Kind: KindList, Required: true, Min: "1", Max: "7", Doc: "All control hosts at first start, this one included."},
+	{Place: "/control/peers/*", Kind: KindObject, Doc: "One control host."},
+	{Place: "/control/peers/*/name", Kind: KindName, Required: true, Doc: "Name of the control host."},
+	{Place: "/control/peers/*/address", Kind: KindAddress, Required: true, Doc: "IP number and port of its `listen`."},
+}
--- a/internal/config/parser/settings.go
+++ b/internal/config/parser/settings.go
@@ -2,15 +2,13 @@
 package parser
 
 import (
-	"encoding/json"
 	"os"
 	"time"
-
-	"github.com/rotisserie/eris"
 )
 
 type (
 	// Settings are all settings of one process. Exactly the block of its role is set.
+	// Each field has a row in Fields, which holds its check and its default.
 	Settings struct {
 		// Role is entry, agent or control.
 		Role string `json:"role"`
@@ -19,10 +17,12 @@
 		FailureDomain string `json:"failureDomain"`
 		Region        string `json:"region"`
 		// LogLevel is debug, info, warn or error.
-		LogLevel string   `json:"logLevel,omitempty"`
-		Entry    *Entry   `json:"entry,omitempty"`
-		Agent    *Agent   `json:"agent,omitempty"`
-		Control  *Control `json:"control,omitempty"`
+		LogLevel string `json:"logLevel,omitempty"`
+		// MetricsListen is the IP number and port for /metrics; empty serves none.
+		MetricsListen string   `json:"metricsListen,omitempty"`
+		Entry         *Entry   `json:"entry,omitempty"`
+		Agent         *Agent   `json:"agent,omitempty"`
+		Control       *Control `json:"control,omitempty"`
 	}
 
 	// Entry are the settings of an entry.
@@ -72,15 +72,36 @@
 	Duration time.Duration
 )
 
-// ParseFile reads the settings file at path.
+// ParseFile reads and checks the settings file at path. Its error is a
+// *FindingsError that holds all findings of the file.
 func ParseFile(path string) (Settings, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return Settings{}, eris.Wrap(err, "read settings")
+		return Settings{}, &FindingsError{File: path, Findings: []Finding{{Problem: "cannot be read: " + err.Error()}}}
+	}
+	return Parse(path, data)
+}
+
+// Parse reads and checks the text of a settings file; file is the name under
+// which findings are shown. Fields that the text leaves out get their defaults.
+func Parse(file string, data []byte) (Settings, error) {
+	root, findings := readTree(data)
+	if root == nil {
+		return Settings{}, &FindingsError{File: file, Findings: findings}
 	}
+	findings = append(findings, checkTree(root)...)
 	var s Settings
-	if err := json.Unmarshal(data, &s); err != nil {
-		return Settings{}, eris.Wrapf(err, "settings %s", path)
+	if len(findings) == 0 {
+		fillDefaults(root)
+		if err := decodeTree(root, &s); err != nil {
+			findings = append(findings, Finding{Problem: err.Error()})
+		}
+	}
+	if len(findings) == 0 {
+		findings = checkRules(s)
+	}
+	if len(findings) > 0 {
+		return Settings{}, &FindingsError{File: file, Findings: findings}
 	}
 	return s, nil
 }
