--- a/internal/cmd/commander/commander.go
+++ b/internal/cmd/commander/commander.go
@@ -22,6 +22,7 @@
 	app.ErrorWriter(stderr)
 	app.Terminate(nil)
 	run := make(map[string]func() error)
+	addSettings(app, run, stdout)
 	addVersion(app, run, stdout)
 	selected, err := app.Parse(args)
 	if err != nil {
@@ -34,7 +35,7 @@
 	}
 	if err := command(); err != nil {
 		fmt.Fprintf(stderr, "verbenareach: %v\n", err)
-		return exitFailure
+		return exitCode(err)
 	}
 	return exitOK
 }
