--- a/internal/wire/messenger/messenger.go
+++ b/internal/wire/messenger/messenger.go
@@ -3,3 +3,4 @@
 package messenger
 
 //go:generate protoc --go_out=../../.. --go_opt=module=verbenareach --go-drpc_out=../../.. --go-drpc_opt=module=verbenareach -I . agent.proto
+//go:generate protoc --go_out=../../.. --go_opt=module=verbenareach --go-drpc_out=../../.. --go-drpc_opt=module=verbenareach -I . insight.proto
