--- a/internal/engine/connector/connector.go
+++ b/internal/engine/connector/connector.go
@@ -20,7 +20,7 @@
 
 const (
 	readBufferBytes = 64 << 10
-	maxErrorBytes = 4 << 10
+	maxErrorBytes   = 4 << 10
 )
 
 var (
--- /dev/null
+++ b/internal/entry/booker/booker.go
@@ -0,0 +1,212 @@
+// Package booker makes calls to plain services: repeatable ones with retries,
+// all others at most once, by a claim that control commits first.
+package booker
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"time"
+
+	"verbenareach/internal/event/logger"
+	"verbenareach/internal/wire/dialer"
+	"verbenareach/internal/wire/messenger"
+)
+
+const (
+	// ClaimGranted lets this entry dispatch the call.
+	ClaimGranted ClaimStatus = iota + 1
+	// ClaimDone has an outcome already.
+	ClaimDone
+	// ClaimPending was granted before and has no outcome yet.
+	ClaimPending
+	// ClaimConflict belongs to a request with another digest.
+	ClaimConflict
+
+	// resolveTimeout bounds the question what became of a claim.
+	resolveTimeout = 5 * time.Second
+	recordTimeout  = 5 * time.Second
+	retryPause     = 20 * time.Millisecond
+)
+
+type (
+	// ClaimStatus is control's answer to a claim.
+	ClaimStatus int
+
+	// ClaimAnswer is control's answer to a claim.
+	ClaimAnswer struct {
+		Status ClaimStatus
+		// Claim is the committed claim, ours or the former one.
+		Claim *messenger.Claim
+		// Outcome is set for ClaimDone.
+		Outcome *messenger.CallReply
+	}
+
+	// Target is a backend server that may take a call.
+	Target struct {
+		Server      string
+		Address     string
+		Incarnation uint64
+	}
+
+	// Request is one call of a caller.
+	Request struct {
+		// ID names the call in events.
+		ID        string
+		Workspace string
+		Service   string
+		Method    string
+		Path      string
+		Headers   []*messenger.Header
+		Body      []byte
+		// Repeatable says that the call may run more than once.
+		Repeatable bool
+		// Key is the idempotency key; KeyFromCaller tells whether the caller chose it
+		// and so may send it again.
+		Key           string
+		KeyFromCaller bool
+		// Retention is how long the outcome is kept.
+		Retention time.Duration
+		Deadline  time.Time
+	}
+
+	// Booker makes calls. Its fields are set before first use.
+	Booker struct {
+		Pool *dialer.Pool
+		// Choose returns a backend server with the service that is not in avoid if
+		// there is one; it waits for one until ctx ends.
+		Choose func(ctx context.Context, now time.Time, service string, avoid []Target) (Target, error)
+		// Claim commits a claim; an error leaves open whether it was committed.
+		Claim func(ctx context.Context, now time.Time, claim *messenger.Claim, retention time.Duration) (ClaimAnswer, error)
+		// RecordOutcome and RecordRefusal commit what became of a claim.
+		RecordOutcome func(ctx context.Context, claim *messenger.Claim, reply *messenger.CallReply) error
+		RecordRefusal func(ctx context.Context, claim *messenger.Claim) error
+		// Report tells that a chosen backend server was left, and whether it answered.
+		Report func(now time.Time, target Target, answered bool)
+		// AddressOf returns the address of a backend server's agent.
+		AddressOf func(server string) (string, bool)
+		// AllowRetry takes one retry from the budget, or returns false; nil allows all.
+		AllowRetry func(now time.Time) bool
+		// Log receives events; nil drops them.
+		Log *logger.Logger
+	}
+
+	// NotRunError proves that a call did not run.
+	NotRunError struct {
+		Cause error
+	}
+
+	// UnknownError reports a call that may have run.
+	UnknownError struct {
+		Cause error
+	}
+
+	// ConflictError reports a key that belongs to another request.
+	ConflictError struct {
+		Key string
+	}
+)
+
+var (
+	_ error = &NotRunError{}
+	_ error = &UnknownError{}
+	_ error = &ConflictError{}
+)
+
+// Error tells why the call did not run.
+func (e *NotRunError) Error() string { return fmt.Sprintf("not run: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *NotRunError) Unwrap() error { return e.Cause }
+
+// Error tells why the outcome is unknown.
+func (e *UnknownError) Error() string { return fmt.Sprintf("outcome unknown: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *UnknownError) Unwrap() error { return e.Cause }
+
+// Error names the key.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("idempotency key %q was used with another request", e.Key)
+}
+
+// Digest returns what makes two requests under one key the same: a hash of
+// service, method, path and body.
+func (req Request) Digest() []byte {
+	h := sha256.New()
+	fmt.Fprintf(h, "%d %s %s %d %s ", len(req.Service), req.Service, req.Method, len(req.Path), req.Path)
+	h.Write(req.Body)
+	return h.Sum(nil)
+}
+
+// Call makes a call. It fails with a NotRunError, an UnknownError or a ConflictError.
+func (b *Booker) Call(ctx context.Context, req Request) (*messenger.CallReply, error) {
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	if req.Repeatable {
+		return b.callRepeatable(ctx, req)
+	}
+	return b.callOnce(ctx, req)
+}
+
+// callRepeatable tries backend servers until one answers.
+func (b *Booker) callRepeatable(ctx context.Context, req Request) (*messenger.CallReply, error) {
+	var avoid []Target
+	mayHaveRun := false
+	cause := error(context.DeadlineExceeded)
+	for {
+		target, err := b.Choose(ctx, time.Now(), req.Service, avoid)
+		if err != nil {
+			return nil, unanswered(mayHaveRun, errors.Join(err, cause))
+		}
+		reply, err := b.send(ctx, req, target, nil)
+		b.Report(time.Now(), target, err == nil && reply.GetRan() == messenger.Ran_RAN_YES)
+		if err == nil && reply.GetRan() == messenger.Ran_RAN_YES {
+			b.Log.Emit(time.Now(), logger.CallAnswered, req.ID, logger.F("server", target.Server), logger.F("status", reply.GetStatus()))
+			return reply, nil
+		}
+		mayHaveRun = mayHaveRun || err != nil || reply.GetRan() == messenger.Ran_RAN_UNKNOWN
+		cause = whyNot(reply, err)
+		if ctx.Err() != nil || b.AllowRetry != nil && !b.AllowRetry(time.Now()) {
+			return nil, unanswered(mayHaveRun, cause)
+		}
+		b.Log.Emit(time.Now(), logger.CallRetried, req.ID, logger.F("left", target.Server), logger.F("cause", cause))
+		avoid = append(avoid, target)
+		pause(ctx)
+	}
+}
+
+// send passes a call to the agent of target.
+func (b *Booker) send(ctx context.Context, req Request, target Target, claim *messenger.Claim) (*messenger.CallReply, error) {
+	b.Log.Emit(time.Now(), logger.CallSent, req.ID, logger.F("server", target.Server), logger.F("epoch", claim.GetEpoch()))
+	conn := b.Pool.Conn(ctx, target.Address)
+	defer func() { _ = conn.Close() }()
+	return messenger.NewDRPCAgentClient(conn).Call(ctx, &messenger.CallRequest{
+		CallId: req.ID, Workspace: req.Workspace, Service: req.Service, Method: req.Method, Path: req.Path,
+		Headers: req.Headers, Body: req.Body, Deadline: req.Deadline.UnixNano(), Claim: claim, Incarnation: target.Incarnation,
+	})
+}
+
+func pause(ctx context.Context) {
+	timer := time.NewTimer(retryPause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func unanswered(mayHaveRun bool, cause error) error {
+	if mayHaveRun {
+		return &UnknownError{Cause: cause}
+	}
+	return &NotRunError{Cause: cause}
+}
+
+func whyNot(reply *messenger.CallReply, err error) error {
+	if err != nil {
+		return err
+	}
+	return fmt.Errorf("%s %s", reply.GetReason(), reply.GetDetail())
+}
--- /dev/null
+++ b/internal/entry/server/call.go
@@ -0,0 +1,122 @@
+package server
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"verbenareach/internal/control/registrar"
+	"verbenareach/internal/entry/booker"
+	"verbenareach/internal/event/logger"
+	"verbenareach/internal/wire/messenger"
+)
+
+const (
+	keyHeader   = "Idempotency-Key"
+	maxKeyBytes = 256
+)
+
+var (
+	// forwardedHeaders are what a plain service gets of a caller's headers.
+	forwardedHeaders = []string{"Accept", "Accept-Language", "Content-Type", "If-Match", "If-None-Match"}
+)
+
+type (
+	modelList struct {
+		Object string      `json:"object"`
+		Data   []modelItem `json:"data"`
+	}
+
+	modelItem struct {
+		ID     string `json:"id"`
+		Object string `json:"object"`
+	}
+)
+
+// serveCall passes a call on to a plain service.
+func (e *Entry) serveCall(w http.ResponseWriter, r *http.Request) {
+	now := time.Now()
+	id := e.newID(now, "c")
+	contract, req, refusal := e.readCall(w, r)
+	if refusal != nil {
+		e.refuseRequest(w, id, contract.Workspace, refusal)
+		return
+	}
+	req.ID, req.Deadline = id, now.Add(e.RequestTimeout)
+	if req.Key == "" {
+		req.Key = "entry:" + id
+	}
+	permit, err := e.acquire(r.Context(), now, contract, false)
+	if err != nil {
+		e.refuseRequest(w, id, contract.Workspace, asRefusal(err))
+		return
+	}
+	defer permit.release()
+	reply, err := e.Booker.Call(r.Context(), req)
+	if err != nil {
+		e.refuseRequest(w, id, contract.Workspace, asRefusal(err))
+		return
+	}
+	for _, h := range reply.GetHeaders() {
+		w.Header().Add(h.GetName(), h.GetValue())
+	}
+	w.Header().Set("X-Request-Id", id)
+	w.WriteHeader(int(reply.GetStatus()))
+	if _, err := w.Write(reply.GetBody()); err != nil {
+		e.Log.Emit(time.Now(), logger.CallUnknown, id, logger.F("callerGone", err))
+	}
+}
+
+// readCall checks a call against the contract.
+func (e *Entry) readCall(w http.ResponseWriter, r *http.Request) (registrar.Contract, booker.Request, *Refusal) {
+	var req booker.Request
+	contract, refusal := e.authenticate(r)
+	if refusal != nil {
+		return contract, req, refusal
+	}
+	req.Workspace, req.Service, req.Method = contract.Workspace, r.PathValue("service"), r.Method
+	req.Path = "/" + r.PathValue("path")
+	repeatable, allowed := contract.Repeatable(req.Service, r.Method, req.Path)
+	if !allowed {
+		return contract, req, refuse(http.StatusNotFound, "unknownService", "your contract has no such service")
+	}
+	if r.URL.RawQuery != "" {
+		req.Path += "?" + r.URL.RawQuery
+	}
+	req.Repeatable = repeatable
+	req.Retention = time.Duration(contract.Retention)
+	req.Key = r.Header.Get(keyHeader)
+	req.KeyFromCaller = req.Key != ""
+	if len(req.Key) > maxKeyBytes {
+		return contract, req, refuse(http.StatusBadRequest, "keyTooLong", keyHeader+" is too long")
+	}
+	req.Body, refusal = e.readBody(w, r)
+	for _, name := range forwardedHeaders {
+		if value := r.Header.Get(name); value != "" {
+			req.Headers = append(req.Headers, &messenger.Header{Name: name, Value: value})
+		}
+	}
+	if req.KeyFromCaller {
+		req.Headers = append(req.Headers, &messenger.Header{Name: keyHeader, Value: req.Key})
+	}
+	return contract, req, refusal
+}
+
+// serveModels lists what the caller may use.
+func (e *Entry) serveModels(w http.ResponseWriter, r *http.Request) {
+	contract, refusal := e.authenticate(r)
+	if refusal != nil {
+		e.refuseRequest(w, e.newID(time.Now(), "m"), contract.Workspace, refusal)
+		return
+	}
+	list := modelList{Object: "list", Data: []modelItem{}}
+	for _, m := range contract.Models {
+		list.Data = append(list.Data, modelItem{ID: m.Name, Object: "model"})
+	}
+	writeJSON(w, list)
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/internal/entry/server/generation.go
@@ -0,0 +1,201 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"verbenareach/internal/control/registrar"
+	"verbenareach/internal/entry/relayer"
+	"verbenareach/internal/event/logger"
+	"verbenareach/internal/generation/sequencer"
+	"verbenareach/internal/wire/messenger"
+)
+
+type (
+	// answer is a whole generation for a caller that wants no stream.
+	answer struct {
+		ID      string         `json:"id"`
+		Object  string         `json:"object"`
+		Model   string         `json:"model"`
+		Choices []answerChoice `json:"choices"`
+		Usage   usage          `json:"usage"`
+	}
+
+	answerChoice struct {
+		Index        int            `json:"index"`
+		Message      *answerMessage `json:"message,omitempty"`
+		Text         string         `json:"text,omitempty"`
+		FinishReason string         `json:"finish_reason"`
+	}
+
+	answerMessage struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	}
+
+	usage struct {
+		PromptTokens     uint32 `json:"prompt_tokens"`
+		CompletionTokens uint64 `json:"completion_tokens"`
+	}
+)
+
+// serveGeneration answers a completion, as a stream or whole.
+func (e *Entry) serveGeneration(w http.ResponseWriter, r *http.Request) {
+	now := time.Now()
+	id := e.newID(now, "g")
+	contract, start, stream, refusal := e.readGeneration(w, r)
+	if refusal != nil {
+		e.refuseRequest(w, id, contract.Workspace, refusal)
+		return
+	}
+	start.GenerationId = id
+	permit, err := e.acquire(r.Context(), now, contract, true)
+	if err != nil {
+		e.refuseRequest(w, id, contract.Workspace, asRefusal(err))
+		return
+	}
+	defer permit.release()
+	deadline := now.Add(e.RequestTimeout)
+	start.AdmitDeadline = deadline.UnixNano()
+	req := relayer.Request{Start: start, Deadline: deadline}
+	if stream {
+		e.stream(w, r, id, contract.Workspace, permit, func(ctx context.Context, sink relayer.Sink) error {
+			return e.Relayer.Relay(ctx, req, sink)
+		})
+		return
+	}
+	e.answerWhole(w, r, req, contract.Workspace, permit)
+}
+
+func (e *Entry) readGeneration(w http.ResponseWriter, r *http.Request) (registrar.Contract, *messenger.GenerateStart, bool, *Refusal) {
+	contract, refusal := e.authenticate(r)
+	if refusal != nil {
+		return contract, nil, false, refusal
+	}
+	body, refusal := e.readBody(w, r)
+	if refusal != nil {
+		return contract, nil, false, refusal
+	}
+	start, stream, refusal := parseGeneration(r, contract, body)
+	return contract, start, stream, refusal
+}
+
+// stream writes a generation as events while it is made.
+func (e *Entry) stream(w http.ResponseWriter, r *http.Request, id, workspace string, permit Permit, relay func(context.Context, relayer.Sink) error) {
+	events := newEventWriter(w)
+	stopComments := keepAlive(events)
+	defer stopComments()
+	err := relay(r.Context(), relayer.Sink{
+		Moved: events.moved,
+		Tokens: func(first uint64, texts []string) error {
+			permit.spend(time.Now(), len(texts))
+			return events.tokens(first, texts)
+		},
+		End: events.end,
+	})
+	if err == nil {
+		return
+	}
+	var gone *relayer.CallerError
+	if errors.As(err, &gone) {
+		e.Log.Emit(time.Now(), logger.GenerationCancelled, id, logger.F("cause", gone))
+		return
+	}
+	refusal := asRefusal(err)
+	if events.hasBegun() {
+		_ = events.incomplete(refusal)
+		return
+	}
+	e.refuseRequest(w, id, workspace, refusal)
+}
+
+// answerWhole writes a generation in one piece, or an error.
+func (e *Entry) answerWhole(w http.ResponseWriter, r *http.Request, req relayer.Request, workspace string, permit Permit) {
+	var text strings.Builder
+	var n uint64
+	finish := ""
+	err := e.Relayer.Relay(r.Context(), req, relayer.Sink{
+		Moved: func(sequencer.Cursor, *messenger.GenerateStart) error { return nil },
+		Tokens: func(_ uint64, texts []string) error {
+			permit.spend(time.Now(), len(texts))
+			n += uint64(len(texts))
+			for _, t := range texts {
+				text.WriteString(t)
+			}
+			return nil
+		},
+		End: func(reason string) error { finish = reason; return nil },
+	})
+	var gone *relayer.CallerError
+	if errors.As(err, &gone) {
+		e.Log.Emit(time.Now(), logger.GenerationCancelled, req.Start.GetGenerationId(), logger.F("cause", gone))
+		return
+	}
+	if err != nil {
+		e.refuseRequest(w, req.Start.GetGenerationId(), workspace, asRefusal(err))
+		return
+	}
+	whole := answer{ID: req.Start.GetGenerationId(), Model: req.Start.GetModel(), Usage: usage{req.Start.GetPromptTokens(), n}}
+	if isChat(req.Start) {
+		whole.Object = "chat.completion"
+		whole.Choices = []answerChoice{{Message: &answerMessage{Role: "assistant", Content: text.String()}, FinishReason: finish}}
+	} else {
+		whole.Object = "text_completion"
+		whole.Choices = []answerChoice{{Text: text.String(), FinishReason: finish}}
+	}
+	writeJSON(w, whole)
+}
+
+// refuseRequest writes a refusal and notes it.
+func (e *Entry) refuseRequest(w http.ResponseWriter, id, workspace string, refusal *Refusal) {
+	e.Log.Emit(time.Now(), logger.RequestRefused, id, logger.F("workspace", workspace), logger.F("code", refusal.Code),
+		logger.F("status", refusal.Status), logger.F("ran", ranText(refusal.Ran)), logger.F("message", refusal.Message))
+	w.Header().Set("X-Request-Id", id)
+	writeRefusal(w, refusal)
+}
+
+func (e *Entry) acquire(ctx context.Context, now time.Time, contract registrar.Contract, generation bool) (Permit, error) {
+	if e.Acquire == nil {
+		return Permit{}, nil
+	}
+	return e.Acquire(ctx, now, contract, generation)
+}
+
+// newID returns an id that no other request has: entry, start time and number.
+func (e *Entry) newID(now time.Time, kind string) string {
+	return fmt.Sprintf("%s-%s-%x-%x", kind, e.Name, now.UnixMicro(), e.requests.Add(1))
+}
+
+func (p Permit) release() {
+	if p.Release != nil {
+		p.Release(time.Now())
+	}
+}
+
+func (p Permit) spend(now time.Time, n int) {
+	if p.Spend != nil {
+		p.Spend(now, n)
+	}
+}
+
+// keepAlive writes comments to a silent stream until the returned function is called.
+func keepAlive(events *eventWriter) (stop func()) {
+	done := make(chan struct{})
+	go func() {
+		ticker := time.NewTicker(keepAliveEvery)
+		defer ticker.Stop()
+		for {
+			select {
+			case now := <-ticker.C:
+				events.comment(now)
+			case <-done:
+				return
+			}
+		}
+	}()
+	return func() { close(done) }
+}
--- /dev/null
+++ b/internal/entry/server/refusal.go
@@ -0,0 +1,120 @@
+package server
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"verbenareach/internal/entry/booker"
+	"verbenareach/internal/entry/relayer"
+	"verbenareach/internal/wire/messenger"
+)
+
+type (
+	// Refusal is an answer other than what the caller asked for.
+	Refusal struct {
+		// Status is the HTTP status.
+		Status int
+		// Code is stable and meant for programs.
+		Code    string
+		Message string
+		// Ran tells whether the request ran.
+		Ran messenger.Ran
+		// RetryAfter is when to try again; 0 says nothing.
+		RetryAfter time.Duration
+	}
+
+	errorBody struct {
+		Error errorDetail `json:"error"`
+		// Ran is no, yes or unknown.
+		Ran string `json:"ran"`
+	}
+
+	errorDetail struct {
+		Code    string `json:"code"`
+		Message string `json:"message"`
+		Type    string `json:"type"`
+	}
+)
+
+var _ error = &Refusal{}
+
+// Error returns the message.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%s: %s", r.Code, r.Message)
+}
+
+// refuse returns a refusal of a request that did not run.
+func refuse(status int, code, message string) *Refusal {
+	return &Refusal{Status: status, Code: code, Message: message, Ran: messenger.Ran_RAN_NO}
+}
+
+// asRefusal turns what a relayer or booker reports into an answer.
+func asRefusal(err error) *Refusal {
+	var (
+		refusal    *Refusal
+		notRun     *relayer.NotRunError
+		incomplete *relayer.IncompleteError
+		notFound   *relayer.NotFoundError
+		callNotRun *booker.NotRunError
+		unknown    *booker.UnknownError
+		conflict   *booker.ConflictError
+	)
+	switch {
+	case errors.As(err, &refusal):
+		return refusal
+	case errors.As(err, &notRun), errors.As(err, &callNotRun):
+		r := refuse(http.StatusServiceUnavailable, "noBackendServer", err.Error())
+		r.RetryAfter = time.Second
+		return r
+	case errors.As(err, &incomplete):
+		return &Refusal{Status: http.StatusBadGateway, Code: "incomplete", Message: incomplete.Cause, Ran: incomplete.Ran}
+	case errors.As(err, &notFound):
+		r := refuse(http.StatusNotFound, "unknownGeneration", err.Error())
+		r.Ran = messenger.Ran_RAN_UNKNOWN
+		return r
+	case errors.As(err, &unknown):
+		return &Refusal{Status: http.StatusGatewayTimeout, Code: "outcomeUnknown", Message: err.Error(), Ran: messenger.Ran_RAN_UNKNOWN}
+	case errors.As(err, &conflict):
+		return refuse(http.StatusUnprocessableEntity, "idempotencyConflict", err.Error())
+	default:
+		return &Refusal{Status: http.StatusInternalServerError, Code: "internal", Message: err.Error(), Ran: messenger.Ran_RAN_UNKNOWN}
+	}
+}
+
+// body returns the refusal as callers read it.
+func (r *Refusal) body() []byte {
+	kind := "server_error"
+	if r.Status < http.StatusInternalServerError {
+		kind = "invalid_request_error"
+	}
+	b, err := json.Marshal(errorBody{Error: errorDetail{Code: r.Code, Message: r.Message, Type: kind}, Ran: ranText(r.Ran)})
+	if err != nil {
+		return []byte(`{"error":{"code":"internal"},"ran":"unknown"}`)
+	}
+	return b
+}
+
+func ranText(ran messenger.Ran) string {
+	switch ran {
+	case messenger.Ran_RAN_NO:
+		return "no"
+	case messenger.Ran_RAN_YES:
+		return "yes"
+	default:
+		return "unknown"
+	}
+}
+
+func writeRefusal(w http.ResponseWriter, r *Refusal) {
+	w.Header().Set("Content-Type", "application/json")
+	if r.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
+	}
+	w.WriteHeader(r.Status)
+	_, _ = w.Write(append(r.body(), '\n'))
+}
--- /dev/null
+++ b/internal/entry/server/resume.go
@@ -0,0 +1,134 @@
+package server
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"verbenareach/internal/control/registrar"
+	"verbenareach/internal/entry/relayer"
+	"verbenareach/internal/event/logger"
+	"verbenareach/internal/generation/sequencer"
+	"verbenareach/internal/wire/messenger"
+)
+
+const (
+	locateTimeout  = 2 * time.Second
+	locateParallel = 32
+)
+
+type (
+	// place is an agent that holds a generation.
+	place struct {
+		target relayer.Target
+		epoch  uint32
+	}
+)
+
+// serveResume streams a generation on from where the caller is.
+func (e *Entry) serveResume(w http.ResponseWriter, r *http.Request) {
+	contract, cursor, refusal := e.readCursor(r)
+	if refusal != nil {
+		e.refuseRequest(w, r.PathValue("id"), contract.Workspace, refusal)
+		return
+	}
+	permit, err := e.acquire(r.Context(), time.Now(), contract, true)
+	if err != nil {
+		e.refuseRequest(w, cursor.Generation, contract.Workspace, asRefusal(err))
+		return
+	}
+	defer permit.release()
+	e.Log.Emit(time.Now(), logger.GenerationAttached, cursor.Generation, logger.F("server", cursor.Server), logger.F("after", cursor.Index))
+	e.stream(w, r, cursor.Generation, contract.Workspace, permit, func(ctx context.Context, sink relayer.Sink) error {
+		found, ok := e.locate(ctx, contract.Workspace, cursor)
+		if !ok {
+			return &relayer.NotFoundError{ID: cursor.Generation}
+		}
+		return e.Relayer.Resume(ctx, contract.Workspace, cursor, found, sink)
+	})
+}
+
+// serveCancel ends a generation that the caller no longer wants.
+func (e *Entry) serveCancel(w http.ResponseWriter, r *http.Request) {
+	contract, cursor, refusal := e.readCursor(r)
+	if refusal != nil {
+		e.refuseRequest(w, r.PathValue("id"), contract.Workspace, refusal)
+		return
+	}
+	found, ok := e.locate(r.Context(), contract.Workspace, cursor)
+	if !ok {
+		e.refuseRequest(w, cursor.Generation, contract.Workspace, asRefusal(&relayer.NotFoundError{ID: cursor.Generation}))
+		return
+	}
+	if err := e.Relayer.Cancel(r.Context(), contract.Workspace, cursor.Generation, found); err != nil {
+		e.refuseRequest(w, cursor.Generation, contract.Workspace, asRefusal(err))
+		return
+	}
+	e.Log.Emit(time.Now(), logger.GenerationCancelled, cursor.Generation, logger.F("cause", "the caller asked"))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// readCursor returns where the caller is: Last-Event-ID, or the start of the
+// generation in the path.
+func (e *Entry) readCursor(r *http.Request) (registrar.Contract, sequencer.Cursor, *Refusal) {
+	contract, refusal := e.authenticate(r)
+	if refusal != nil {
+		return contract, sequencer.Cursor{}, refusal
+	}
+	last := r.Header.Get("Last-Event-ID")
+	if last == "" {
+		return contract, sequencer.Cursor{Generation: r.PathValue("id"), Index: -1}, nil
+	}
+	cursor, err := sequencer.ParseCursor(last)
+	if err != nil || cursor.Generation != r.PathValue("id") {
+		return contract, cursor, refuse(http.StatusBadRequest, "badEventID", "Last-Event-ID is none of this generation")
+	}
+	return contract, cursor, nil
+}
+
+// locate finds the agent with the newest attempt: it asks the one that the
+// cursor names, and all engines' agents if that one does not hold the generation.
+func (e *Entry) locate(ctx context.Context, workspace string, cursor sequencer.Cursor) (relayer.Target, bool) {
+	ctx, cancel := context.WithTimeout(ctx, locateTimeout)
+	defer cancel()
+	view := e.View()
+	if member, ok := view.Member(cursor.Server); ok {
+		if found, ok := e.ask(ctx, workspace, cursor.Generation, member); ok {
+			return found.target, true
+		}
+	}
+	var mu sync.Mutex
+	var newest place
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(locateParallel)
+	view.EachMember(func(m registrar.Member) {
+		if m.Backend.Kind != registrar.BackendEngine {
+			return
+		}
+		g.Go(func() error {
+			found, ok := e.ask(ctx, workspace, cursor.Generation, m)
+			mu.Lock()
+			defer mu.Unlock()
+			if ok && found.epoch > newest.epoch {
+				newest = found
+			}
+			return nil
+		})
+	})
+	_ = g.Wait()
+	return newest.target, newest.epoch > 0
+}
+
+func (e *Entry) ask(ctx context.Context, workspace, generation string, m registrar.Member) (place, bool) {
+	conn := e.Relayer.Pool.Conn(ctx, m.Address)
+	defer func() { _ = conn.Close() }()
+	reply, err := messenger.NewDRPCAgentClient(conn).Locate(ctx, &messenger.LocateRequest{GenerationId: generation, Workspace: workspace})
+	if err != nil || !reply.GetFound() {
+		return place{}, false
+	}
+	target := relayer.Target{Server: m.Name, Address: m.Address, Incarnation: reply.GetIncarnation()}
+	return place{target: target, epoch: reply.GetEpoch()}, true
+}
