feat: keep agreed state, follow it and claim calls over the wire

registrar.State applies contract puts, marks, announcements, claims and fencing numbers in log order; distributor and follower carry it to entries and agents; controller joins them on a single host behind the seam of the agreement.

--- a/internal/cmd/commander/commander.go
+++ b/internal/cmd/commander/commander.go
@@ -23,6 +23,7 @@
 	app.Terminate(nil)
 	run := make(map[string]func() error)
 	addVersion(app, run, stdout)
+	addControl(app, run, stderr)
 	selected, err := app.Parse(args)
 	if err != nil {
 		fmt.Fprintf(stderr, "verbenareach: %v\n", err)
--- /dev/null
+++ b/internal/control/controller/controller.go
@@ -0,0 +1,134 @@
+// Package controller is the control role: it joins the agreed state, its
+// distribution and the services of one control host.
+package controller
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"verbenareach/internal/config/parser"
+	"verbenareach/internal/control/distributor"
+	"verbenareach/internal/control/registrar"
+	"verbenareach/internal/event/logger"
+	"verbenareach/internal/wire/messenger"
+)
+
+type (
+	// Controller is one control host. Its exported fields are set before Run.
+	Controller struct {
+		// Name is unique among all processes.
+		Name string
+		// Settings are the control host's own.
+		Settings parser.Control
+		// Log receives the events; nil for none.
+		Log *logger.Logger
+
+		// mu guards state; Apply is called in log order.
+		mu    sync.Mutex
+		state *registrar.State
+		// propose and confirm are the agreement's two operations.
+		propose     func(ctx context.Context, command []byte) (index uint64, result []byte, err error)
+		confirm     func(ctx context.Context) (index uint64, err error)
+		distributor *distributor.Distributor
+	}
+)
+
+const (
+	// tickEvery is the time between two ticks of the agreed clock.
+	tickEvery      = 5 * time.Second
+	proposeTimeout = 5 * time.Second
+)
+
+// Run serves until ctx ends.
+func (c *Controller) Run(ctx context.Context) error {
+	c.state = registrar.NewState()
+	log := &localLog{apply: c.apply}
+	c.propose, c.confirm = log.propose, log.confirm
+	c.distributor = &distributor.Distributor{
+		Host: c.Name, Propose: c.Propose, ConfirmRead: c.confirm, Log: c.Log,
+	}
+	mux := drpcmux.New()
+	if err := messenger.DRPCRegisterControl(mux, &service{c}); err != nil {
+		return eris.Wrap(err, "register control service")
+	}
+	var lc net.ListenConfig
+	lis, err := lc.Listen(ctx, "tcp", c.Settings.Listen)
+	if err != nil {
+		return eris.Wrap(err, "listen for followers")
+	}
+	c.Log.Emit(time.Now(), logger.ControlStarted, "", logger.F("listen", lis.Addr().String()))
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return eris.Wrap(drpcserver.New(mux).Serve(ctx, lis), "serve followers") })
+	g.Go(func() error { return c.distributor.Run(ctx) })
+	g.Go(func() error { return c.tick(ctx) })
+	err = g.Wait()
+	c.Log.Emit(time.Now(), logger.ControlStopped, "")
+	return err
+}
+
+// Propose has a command agreed on, and returns once it is applied here.
+func (c *Controller) Propose(ctx context.Context, command registrar.Command) (registrar.Result, error) {
+	data, err := command.Encode()
+	if err != nil {
+		return registrar.Result{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	index, encoded, err := c.propose(ctx, data)
+	if err != nil {
+		return registrar.Result{}, err
+	}
+	result, err := registrar.DecodeResult(encoded)
+	if err != nil {
+		return registrar.Result{}, err
+	}
+	return result, c.distributor.WaitFor(ctx, index)
+}
+
+// apply applies one committed command.
+func (c *Controller) apply(index uint64, command []byte) []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	result, changes := c.state.Apply(index, command)
+	c.distributor.Publish(c.state.View(), changes)
+	return result
+}
+
+// tick renews this host's hold on its members and moves the agreed clock on,
+// unless another host did so since the last look.
+func (c *Controller) tick(ctx context.Context) error {
+	last, seen := time.Now(), c.ticks()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(tickEvery):
+		}
+		renew := registrar.Command{Renew: &registrar.Renew{Host: c.Name}}
+		if _, err := c.Propose(ctx, renew); err != nil {
+			continue
+		}
+		now, number := time.Now(), c.ticks()
+		if number != seen {
+			last, seen = now, number
+			continue
+		}
+		t := registrar.Tick{Number: number + 1, Elapsed: registrar.Duration(now.Sub(last))}
+		if _, err := c.Propose(ctx, registrar.Command{Tick: &t}); err == nil {
+			last, seen = now, c.ticks()
+		}
+	}
+}
+
+func (c *Controller) ticks() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state.Ticks()
+}
--- /dev/null
+++ b/internal/control/controller/controller_test.go
@@ -0,0 +1,129 @@
+package controller
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"verbenareach/internal/config/parser"
+	"verbenareach/internal/control/follower"
+	"verbenareach/internal/control/registrar"
+	"verbenareach/internal/wire/messenger"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// freeAddress returns a loopback address that nothing listens on.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer lis.Close()
+	return lis.Addr().String()
+}
+
+// background runs f until the test ends.
+func background(t *testing.T, f func(context.Context) error) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- f(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Errorf("background: %v", err)
+		}
+	})
+}
+
+// eventually waits until ok holds.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("never came: %s", what)
+}
+
+func TestFollowersLearnOfChanges(t *testing.T) {
+	address := freeAddress(t)
+	c := &Controller{Name: "control-1", Settings: parser.Control{Listen: address}}
+	background(t, c.Run)
+	entry := &follower.Follower{
+		Addresses: []string{address}, Self: registrar.Member{Name: "entry-1", Role: registrar.RoleEntry, Address: "127.0.0.1:1"},
+	}
+	agent := &follower.Follower{
+		Addresses: []string{address}, Self: registrar.Member{Name: "engine-1", Role: registrar.RoleAgent, Address: "127.0.0.1:2"},
+	}
+	background(t, entry.Run)
+	background(t, agent.Run)
+	eventually(t, "agent in the entry's view", func() bool {
+		m, ok := entry.View().Member("engine-1")
+		return ok && m.Incarnation == agent.Member().Incarnation && m.Ordinal != 0
+	})
+	eventually(t, "freshness", func() bool { return agent.Fresh(time.Now()) && entry.Fresh(time.Now()) })
+
+	ctx := context.Background()
+	contract := registrar.Contract{Workspace: "choir", Keys: []registrar.APIKey{{Name: "k", SHA256: registrar.HashKey("secret")}}}
+	put := registrar.PutContract{Contract: contract, By: "op"}
+	r, err := c.Propose(ctx, registrar.Command{PutContract: &put})
+	if err != nil || r.Contract.Outcome != registrar.OutcomeAccepted {
+		t.Fatalf("put: %+v, %v", r, err)
+	}
+	mark := registrar.SetMark{Server: "engine-1", Leaving: true, By: "op"}
+	if r, err = c.Propose(ctx, registrar.Command{SetMark: &mark}); err != nil || r.Mark.Outcome != registrar.OutcomeAccepted {
+		t.Fatalf("mark: %+v, %v", r, err)
+	}
+	eventually(t, "contract and mark", func() bool {
+		_, ok := entry.View().ContractByKey("secret")
+		return ok && agent.View().Mark("engine-1").Leaving
+	})
+	agent.SetReport(&messenger.Report{MarkNumber: 1, InProgress: 2, Load: follower.PackLoad(follower.Load{Running: 2})})
+	eventually(t, "report", func() bool {
+		for _, f := range c.distributor.Followers(time.Now()).GetFollowers() {
+			if f.GetName() == "engine-1" && f.GetReport().GetMarkNumber() == 1 {
+				return true
+			}
+		}
+		return false
+	})
+	eventually(t, "load at the entry", func() bool {
+		l, ok := entry.Load("engine-1")
+		return ok && l.Running == 2
+	})
+}
+
+func TestClaimsOverTheWire(t *testing.T) {
+	address := freeAddress(t)
+	background(t, (&Controller{Name: "control-1", Settings: parser.Control{Listen: address}}).Run)
+	f := &follower.Follower{Addresses: []string{address}, Self: registrar.Member{Name: "entry-1", Role: registrar.RoleEntry}}
+	background(t, f.Run)
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	claim := &messenger.Claim{Workspace: "choir", Key: "k1", Digest: []byte("d"), Server: "rota-1", Incarnation: 7}
+	got, err := f.Claim(ctx, &messenger.ClaimRequest{Claim: claim, Claimant: "a"})
+	if err != nil || got.GetStatus() != messenger.ClaimStatus_CLAIM_STATUS_GRANTED || got.GetClaim().GetEpoch() != 1 {
+		t.Fatalf("first claim: %v, %v", got, err)
+	}
+	other, err := f.Claim(ctx, &messenger.ClaimRequest{Claim: claim, Claimant: "b"})
+	if err != nil || other.GetStatus() != messenger.ClaimStatus_CLAIM_STATUS_PENDING {
+		t.Fatalf("second claimant: %v, %v", other, err)
+	}
+	outcome := &messenger.CallReply{Ran: messenger.Ran_RAN_YES, Status: 201, Body: []byte("booked")}
+	if got, err = f.RecordOutcome(ctx, got.GetClaim(), outcome); err != nil || got.GetStatus() != messenger.ClaimStatus_CLAIM_STATUS_DONE {
+		t.Fatalf("outcome: %v, %v", got, err)
+	}
+	again, err := f.Claim(ctx, &messenger.ClaimRequest{Claim: claim, Claimant: "c"})
+	if err != nil || string(again.GetOutcome().GetBody()) != "booked" {
+		t.Fatalf("same key again: %v, %v", again, err)
+	}
+}
--- /dev/null
+++ b/internal/control/controller/locallog.go
@@ -0,0 +1,31 @@
+package controller
+
+import (
+	"context"
+	"sync"
+)
+
+// localLog is an order of commands of a single host, in memory.
+type localLog struct {
+	// apply applies one command.
+	apply func(index uint64, command []byte) []byte
+
+	mu    sync.Mutex
+	index uint64
+}
+
+func (l *localLog) confirm(ctx context.Context) (uint64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.index, ctx.Err()
+}
+
+func (l *localLog) propose(ctx context.Context, command []byte) (uint64, []byte, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err := ctx.Err(); err != nil {
+		return 0, nil, err
+	}
+	l.index++
+	return l.index, l.apply(l.index, command), nil
+}
--- /dev/null
+++ b/internal/control/follower/calls.go
@@ -0,0 +1,170 @@
+package follower
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcpool"
+
+	"verbenareach/internal/wire/messenger"
+)
+
+// UnavailableError tells that no control host answered. Whether the call took
+// effect is unknown; the same call may be sent again.
+type UnavailableError struct {
+	// Causes has one error for each attempt.
+	Causes []error
+}
+
+const (
+	// attemptTimeout bounds a call to one control host before the next is tried.
+	attemptTimeout = 2 * time.Second
+	poolExpiration = time.Minute
+	poolCapacity   = 64
+)
+
+var _ error = &UnavailableError{}
+
+// Error tells what the last attempt failed with.
+func (e *UnavailableError) Error() string {
+	if len(e.Causes) == 0 {
+		return "no control host answered"
+	}
+	return "no control host answered: " + e.Causes[len(e.Causes)-1].Error()
+}
+
+// Unwrap returns the attempts' errors.
+func (e *UnavailableError) Unwrap() error {
+	return errors.Join(e.Causes...)
+}
+
+// Claim asks control for the right to run a non-repeatable call once. Claimant
+// in r is unique for each attempt of the caller: after an UnavailableError the same
+// request may be sent again and gets the same answer. Only a reply with status
+// GRANTED lets the caller dispatch, and only the claim in the reply, which may name
+// another server than the request. It tries all control hosts until ctx ends.
+func (f *Follower) Claim(ctx context.Context, r *messenger.ClaimRequest) (*messenger.ClaimReply, error) {
+	var reply *messenger.ClaimReply
+	err := f.call(ctx, func(ctx context.Context, client messenger.DRPCControlClient) (err error) {
+		reply, err = client.Claim(ctx, r)
+		return err
+	})
+	return reply, err
+}
+
+// Fence asks control for the next fencing number of a backend server.
+func (f *Follower) Fence(ctx context.Context, r *messenger.FenceRequest) (*messenger.FenceReply, error) {
+	var reply *messenger.FenceReply
+	err := f.call(ctx, func(ctx context.Context, client messenger.DRPCControlClient) (err error) {
+		reply, err = client.Fence(ctx, r)
+		return err
+	})
+	return reply, err
+}
+
+// FinishLoad gives a permit of the weight store back, once a load has ended.
+func (f *Follower) FinishLoad(ctx context.Context, r *messenger.FinishLoadRequest) error {
+	return f.call(ctx, func(ctx context.Context, client messenger.DRPCControlClient) error {
+		_, err := client.FinishLoad(ctx, r)
+		return err
+	})
+}
+
+// RecordOutcome commits the answer of a claimed call. The first one recorded
+// stays; the reply holds it.
+func (f *Follower) RecordOutcome(ctx context.Context, claim *messenger.Claim, outcome *messenger.CallReply) (*messenger.ClaimReply, error) {
+	var reply *messenger.ClaimReply
+	err := f.call(ctx, func(ctx context.Context, client messenger.DRPCControlClient) (err error) {
+		reply, err = client.RecordOutcome(ctx, &messenger.OutcomeRequest{Claim: claim, Outcome: outcome})
+		return err
+	})
+	return reply, err
+}
+
+// RefuseClaim commits that the claim's agent has recorded it as never to run.
+// It must be called only after the agent answered RAN_NO.
+func (f *Follower) RefuseClaim(ctx context.Context, claim *messenger.Claim) (*messenger.ClaimReply, error) {
+	var reply *messenger.ClaimReply
+	err := f.call(ctx, func(ctx context.Context, client messenger.DRPCControlClient) (err error) {
+		reply, err = client.RecordRefusal(ctx, &messenger.RefusalRequest{Claim: claim})
+		return err
+	})
+	return reply, err
+}
+
+// call tries the control hosts, the one that is followed first, until one
+// answers or ctx ends. All calls are idempotent.
+func (f *Follower) call(ctx context.Context, do func(context.Context, messenger.DRPCControlClient) error) error {
+	f.init()
+	failed := &UnavailableError{}
+	wait := firstRetry
+	for {
+		for _, address := range f.order() {
+			conn := f.pool.Get(ctx, address, dialPooled)
+			attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
+			err := do(attempt, messenger.NewDRPCControlClient(conn))
+			cancel()
+			err = errors.Join(err, closePooled(conn))
+			if err == nil {
+				return nil
+			}
+			failed.Causes = append(failed.Causes, eris.Wrap(err, address))
+			if ctx.Err() != nil {
+				return failed
+			}
+		}
+		pause(ctx, wait)
+		wait = min(2*wait, maxRetry)
+		if ctx.Err() != nil {
+			return failed
+		}
+	}
+}
+
+// order returns the control hosts, the one that is followed first.
+func (f *Follower) order() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	i := max(slices.Index(f.Addresses, f.current), 0)
+	return slices.Concat(f.Addresses[i:], f.Addresses[:i])
+}
+
+// relay passes a mark on to an agent and has the answer sent back.
+func (f *Follower) relay(ctx context.Context, m *messenger.RelayMark) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	pass := f.RelayMark
+	if pass == nil {
+		pass = f.relayDirect
+	}
+	answer := &messenger.RelayedMark{Id: m.GetId()}
+	reply, err := pass(ctx, m.GetAddress(), m.GetMark())
+	if err != nil {
+		answer.Error = err.Error()
+	} else {
+		answer.Reply = reply
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.relayed = append(f.relayed, answer)
+	f.poke()
+}
+
+func (f *Follower) relayDirect(ctx context.Context, address string, m *messenger.MarkRequest) (*messenger.MarkReply, error) {
+	conn := f.pool.Get(ctx, address, dialPooled)
+	reply, err := messenger.NewDRPCAgentClient(conn).Mark(ctx, m)
+	return reply, errors.Join(err, closePooled(conn))
+}
+
+func dialPooled(ctx context.Context, address string) (drpcpool.Conn, error) {
+	return dial(ctx, address)
+}
+
+// closePooled gives a connection back to its pool.
+func closePooled(conn drpc.Conn) error {
+	return conn.Close()
+}
--- /dev/null
+++ b/internal/control/registrar/command.go
@@ -0,0 +1,72 @@
+package registrar
+
+import (
+	"encoding/json"
+
+	"github.com/rotisserie/eris"
+)
+
+type (
+	// Command is one change that control agrees on, as it stands in the log.
+	// Exactly one field is set.
+	Command struct {
+		PutContract *PutContract `json:"putContract,omitempty"`
+		SetMark     *SetMark     `json:"setMark,omitempty"`
+		Announce    *Announce    `json:"announce,omitempty"`
+		Expire      *Expire      `json:"expire,omitempty"`
+		Claim       *MakeClaim   `json:"claim,omitempty"`
+		Outcome     *EndClaim    `json:"outcome,omitempty"`
+		Refuse      *RefuseClaim `json:"refuse,omitempty"`
+		Fence       *IssueFence  `json:"fence,omitempty"`
+		FinishLoad  *FinishLoad  `json:"finishLoad,omitempty"`
+		Tick        *Tick        `json:"tick,omitempty"`
+		Renew       *Renew       `json:"renew,omitempty"`
+	}
+
+	// Result is the answer to a command. Exactly one field is set.
+	Result struct {
+		Contract *ContractResult `json:"contract,omitempty"`
+		Mark     *MarkResult     `json:"mark,omitempty"`
+		Member   *MemberResult   `json:"member,omitempty"`
+		Claim    *ClaimResult    `json:"claim,omitempty"`
+		Fence    *FenceResult    `json:"fence,omitempty"`
+		// Unknown is set for a command that this version doesn't know.
+		Unknown bool `json:"unknown,omitempty"`
+	}
+
+	// Change is one step of the state that followers learn of. Exactly one of
+	// Contract, Mark, Member and Removed is set.
+	Change struct {
+		// Index is the log index of the command that made the change.
+		Index    uint64
+		Contract *Contract
+		Mark     *Mark
+		Member   *Member
+		// Removed is the name of a member that is gone.
+		Removed string
+	}
+)
+
+// DecodeCommand reads a command from its form in the log.
+func DecodeCommand(data []byte) (Command, error) {
+	var c Command
+	if err := json.Unmarshal(data, &c); err != nil {
+		return Command{}, eris.Wrap(err, "decode command")
+	}
+	return c, nil
+}
+
+// DecodeResult reads a result from the form that State.Apply returns.
+func DecodeResult(data []byte) (Result, error) {
+	var r Result
+	if err := json.Unmarshal(data, &r); err != nil {
+		return Result{}, eris.Wrap(err, "decode result")
+	}
+	return r, nil
+}
+
+// Encode returns the command's form in the log.
+func (c Command) Encode() ([]byte, error) {
+	data, err := json.Marshal(c)
+	return data, eris.Wrap(err, "encode command")
+}
--- a/internal/control/registrar/view.go
+++ b/internal/control/registrar/view.go
@@ -25,6 +25,8 @@
 		Backend Backend `json:"backend"`
 		// JoinedAt is when this incarnation joined, in Unix nanoseconds.
 		JoinedAt int64 `json:"joinedAt"`
+		// Ordinal is a small number that control gives to each name.
+		Ordinal uint32 `json:"ordinal,omitempty"`
 	}
 
 	// Backend is what an agent's backend server announced of itself.
@@ -110,6 +112,13 @@
 	}
 }
 
+// EachMark calls f for the newest mark of each backend server, in no order.
+func (v View) EachMark(f func(Mark)) {
+	for _, m := range v.marks {
+		f(m)
+	}
+}
+
 // Mark returns the newest mark of a backend server; the zero Mark if it has none.
 func (v View) Mark(server string) Mark {
 	return v.marks[server]
@@ -121,53 +130,71 @@
 	return m, ok
 }
 
-// WithContract returns a view that holds c, at index.
-func (v View) WithContract(index uint64, c Contract) View {
-	old := v.contracts[c.Workspace]
+// WithChanges returns a view that holds changes up to index, copying each map
+// at most once.
+func (v View) WithChanges(index uint64, changes ...Change) View {
 	v.Index = index
-	v.contracts = cloned(v.contracts)
-	v.contracts[c.Workspace] = c
-	v.workspaces = maps.Clone(v.workspaces)
-	if v.workspaces == nil {
-		v.workspaces = make(map[string]string)
+	var contracts, members, marks bool
+	for _, c := range changes {
+		contracts = contracts || c.Contract != nil
+		marks = marks || c.Mark != nil
+		members = members || c.Member != nil || c.Removed != ""
+	}
+	if contracts {
+		v.contracts, v.workspaces = cloned(v.contracts), clonedTexts(v.workspaces)
+	}
+	if marks {
+		v.marks = clonedMarks(v.marks)
 	}
-	for _, k := range old.Keys {
-		delete(v.workspaces, k.SHA256)
+	if members {
+		v.members = clonedMembers(v.members)
 	}
-	for _, k := range c.Keys {
-		v.workspaces[k.SHA256] = c.Workspace
+	for _, c := range changes {
+		v.put(c)
 	}
 	return v
 }
 
+// WithContract returns a view that holds c, at index.
+func (v View) WithContract(index uint64, c Contract) View {
+	return v.WithChanges(index, Change{Contract: &c})
+}
+
 // WithMark returns a view that holds m, at index.
 func (v View) WithMark(index uint64, m Mark) View {
-	v.Index = index
-	v.marks = maps.Clone(v.marks)
-	if v.marks == nil {
-		v.marks = make(map[string]Mark)
-	}
-	v.marks[m.Server] = m
-	return v
+	return v.WithChanges(index, Change{Mark: &m})
 }
 
 // WithMember returns a view that holds m, at index.
 func (v View) WithMember(index uint64, m Member) View {
-	v.Index = index
-	v.members = maps.Clone(v.members)
-	if v.members == nil {
-		v.members = make(map[string]Member)
-	}
-	v.members[m.Name] = m
-	return v
+	return v.WithChanges(index, Change{Member: &m})
 }
 
 // WithoutMember returns a view without a member, at index.
 func (v View) WithoutMember(index uint64, name string) View {
-	v.Index = index
-	v.members = maps.Clone(v.members)
-	delete(v.members, name)
-	return v
+	return v.WithChanges(index, Change{Removed: name})
+}
+
+// put makes one change in maps that no one else holds.
+func (v View) put(c Change) {
+	switch {
+	case c.Contract != nil:
+		for _, k := range v.contracts[c.Contract.Workspace].Keys {
+			if v.workspaces[k.SHA256] == c.Contract.Workspace {
+				delete(v.workspaces, k.SHA256)
+			}
+		}
+		for _, k := range c.Contract.Keys {
+			v.workspaces[k.SHA256] = c.Contract.Workspace
+		}
+		v.contracts[c.Contract.Workspace] = *c.Contract
+	case c.Mark != nil:
+		v.marks[c.Mark.Server] = *c.Mark
+	case c.Member != nil:
+		v.members[c.Member.Name] = *c.Member
+	case c.Removed != "":
+		delete(v.members, c.Removed)
+	}
 }
 
 func cloned(contracts map[string]Contract) map[string]Contract {
@@ -176,3 +203,24 @@
 	}
 	return maps.Clone(contracts)
 }
+
+func clonedMarks(marks map[string]Mark) map[string]Mark {
+	if marks == nil {
+		return make(map[string]Mark)
+	}
+	return maps.Clone(marks)
+}
+
+func clonedMembers(members map[string]Member) map[string]Member {
+	if members == nil {
+		return make(map[string]Member)
+	}
+	return maps.Clone(members)
+}
+
+func clonedTexts(texts map[string]string) map[string]string {
+	if texts == nil {
+		return make(map[string]string)
+	}
+	return maps.Clone(texts)
+}
--- a/internal/event/logger/controlevents.go
+++ b/internal/event/logger/controlevents.go
@@ -7,5 +7,15 @@
 	ControlStarted = Event{1001, log.InfoLevel, "control host started"}
 	ControlStopped = Event{1002, log.InfoLevel, "control host stopped"}
 
-	controlEvents = []Event{ControlStarted, ControlStopped}
+	// Events of distribution and membership.
+	FollowerConnected = Event{1101, log.DebugLevel, "follower connected"}
+	FollowerGone      = Event{1102, log.DebugLevel, "follower's stream ended"}
+	MemberExpired     = Event{1103, log.WarnLevel, "member removed after it fell silent"}
+	// Events of followers, in entries and agents.
+	ControlLeft      = Event{1151, log.WarnLevel, "control host left for another"}
+	MemberSuperseded = Event{1152, log.ErrorLevel, "another process has taken this one's name"}
+
+	controlEvents = []Event{
+		ControlStarted, ControlStopped, FollowerConnected, FollowerGone, MemberExpired, ControlLeft, MemberSuperseded,
+	}
 )
