--- a/internal/cmd/commander/commander.go
+++ b/internal/cmd/commander/commander.go
@@ -22,8 +22,10 @@
 	app.ErrorWriter(stderr)
 	app.Terminate(nil)
 	run := make(map[string]func() error)
+	addSettings(app, run, stdout)
 	addVersion(app, run, stdout)
 	addControl(app, run, stderr)
+	addStandInEngine(standInCommand(app), run, stderr)
 	selected, err := app.Parse(args)
 	if err != nil {
 		fmt.Fprintf(stderr, "verbenareach: %v\n", err)
@@ -35,7 +37,7 @@
 	}
 	if err := command(); err != nil {
 		fmt.Fprintf(stderr, "verbenareach: %v\n", err)
-		return exitFailure
+		return exitCode(err)
 	}
 	return exitOK
 }
--- a/internal/control/distributor/distributor.go
+++ b/internal/control/distributor/distributor.go
@@ -49,7 +49,6 @@
 		held  map[string]*heldMember
 		loads loadBoard
 		// relays counts the marks passed on through entries; waiting has who waits for them.
-		relays     uint64
 		waiting    map[uint64]chan *messenger.RelayedMark
 		heartbeats chan struct{}
 	}
--- a/internal/control/distributor/session.go
+++ b/internal/control/distributor/session.go
@@ -279,9 +279,8 @@
 		out.view, out.fresh = registrar.View{}, 0
 		return out
 	}
-	kept := true
-	out.changes, kept = d.since(done.index)
-	out.snapshot = !kept
+	changes, kept := d.since(done.index)
+	out.changes, out.snapshot = changes, !kept
 	if s.member.Role == registrar.RoleEntry && !now.Before(done.loadsNext) {
 		out.loads = d.loads.batch(done.loads, false)
 		done.loads = d.loads.sequence
--- a/internal/control/follower/follower.go
+++ b/internal/control/follower/follower.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"errors"
 	"hash/fnv"
 	"math/rand/v2"
 	"sync"
@@ -131,20 +132,20 @@
 
 // Run follows control hosts until ctx ends. Then it says goodbye, so that this
 // process is removed from the members at once: end ctx only when no work is left.
-func (f *Follower) Run(ctx context.Context) error {
+func (f *Follower) Run(ctx context.Context) (err error) {
 	f.init()
-	defer f.pool.Close()
+	defer func() { err = errors.Join(err, f.pool.Close()) }()
 	next := f.start()
 	wait := firstRetry
 	for failed := 0; ctx.Err() == nil; {
 		address := f.Addresses[next%len(f.Addresses)]
 		next++
 		began := time.Now()
-		err := f.follow(ctx, address)
+		cause := f.follow(ctx, address)
 		if ctx.Err() != nil {
 			return nil
 		}
-		f.Log.Emit(time.Now(), logger.ControlLeft, "", logger.F("address", address), logger.F("cause", err))
+		f.Log.Emit(time.Now(), logger.ControlLeft, "", logger.F("address", address), logger.F("cause", cause))
 		if time.Since(began) > 2*f.staleAfter() {
 			failed, wait = 0, firstRetry
 			continue
--- a/internal/control/registrar/markbook.go
+++ b/internal/control/registrar/markbook.go
@@ -62,11 +62,10 @@
 		return MarkResult{Outcome: OutcomeConflict, Mark: m, Current: current}, nil
 	}
 	m := Mark{Server: p.Server, Number: current.Number + 1, Leaving: p.Leaving, By: p.By, At: p.At}
-	marks := append(b.marks[p.Server], m)
-	if len(marks) > maxMarksEach {
-		marks = marks[len(marks)-maxMarksEach:]
+	b.marks[p.Server] = append(b.marks[p.Server], m)
+	if extra := len(b.marks[p.Server]) - maxMarksEach; extra > 0 {
+		b.marks[p.Server] = b.marks[p.Server][extra:]
 	}
-	b.marks[p.Server] = marks
 	return MarkResult{Outcome: OutcomeAccepted, Mark: m, Current: m}, []Change{{Mark: &m}}
 }
 
