--- a/internal/cmd/commander/commander.go
+++ b/internal/cmd/commander/commander.go
@@ -24,6 +24,7 @@
 	run := make(map[string]func() error)
 	addSettings(app, run, stdout)
 	addVersion(app, run, stdout)
+	addControl(app, run, stderr)
 	addStandInEngine(standInCommand(app), run, stderr)
 	selected, err := app.Parse(args)
 	if err != nil {
