feat: serve the whole path, as processes of their own and as standalone

A streamed completion goes over HTTP to an entry, over drpc to an agent, to a stand-in engine and back; a contract decides; a booking is claimed, run and recorded once. An engine's refusal (seen: 502 'incomplete' for a prompt too long) is told as a 400 that did not run. Connections given back to a closed pool leaked two goroutines each (goleak); the pool now closes what is open.

--- a/internal/agent/bufferer/buffer.go
+++ b/internal/agent/bufferer/buffer.go
@@ -17,6 +17,9 @@
 		Cause string
 		// Resumable tells whether another backend server may go on.
 		Resumable bool
+		// RefusedStatus is the HTTP status with which the engine refused the request
+		// before it ran; 0 if it did not.
+		RefusedStatus int
 	}
 
 	// Buffer holds the tokens of one attempt from index First on. One goroutine
--- a/internal/agent/server/agent.go
+++ b/internal/agent/server/agent.go
@@ -52,7 +52,9 @@
 		Announce func(self registrar.Member)
 		// RecordOutcome commits the outcome of a claim; used when the entry that
 		// claimed it is gone.
-		RecordOutcome func(ctx context.Context, claim *messenger.Claim, reply *messenger.CallReply) error
+		RecordOutcome func(ctx context.Context, claim *messenger.Claim, reply *messenger.CallReply) (*messenger.ClaimReply, error)
+		// Report tells control of the work behind this agent.
+		Report func(r Status)
 		// AdmitMemory returns a DeclinedError when a generation would not fit; nil
 		// admits all.
 		AdmitMemory func(now time.Time, start *messenger.GenerateStart) error
@@ -78,6 +80,16 @@
 		fence uint64
 	}
 
+	// Status is what an agent reports to control.
+	Status struct {
+		// MarkNumber is that of the newest mark that the gate obeys.
+		MarkNumber uint64
+		InProgress int
+		// Oldest is how long the oldest work in progress has run.
+		Oldest time.Duration
+		Load   *messenger.Load
+	}
+
 	// backend is the announced backend server.
 	backend struct {
 		announced announcement
@@ -152,11 +164,22 @@
 	return messenger.DRPCRegisterAgent(mux, &peerService{agent: a})
 }
 
+// report tells control how things stand.
+func (a *Agent) report(now time.Time) {
+	status := Status{MarkNumber: a.gate.Mark().Number, Load: a.load.Load()}
+	for _, w := range a.gate.InProgress() {
+		status.InProgress++
+		status.Oldest = max(status.Oldest, now.Sub(w.StartedAt))
+	}
+	a.Report(status)
+}
+
 // takeMark applies the newest mark of the view.
 func (a *Agent) takeMark(now time.Time, number uint64, leaving bool) {
 	if !a.gate.TakeMark(gatekeeper.Mark{Number: number, Leaving: leaving}) {
 		return
 	}
+	a.report(now)
 	a.Log.Emit(now, logger.MarkTaken, a.Self.Name, logger.F("number", number), logger.F("leaving", leaving))
 }
 
--- a/internal/agent/server/backend.go
+++ b/internal/agent/server/backend.go
@@ -166,6 +166,7 @@
 		case b != nil && b.engine != nil:
 			a.pollLoad(ctx, b.engine)
 		}
+		a.report(now)
 	}
 }
 
--- a/internal/agent/server/call.go
+++ b/internal/agent/server/call.go
@@ -104,7 +104,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
 	defer cancel()
-	if err := a.RecordOutcome(ctx, claim, reply); err != nil {
+	if _, err := a.RecordOutcome(ctx, claim, reply); err != nil {
 		a.Log.Emit(time.Now(), logger.ClaimOutcome, claim.GetKey(), logger.F("notRecorded", err))
 	}
 }
--- a/internal/agent/server/generate.go
+++ b/internal/agent/server/generate.go
@@ -85,7 +85,7 @@
 		case ctx.Err() != nil:
 			return ctx.Err()
 		case replaced:
-			return stream.Send(failedDown(epoch, "another entry serves the caller now", false))
+			return stream.Send(failedDown(epoch, &bufferer.Result{Cause: "another entry serves the caller now"}))
 		case len(texts) > 0:
 			texts = texts[:min(len(texts), maxBatch)]
 			down = &messenger.GenerateDown{Body: &messenger.GenerateDown_Tokens{
@@ -131,7 +131,7 @@
 
 // sendResult sends how the attempt ended and waits for the entry's word.
 func sendResult(ctx context.Context, stream messenger.DRPCAgent_GenerateStream, epoch uint32, next uint64, result *bufferer.Result) error {
-	down := failedDown(epoch, result.Cause, result.Resumable)
+	down := failedDown(epoch, result)
 	if result.Cause == "" {
 		down = &messenger.GenerateDown{Body: &messenger.GenerateDown_End{
 			End: &messenger.GenerateEnd{Epoch: epoch, NextIndex: next, FinishReason: result.FinishReason},
@@ -144,10 +144,10 @@
 	return nil
 }
 
-func failedDown(epoch uint32, cause string, resumable bool) *messenger.GenerateDown {
-	return &messenger.GenerateDown{Body: &messenger.GenerateDown_Failed{
-		Failed: &messenger.GenerateFailed{Epoch: epoch, Cause: cause, Resumable: resumable},
-	}}
+func failedDown(epoch uint32, result *bufferer.Result) *messenger.GenerateDown {
+	return &messenger.GenerateDown{Body: &messenger.GenerateDown_Failed{Failed: &messenger.GenerateFailed{
+		Epoch: epoch, Cause: result.Cause, Resumable: result.Resumable, RefusedStatus: uint32(result.RefusedStatus),
+	}}}
 }
 
 func sendDeclined(stream messenger.DRPCAgent_GenerateStream, load *messenger.Load, err error) error {
--- a/internal/agent/server/session.go
+++ b/internal/agent/server/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"verbenareach/internal/agent/bufferer"
@@ -113,7 +114,8 @@
 	stream, err := b.engine.Start(ctx, s.start)
 	var refused *engineconnector.RefusedError
 	if errors.As(err, &refused) {
-		return bufferer.Result{Cause: refused.Error(), Resumable: refused.Status >= 500 || refused.Status == 429}
+		resumable := refused.Status >= http.StatusInternalServerError || refused.Status == http.StatusTooManyRequests
+		return bufferer.Result{Cause: refused.Error(), Resumable: resumable, RefusedStatus: refused.Status}
 	}
 	if err != nil {
 		return bufferer.Result{Cause: err.Error(), Resumable: true}
--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -29,6 +29,8 @@
 		Settings parser.Control
 		// Log receives the events; nil for none.
 		Log *logger.Logger
+		// Started is called once commands may be proposed; nil for nobody to tell.
+		Started func()
 
 		// mu guards state; Apply is called in log order.
 		mu    sync.Mutex
@@ -63,6 +65,9 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for followers")
 	}
+	if c.Started != nil {
+		c.Started()
+	}
 	c.Log.Emit(time.Now(), logger.ControlStarted, "", logger.F("listen", lis.Addr().String()))
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return eris.Wrap(drpcserver.New(mux).Serve(ctx, lis), "serve followers") })
--- a/internal/entry/booker/booker.go
+++ b/internal/entry/booker/booker.go
@@ -15,15 +15,6 @@
 )
 
 const (
-	// ClaimGranted lets this entry dispatch the call.
-	ClaimGranted ClaimStatus = iota + 1
-	// ClaimDone has an outcome already.
-	ClaimDone
-	// ClaimPending was granted before and has no outcome yet.
-	ClaimPending
-	// ClaimConflict belongs to a request with another digest.
-	ClaimConflict
-
 	// resolveTimeout bounds the question what became of a claim.
 	resolveTimeout = 5 * time.Second
 	recordTimeout  = 5 * time.Second
@@ -31,18 +22,6 @@
 )
 
 type (
-	// ClaimStatus is control's answer to a claim.
-	ClaimStatus int
-
-	// ClaimAnswer is control's answer to a claim.
-	ClaimAnswer struct {
-		Status ClaimStatus
-		// Claim is the committed claim, ours or the former one.
-		Claim *messenger.Claim
-		// Outcome is set for ClaimDone.
-		Outcome *messenger.CallReply
-	}
-
 	// Target is a backend server that may take a call.
 	Target struct {
 		Server      string
@@ -66,9 +45,7 @@
 		// and so may send it again.
 		Key           string
 		KeyFromCaller bool
-		// Retention is how long the outcome is kept.
-		Retention time.Duration
-		Deadline  time.Time
+		Deadline      time.Time
 	}
 
 	// Booker makes calls. Its fields are set before first use.
@@ -78,10 +55,11 @@
 		// there is one; it waits for one until ctx ends.
 		Choose func(ctx context.Context, now time.Time, service string, avoid []Target) (Target, error)
 		// Claim commits a claim; an error leaves open whether it was committed.
-		Claim func(ctx context.Context, now time.Time, claim *messenger.Claim, retention time.Duration) (ClaimAnswer, error)
-		// RecordOutcome and RecordRefusal commit what became of a claim.
-		RecordOutcome func(ctx context.Context, claim *messenger.Claim, reply *messenger.CallReply) error
-		RecordRefusal func(ctx context.Context, claim *messenger.Claim) error
+		Claim func(ctx context.Context, r *messenger.ClaimRequest) (*messenger.ClaimReply, error)
+		// RecordOutcome and RecordRefusal commit what became of a claim; their reply
+		// holds what was recorded first.
+		RecordOutcome func(ctx context.Context, claim *messenger.Claim, outcome *messenger.CallReply) (*messenger.ClaimReply, error)
+		RecordRefusal func(ctx context.Context, claim *messenger.Claim) (*messenger.ClaimReply, error)
 		// Report tells that a chosen backend server was left, and whether it answered.
 		Report func(now time.Time, target Target, answered bool)
 		// AddressOf returns the address of a backend server's agent.
@@ -154,7 +132,7 @@
 func (b *Booker) callRepeatable(ctx context.Context, req Request) (*messenger.CallReply, error) {
 	var avoid []Target
 	mayHaveRun := false
-	cause := error(context.DeadlineExceeded)
+	var cause error
 	for {
 		target, err := b.Choose(ctx, time.Now(), req.Service, avoid)
 		if err != nil {
--- a/internal/entry/booker/claim.go
+++ b/internal/entry/booker/claim.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"verbenareach/internal/event/logger"
@@ -14,48 +15,65 @@
 // to have run.
 func (b *Booker) callOnce(ctx context.Context, req Request) (*messenger.CallReply, error) {
 	var avoid []Target
-	epoch := uint32(1)
+	afterEpoch := uint32(0)
 	for {
 		target, err := b.Choose(ctx, time.Now(), req.Service, avoid)
 		if err != nil {
 			return nil, b.notClaimed(req, err)
 		}
-		answer, err := b.Claim(ctx, time.Now(), &messenger.Claim{
-			Workspace: req.Workspace, Key: req.Key, Digest: req.Digest(),
-			Server: target.Server, Incarnation: target.Incarnation, Epoch: epoch,
-		}, req.Retention)
+		answer, err := b.Claim(ctx, &messenger.ClaimRequest{
+			Claim: &messenger.Claim{
+				Workspace: req.Workspace, Key: req.Key, Digest: req.Digest(),
+				Server: target.Server, Incarnation: target.Incarnation, Epoch: afterEpoch + 1,
+			},
+			Claimant: fmt.Sprintf("%s/%d", req.ID, afterEpoch+1), AfterEpoch: afterEpoch,
+		})
 		if err != nil {
 			b.Report(time.Now(), target, false)
 			return nil, b.notClaimed(req, err)
 		}
-		var reply *messenger.CallReply
-		switch answer.Status {
-		case ClaimConflict:
-			b.Report(time.Now(), target, true)
-			b.Log.Emit(time.Now(), logger.ClaimConflict, req.ID, logger.F("key", req.Key))
-			return nil, &ConflictError{Key: req.Key}
-		case ClaimDone:
-			b.Report(time.Now(), target, true)
-			b.Log.Emit(time.Now(), logger.ClaimReplayed, req.ID, logger.F("key", req.Key))
-			return answer.Outcome, nil
-		case ClaimPending:
-			reply = b.resolve(ctx, req, answer.Claim)
-		case ClaimGranted:
-			b.Log.Emit(time.Now(), logger.ClaimGranted, req.ID, logger.F("key", req.Key), logger.F("server", target.Server), logger.F("epoch", epoch))
-			reply = b.dispatch(ctx, req, target, answer.Claim)
-		}
+		reply, err := b.act(ctx, req, target, answer)
 		b.Report(time.Now(), target, reply.GetRan() == messenger.Ran_RAN_YES)
-		done, err := b.settle(ctx, req, answer.Claim, reply)
-		if done {
+		if err != nil || reply.GetRan() == messenger.Ran_RAN_YES {
 			return reply, err
 		}
-		epoch = answer.Claim.GetEpoch() + 1
+		afterEpoch = answer.GetClaim().GetEpoch()
 		avoid = append(avoid, target)
 	}
 }
 
+// act does what control's answer allows. A reply with RAN_NO and no error means
+// that the next epoch may be claimed.
+func (b *Booker) act(ctx context.Context, req Request, target Target, answer *messenger.ClaimReply) (*messenger.CallReply, error) {
+	switch answer.GetStatus() {
+	case messenger.ClaimStatus_CLAIM_STATUS_GRANTED:
+		b.Log.Emit(time.Now(), logger.ClaimGranted, req.ID, logger.F("key", req.Key), logger.F("server", answer.GetClaim().GetServer()),
+			logger.F("epoch", answer.GetClaim().GetEpoch()))
+		return b.settle(ctx, req, answer.GetClaim(), b.dispatch(ctx, req, target, answer.GetClaim()))
+	case messenger.ClaimStatus_CLAIM_STATUS_PENDING:
+		return b.settle(ctx, req, answer.GetClaim(), b.resolve(ctx, req, answer.GetClaim()))
+	case messenger.ClaimStatus_CLAIM_STATUS_DONE:
+		b.Log.Emit(time.Now(), logger.ClaimReplayed, req.ID, logger.F("key", req.Key))
+		return answer.GetOutcome(), nil
+	case messenger.ClaimStatus_CLAIM_STATUS_REFUSED:
+		return &messenger.CallReply{Ran: messenger.Ran_RAN_NO}, nil
+	case messenger.ClaimStatus_CLAIM_STATUS_CONFLICT:
+		b.Log.Emit(time.Now(), logger.ClaimConflict, req.ID, logger.F("key", req.Key))
+		return nil, &ConflictError{Key: req.Key}
+	default:
+		return nil, b.notClaimed(req, errors.New(answer.GetStatus().String()))
+	}
+}
+
 // dispatch sends a claimed call once, and when no answer comes asks what became of it.
 func (b *Booker) dispatch(ctx context.Context, req Request, target Target, claim *messenger.Claim) *messenger.CallReply {
+	if claim.GetServer() != target.Server || claim.GetIncarnation() != target.Incarnation {
+		address, known := b.AddressOf(claim.GetServer())
+		if !known {
+			return b.resolve(ctx, req, claim)
+		}
+		target = Target{Server: claim.GetServer(), Address: address, Incarnation: claim.GetIncarnation()}
+	}
 	reply, err := b.send(ctx, req, target, claim)
 	if err == nil && reply.GetRan() != messenger.Ran_RAN_UNKNOWN {
 		return reply
@@ -93,30 +111,34 @@
 	}
 }
 
-// settle commits what became of a claim. It is done unless the claim is proven
-// not to have run and there is time for another round.
-func (b *Booker) settle(ctx context.Context, req Request, claim *messenger.Claim, reply *messenger.CallReply) (done bool, err error) {
+// settle commits what became of a claim. A reply with RAN_NO and no error means
+// that the refusal is committed and there is time for another round.
+func (b *Booker) settle(ctx context.Context, req Request, claim *messenger.Claim, reply *messenger.CallReply) (*messenger.CallReply, error) {
 	record, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
 	defer cancel()
 	switch reply.GetRan() {
 	case messenger.Ran_RAN_YES:
 		// The answer is true even if it can't be recorded now: the agent holds it for
 		// whoever asks next.
-		if err := b.RecordOutcome(record, claim, reply); err != nil {
+		if _, err := b.RecordOutcome(record, claim, reply); err != nil {
 			b.Log.Emit(time.Now(), logger.CallUnknown, req.ID, logger.F("notRecorded", err))
 		}
 		b.Log.Emit(time.Now(), logger.CallAnswered, req.ID, logger.F("server", claim.GetServer()), logger.F("status", reply.GetStatus()))
-		return true, nil
+		return reply, nil
 	case messenger.Ran_RAN_NO:
 		b.Log.Emit(time.Now(), logger.CallNotRun, req.ID, logger.F("server", claim.GetServer()), logger.F("reason", reply.GetReason()))
-		if err := b.RecordRefusal(record, claim); err != nil {
-			return true, b.notClaimed(req, err)
+		recorded, err := b.RecordRefusal(record, claim)
+		if err != nil {
+			return nil, b.notClaimed(req, err)
+		}
+		if recorded.GetStatus() == messenger.ClaimStatus_CLAIM_STATUS_DONE {
+			return recorded.GetOutcome(), nil
 		}
 		if ctx.Err() != nil {
-			return true, b.notClaimed(req, errors.New(reply.GetReason().String()))
+			return nil, b.notClaimed(req, errors.New(reply.GetReason().String()))
 		}
-		return false, nil
+		return reply, nil
 	default:
-		return true, &UnknownError{Cause: errors.New(reply.GetDetail())}
+		return nil, &UnknownError{Cause: errors.New(reply.GetDetail())}
 	}
 }
--- a/internal/entry/relayer/attempt.go
+++ b/internal/entry/relayer/attempt.go
@@ -35,8 +35,10 @@
 		linkLost bool
 		cause    string
 		reason   messenger.DeclineReason
-		load     *messenger.Load
-		tokens   uint64
+		// refusedStatus is the engine's HTTP status if it refused the request.
+		refusedStatus int
+		load          *messenger.Load
+		tokens        uint64
 	}
 
 	// link is the stream of one attempt with its watch against stalls.
@@ -152,6 +154,7 @@
 			result.load = body.Progress.GetLoad()
 		case *messenger.GenerateDown_Failed:
 			result.kind, result.cause = attemptFinal, body.Failed.GetCause()
+			result.refusedStatus = int(body.Failed.GetRefusedStatus())
 			if body.Failed.GetResumable() {
 				result.kind = attemptLost
 			}
--- a/internal/entry/relayer/course.go
+++ b/internal/entry/relayer/course.go
@@ -54,7 +54,7 @@
 		case attemptEnded:
 			return nil
 		case attemptFinal:
-			return c.incomplete(result.cause)
+			return c.failed(result)
 		case attemptLost:
 			deadline = time.Now().Add(c.relayer.resumeTimeout())
 			if ended, err := c.recover(ctx, target, result); ended || err != nil {
@@ -131,6 +131,15 @@
 	return nil
 }
 
+// failed tells of an attempt after which none may follow. A request that the
+// first engine asked refused never ran.
+func (c *course) failed(result attemptResult) error {
+	if result.refusedStatus != 0 && c.generation.Epoch == 1 && c.generation.Next == 0 {
+		return &RefusedError{Status: result.refusedStatus, Cause: result.cause}
+	}
+	return c.incomplete(result.cause)
+}
+
 func (c *course) incomplete(cause string) error {
 	c.relayer.Log.Emit(time.Now(), logger.GenerationLost, c.generation.ID, logger.F("cause", cause), logger.F("next", c.generation.Next))
 	return &IncompleteError{Cause: cause, Next: c.generation.Next, Ran: c.ran}
--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -101,6 +101,13 @@
 		Ran messenger.Ran
 	}
 
+	// RefusedError reports a request that the engine refused before it ran.
+	RefusedError struct {
+		// Status is the engine's HTTP status.
+		Status int
+		Cause  string
+	}
+
 	// CallerError reports that the caller is gone; the generation waits for its return.
 	CallerError struct {
 		Err error
@@ -115,6 +122,7 @@
 var (
 	_ error = &NotRunError{}
 	_ error = &IncompleteError{}
+	_ error = &RefusedError{}
 	_ error = &CallerError{}
 	_ error = &NotFoundError{}
 )
@@ -130,6 +138,9 @@
 	return fmt.Sprintf("incomplete after %d tokens: %s", e.Next, e.Cause)
 }
 
+// Error tells the engine's words.
+func (e *RefusedError) Error() string { return e.Cause }
+
 // Error tells why the caller can't be reached.
 func (e *CallerError) Error() string { return fmt.Sprintf("caller is gone: %v", e.Err) }
 
--- a/internal/entry/server/call.go
+++ b/internal/entry/server/call.go
@@ -68,7 +68,7 @@
 }
 
 // readCall checks a call against the contract.
-func (e *Entry) readCall(w http.ResponseWriter, r *http.Request) (registrar.Contract, booker.Request, *Refusal) {
+func (e *Entry) readCall(w http.ResponseWriter, r *http.Request) (registrar.Contract, booker.Request, *RefusalError) {
 	var req booker.Request
 	contract, refusal := e.authenticate(r)
 	if refusal != nil {
@@ -84,7 +84,6 @@
 		req.Path += "?" + r.URL.RawQuery
 	}
 	req.Repeatable = repeatable
-	req.Retention = time.Duration(contract.Retention)
 	req.Key = r.Header.Get(keyHeader)
 	req.KeyFromCaller = req.Key != ""
 	if len(req.Key) > maxKeyBytes {
--- a/internal/entry/server/chatrequest.go
+++ b/internal/entry/server/chatrequest.go
@@ -41,7 +41,7 @@
 )
 
 // authenticate returns the contract of the request's API key.
-func (e *Entry) authenticate(r *http.Request) (registrar.Contract, *Refusal) {
+func (e *Entry) authenticate(r *http.Request) (registrar.Contract, *RefusalError) {
 	if e.stopping.Load() {
 		refusal := refuse(http.StatusServiceUnavailable, "stopping", "this entry stops; another one serves you")
 		refusal.RetryAfter = time.Second
@@ -64,7 +64,7 @@
 }
 
 // readBody reads a bounded body within a bounded time.
-func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *Refusal) {
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *RefusalError) {
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.MaxBodyBytes))
 	var tooLarge *http.MaxBytesError
@@ -85,7 +85,7 @@
 
 // parseGeneration checks a body against the contract and returns the start of
 // the generation and whether the caller wants a stream.
-func parseGeneration(r *http.Request, contract registrar.Contract, body []byte) (*messenger.GenerateStart, bool, *Refusal) {
+func parseGeneration(r *http.Request, contract registrar.Contract, body []byte) (*messenger.GenerateStart, bool, *RefusalError) {
 	var req chatRequest
 	if err := json.Unmarshal(body, &req); err != nil {
 		return nil, false, refuse(http.StatusBadRequest, "malformedJSON", err.Error())
--- a/internal/entry/server/entry.go
+++ b/internal/entry/server/entry.go
@@ -56,7 +56,7 @@
 		View func() registrar.View
 		// Ready tells whether the entry knows enough to serve.
 		Ready func(now time.Time) bool
-		// Acquire takes a permit from the contract's limits or fails with a Refusal;
+		// Acquire takes a permit from the contract's limits or fails with a RefusalError;
 		// nil takes none.
 		Acquire func(ctx context.Context, now time.Time, contract registrar.Contract, generation bool) (Permit, error)
 		// Relayer makes generations, Booker calls.
--- a/internal/entry/server/eventwriter.go
+++ b/internal/entry/server/eventwriter.go
@@ -67,7 +67,7 @@
 }
 
 // incomplete writes the last event of a generation that nothing could go on with.
-func (e *eventWriter) incomplete(r *Refusal) error {
+func (e *eventWriter) incomplete(r *RefusalError) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.buf = append(e.buf[:0], "event: incomplete\ndata: "...)
--- a/internal/entry/server/generation.go
+++ b/internal/entry/server/generation.go
@@ -71,7 +71,7 @@
 	e.answerWhole(w, r, req, contract.Workspace, permit)
 }
 
-func (e *Entry) readGeneration(w http.ResponseWriter, r *http.Request) (registrar.Contract, *messenger.GenerateStart, bool, *Refusal) {
+func (e *Entry) readGeneration(w http.ResponseWriter, r *http.Request) (registrar.Contract, *messenger.GenerateStart, bool, *RefusalError) {
 	contract, refusal := e.authenticate(r)
 	if refusal != nil {
 		return contract, nil, false, refusal
@@ -151,7 +151,7 @@
 }
 
 // refuseRequest writes a refusal and notes it.
-func (e *Entry) refuseRequest(w http.ResponseWriter, id, workspace string, refusal *Refusal) {
+func (e *Entry) refuseRequest(w http.ResponseWriter, id, workspace string, refusal *RefusalError) {
 	e.Log.Emit(time.Now(), logger.RequestRefused, id, logger.F("workspace", workspace), logger.F("code", refusal.Code),
 		logger.F("status", refusal.Status), logger.F("ran", ranText(refusal.Ran)), logger.F("message", refusal.Message))
 	w.Header().Set("X-Request-Id", id)
--- a/internal/entry/server/refusal.go
+++ b/internal/entry/server/refusal.go
@@ -15,8 +15,8 @@
 )
 
 type (
-	// Refusal is an answer other than what the caller asked for.
-	Refusal struct {
+	// RefusalError is an answer other than what the caller asked for.
+	RefusalError struct {
 		// Status is the HTTP status.
 		Status int
 		// Code is stable and meant for programs.
@@ -41,25 +41,26 @@
 	}
 )
 
-var _ error = &Refusal{}
+var _ error = &RefusalError{}
 
 // Error returns the message.
-func (r *Refusal) Error() string {
+func (r *RefusalError) Error() string {
 	return fmt.Sprintf("%s: %s", r.Code, r.Message)
 }
 
 // refuse returns a refusal of a request that did not run.
-func refuse(status int, code, message string) *Refusal {
-	return &Refusal{Status: status, Code: code, Message: message, Ran: messenger.Ran_RAN_NO}
+func refuse(status int, code, message string) *RefusalError {
+	return &RefusalError{Status: status, Code: code, Message: message, Ran: messenger.Ran_RAN_NO}
 }
 
 // asRefusal turns what a relayer or booker reports into an answer.
-func asRefusal(err error) *Refusal {
+func asRefusal(err error) *RefusalError {
 	var (
-		refusal    *Refusal
+		refusal    *RefusalError
 		notRun     *relayer.NotRunError
 		incomplete *relayer.IncompleteError
 		notFound   *relayer.NotFoundError
+		refused    *relayer.RefusedError
 		callNotRun *booker.NotRunError
 		unknown    *booker.UnknownError
 		conflict   *booker.ConflictError
@@ -72,22 +73,24 @@
 		r.RetryAfter = time.Second
 		return r
 	case errors.As(err, &incomplete):
-		return &Refusal{Status: http.StatusBadGateway, Code: "incomplete", Message: incomplete.Cause, Ran: incomplete.Ran}
+		return &RefusalError{Status: http.StatusBadGateway, Code: "incomplete", Message: incomplete.Cause, Ran: incomplete.Ran}
+	case errors.As(err, &refused):
+		return refuse(refused.Status, "engineRefused", refused.Cause)
 	case errors.As(err, &notFound):
 		r := refuse(http.StatusNotFound, "unknownGeneration", err.Error())
 		r.Ran = messenger.Ran_RAN_UNKNOWN
 		return r
 	case errors.As(err, &unknown):
-		return &Refusal{Status: http.StatusGatewayTimeout, Code: "outcomeUnknown", Message: err.Error(), Ran: messenger.Ran_RAN_UNKNOWN}
+		return &RefusalError{Status: http.StatusGatewayTimeout, Code: "outcomeUnknown", Message: err.Error(), Ran: messenger.Ran_RAN_UNKNOWN}
 	case errors.As(err, &conflict):
 		return refuse(http.StatusUnprocessableEntity, "idempotencyConflict", err.Error())
 	default:
-		return &Refusal{Status: http.StatusInternalServerError, Code: "internal", Message: err.Error(), Ran: messenger.Ran_RAN_UNKNOWN}
+		return &RefusalError{Status: http.StatusInternalServerError, Code: "internal", Message: err.Error(), Ran: messenger.Ran_RAN_UNKNOWN}
 	}
 }
 
 // body returns the refusal as callers read it.
-func (r *Refusal) body() []byte {
+func (r *RefusalError) body() []byte {
 	kind := "server_error"
 	if r.Status < http.StatusInternalServerError {
 		kind = "invalid_request_error"
@@ -110,7 +113,7 @@
 	}
 }
 
-func writeRefusal(w http.ResponseWriter, r *Refusal) {
+func writeRefusal(w http.ResponseWriter, r *RefusalError) {
 	w.Header().Set("Content-Type", "application/json")
 	if r.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
--- a/internal/entry/server/resume.go
+++ b/internal/entry/server/resume.go
@@ -73,7 +73,7 @@
 
 // readCursor returns where the caller is: Last-Event-ID, or the start of the
 // generation in the path.
-func (e *Entry) readCursor(r *http.Request) (registrar.Contract, sequencer.Cursor, *Refusal) {
+func (e *Entry) readCursor(r *http.Request) (registrar.Contract, sequencer.Cursor, *RefusalError) {
 	contract, refusal := e.authenticate(r)
 	if refusal != nil {
 		return contract, sequencer.Cursor{}, refusal
--- /dev/null
+++ b/internal/role/runner/agent.go
@@ -0,0 +1,52 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	agentserver "verbenareach/internal/agent/server"
+	"verbenareach/internal/config/parser"
+	"verbenareach/internal/control/follower"
+	"verbenareach/internal/control/registrar"
+	"verbenareach/internal/event/logger"
+	"verbenareach/internal/wire/acceptor"
+	"verbenareach/internal/wire/messenger"
+)
+
+func runAgent(ctx context.Context, s parser.Settings, l *logger.Logger) error {
+	listener, err := acceptor.Listen(ctx, s.Agent.Listen)
+	if err != nil {
+		return err
+	}
+	announceListener, err := acceptor.Listen(ctx, s.Agent.AnnounceListen)
+	if err != nil {
+		return err
+	}
+	f := &follower.Follower{
+		Addresses: s.Agent.Control, Log: l,
+		Self: registrar.Member{
+			Name: s.Name, Role: registrar.RoleAgent, Address: s.Agent.Listen,
+			FailureDomain: s.FailureDomain, Region: s.Region, Incarnation: uint64(time.Now().UnixNano()),
+		},
+	}
+	a := &agentserver.Agent{
+		Self: f.Member(), Listener: listener, AnnounceListener: announceListener, Log: l,
+		View: f.View, Changed: f.Changed, Fresh: usable(f), Announce: f.SetSelf, RecordOutcome: f.RecordOutcome,
+		Report: func(status agentserver.Status) { f.SetReport(reportOf(status)) },
+	}
+	return runFollowed(ctx, f, a.Run)
+}
+
+// reportOf returns a status as control hears it.
+func reportOf(status agentserver.Status) *messenger.Report {
+	load := status.Load
+	packed := follower.PackLoad(follower.Load{
+		Used:     follower.LoadShare(load.GetMemoryTokensUsed(), load.GetMemoryTokensTotal()),
+		Expected: follower.LoadShare(load.GetMemoryTokensExpected(), load.GetMemoryTokensTotal()),
+		Running:  int(load.GetRunning()), Waiting: int(load.GetWaiting()), Leaving: load.GetLeaving(),
+	})
+	return &messenger.Report{
+		MarkNumber: status.MarkNumber, InProgress: uint32(status.InProgress),
+		OldestSeconds: uint32(status.Oldest.Seconds()), Load: packed,
+	}
+}
--- /dev/null
+++ b/internal/role/runner/entry.go
@@ -0,0 +1,57 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"storj.io/drpc/drpcmux"
+
+	"verbenareach/internal/config/parser"
+	"verbenareach/internal/control/follower"
+	"verbenareach/internal/control/registrar"
+	"verbenareach/internal/entry/booker"
+	"verbenareach/internal/entry/relayer"
+	entryserver "verbenareach/internal/entry/server"
+	"verbenareach/internal/event/logger"
+	"verbenareach/internal/wire/acceptor"
+	"verbenareach/internal/wire/dialer"
+)
+
+func runEntry(ctx context.Context, s parser.Settings, l *logger.Logger) error {
+	listener, err := acceptor.Listen(ctx, s.Entry.Listen)
+	if err != nil {
+		return err
+	}
+	peerListener, err := acceptor.Listen(ctx, s.Entry.PeerListen)
+	if err != nil {
+		return err
+	}
+	f := &follower.Follower{
+		Addresses: s.Entry.Control, Log: l,
+		Self: registrar.Member{
+			Name: s.Name, Role: registrar.RoleEntry, Address: s.Entry.PeerListen,
+			FailureDomain: s.FailureDomain, Region: s.Region, Incarnation: uint64(time.Now().UnixNano()),
+		},
+	}
+	pool := dialer.New()
+	defer func() { _ = pool.Close() }()
+	picker := &entryserver.Picker{View: f.View}
+	e := &entryserver.Entry{
+		Name: s.Name, Listener: listener, PeerListener: peerListener, View: f.View, Log: l,
+		// An entry that control can't reach goes on with what it knows: the agents'
+		// gates keep it from doing harm.
+		Ready:        func(time.Time) bool { return !f.FreshAt().IsZero() },
+		RegisterPeer: func(*drpcmux.Mux) error { return nil },
+		MaxBodyBytes: s.Entry.MaxBodyBytes, RequestTimeout: time.Duration(s.Entry.RequestTimeout),
+		Relayer: &relayer.Relayer{Pool: pool, Choose: picker.ChooseEngine, Report: picker.ReportGeneration, Log: l},
+		Booker: &booker.Booker{
+			Pool: pool, Choose: picker.ChooseService, Report: picker.ReportCall, Log: l,
+			Claim: f.Claim, RecordOutcome: f.RecordOutcome, RecordRefusal: f.RefuseClaim,
+			AddressOf: func(server string) (string, bool) {
+				m, ok := f.View().Member(server)
+				return m.Address, ok
+			},
+		},
+	}
+	return runFollowed(ctx, f, e.Run)
+}
--- a/internal/wire/acceptor/acceptor.go
+++ b/internal/wire/acceptor/acceptor.go
@@ -33,9 +33,8 @@
 	if err := a.Register(mux); err != nil {
 		return eris.Wrap(err, "register services")
 	}
-	err := drpcserver.New(mux).Serve(ctx, a.Listener)
-	if ctx.Err() != nil {
-		return nil
+	if err := drpcserver.New(mux).Serve(ctx, a.Listener); err != nil && ctx.Err() == nil {
+		return eris.Wrap(err, "serve")
 	}
-	return eris.Wrap(err, "serve")
+	return nil
 }
--- a/internal/wire/dialer/dialer.go
+++ b/internal/wire/dialer/dialer.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"time"
 
 	"storj.io/drpc"
@@ -20,36 +21,80 @@
 
 type (
 	// Pool keeps idle connections by address. Each stream has a connection of its
-	// own while it runs. Set its fields before first use.
+	// own while it runs. Set its exported fields before first use.
 	Pool struct {
-		// Dial opens a transport; nil dials TCP.
+		// Dial opens a transport; tests replace it.
 		Dial func(ctx context.Context, address string) (drpc.Transport, error)
 
 		pool *drpcpool.Pool[string, drpcpool.Conn]
+
+		mu sync.Mutex
+		// open holds the transports that are not closed yet; nil once the pool is closed.
+		open map[*transport]struct{}
+	}
+
+	// transport is an open connection of a pool.
+	transport struct {
+		drpc.Transport
+
+		pool *Pool
 	}
 )
 
+var _ drpc.Transport = &transport{}
+
 // New returns a pool that dials TCP.
 func New() *Pool {
 	options := drpcpool.Options{Expiration: idleExpiry, Capacity: idleCapacity, KeyCapacity: idlePerPeer}
-	return &Pool{Dial: dialTCP, pool: drpcpool.New[string, drpcpool.Conn](options)}
+	return &Pool{
+		Dial: dialTCP,
+		pool: drpcpool.New[string, drpcpool.Conn](options),
+		open: make(map[*transport]struct{}),
+	}
 }
 
-// Close closes all idle connections.
+// Close closes all connections, those in use as well: one that is given back
+// later would otherwise stay open.
 func (p *Pool) Close() error {
-	return p.pool.Close()
+	err := p.pool.Close()
+	p.mu.Lock()
+	open := p.open
+	p.open = nil
+	p.mu.Unlock()
+	for t := range open {
+		_ = t.Transport.Close()
+	}
+	return err
 }
 
 // Conn returns a connection to address for one stream at a time. It is dialed
-// when it is first used; close it after use to give it back.
+// when it is first used.
 func (p *Pool) Conn(ctx context.Context, address string) drpc.Conn {
-	return p.pool.Get(ctx, address, func(ctx context.Context, _ string) (drpcpool.Conn, error) {
-		transport, err := p.Dial(ctx, address)
-		if err != nil {
-			return nil, err
-		}
-		return drpcconn.New(transport), nil
-	})
+	return p.pool.Get(ctx, address, p.dial)
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (drpcpool.Conn, error) {
+	raw, err := p.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	t := &transport{Transport: raw, pool: p}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open == nil {
+		_ = raw.Close()
+		return nil, net.ErrClosed
+	}
+	p.open[t] = struct{}{}
+	return drpcconn.New(t), nil
+}
+
+// Close closes the connection.
+func (t *transport) Close() error {
+	t.pool.mu.Lock()
+	delete(t.pool.open, t)
+	t.pool.mu.Unlock()
+	return t.Transport.Close()
 }
 
 func dialTCP(ctx context.Context, address string) (drpc.Transport, error) {
