feat: keep the control log durable, and tell damage from a torn end

Cause: contracts, marks and claims have to survive kills, torn writes, full disks and damaged files, so each control host needs a log of its own.

--- /dev/null
+++ b/internal/control/recorder/segment.go
@@ -0,0 +1,129 @@
+package recorder
+
+import (
+	"errors"
+	"fmt"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"verbenareach/internal/wire/messenger"
+)
+
+type (
+	// segment is one file of the log.
+	segment struct {
+		number uint64
+		// last is the highest index of any entry ever written to it.
+		last uint64
+	}
+
+	// loader reads a log back, segment after segment.
+	loader struct {
+		id      string
+		state   *messenger.LogState
+		entries []*messenger.LogEntry
+		// reset is the newest LogReset, nil if none.
+		reset *messenger.LogReset
+		// commit is the highest index known to have been committed.
+		commit uint64
+		// synced is the highest synced offset told by a mark of the segment in hand.
+		synced uint64
+	}
+)
+
+const segmentSuffix = ".log"
+
+var (
+	errGap    = errors.New("entries are missing")
+	errHeader = errors.New("segment does not begin with its header")
+	errNumber = errors.New("a segment is missing")
+)
+
+func segmentPath(folder string, number uint64) string {
+	return filepath.Join(folder, fmt.Sprintf("%016d%s", number, segmentSuffix))
+}
+
+func segmentNumber(name string) (uint64, bool) {
+	digits, ok := strings.CutSuffix(name, segmentSuffix)
+	if !ok {
+		return 0, false
+	}
+	n, err := strconv.ParseUint(digits, 10, 64)
+	return n, err == nil
+}
+
+// load reads one segment and returns how many of its bytes are good. An
+// unreadable record in the final segment is a torn tail, which is to be cut,
+// unless a later mark shows that it had been synced.
+func (l *loader) load(seg *segment, data []byte, final bool) (good int64, err error) {
+	l.synced = 0
+	for good < int64(len(data)) {
+		payload, err := cutFrame(data[good:], maxPayload)
+		if err != nil {
+			torn := final && l.synced <= uint64(good) && !markedBeyond(data[good:], good)
+			if torn {
+				return good, nil
+			}
+			return good, err
+		}
+		rec := new(messenger.LogRecord)
+		if err := proto.Unmarshal(payload, rec); err != nil {
+			return good, err
+		}
+		if good == 0 && rec.GetHeader().GetSegment() != seg.number {
+			return good, errHeader
+		}
+		if err := l.take(seg, rec); err != nil {
+			return good, err
+		}
+		good += frameHead + int64(len(payload))
+	}
+	if !final && good == 0 {
+		return good, errHeader
+	}
+	if l.synced > uint64(good) {
+		return good, errShort
+	}
+	return good, nil
+}
+
+func (l *loader) take(seg *segment, rec *messenger.LogRecord) error {
+	switch body := rec.Body.(type) {
+	case *messenger.LogRecord_Header:
+		l.id = body.Header.Id
+		l.state = body.Header.State
+	case *messenger.LogRecord_State:
+		l.state = body.State
+	case *messenger.LogRecord_Mark:
+		l.synced = max(l.synced, body.Mark.Synced)
+		l.commit = max(l.commit, body.Mark.Commit)
+	case *messenger.LogRecord_Restart:
+		l.reset = body.Restart
+		l.entries = nil
+	case *messenger.LogRecord_Entry:
+		seg.last = max(seg.last, body.Entry.Index)
+		return l.takeEntry(body.Entry)
+	}
+	return nil
+}
+
+func (l *loader) takeEntry(e *messenger.LogEntry) error {
+	if len(l.entries) == 0 {
+		l.entries = append(l.entries, e)
+		return nil
+	}
+	first := l.entries[0].Index
+	next := first + uint64(len(l.entries))
+	if e.Index > next {
+		return errGap
+	}
+	if e.Index <= first {
+		l.entries = append(l.entries[:0], e)
+		return nil
+	}
+	l.entries = append(l.entries[:e.Index-first], e)
+	return nil
+}
--- /dev/null
+++ b/internal/control/recorder/snapshot.go
@@ -0,0 +1,132 @@
+package recorder
+
+import (
+	"errors"
+	"fmt"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"github.com/klauspost/compress/zstd"
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"verbenareach/internal/wire/messenger"
+)
+
+const (
+	snapshotSuffix = ".snapshot"
+	tempSuffix     = ".tmp"
+	// maxSnapshot bounds a snapshot's state in bytes, unpacked.
+	maxSnapshot = 1 << 30
+)
+
+// Pack compresses an application's state for a snapshot.
+func Pack(state []byte) ([]byte, error) {
+	enc, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
+	if err != nil {
+		return nil, eris.Wrap(err, "zstd")
+	}
+	packed := enc.EncodeAll(state, nil)
+	return packed, enc.Close()
+}
+
+// Unpack returns the state that Pack compressed.
+func Unpack(packed []byte) ([]byte, error) {
+	dec, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxSnapshot))
+	if err != nil {
+		return nil, eris.Wrap(err, "zstd")
+	}
+	defer dec.Close()
+	state, err := dec.DecodeAll(packed, nil)
+	return state, eris.Wrap(err, "unpack snapshot")
+}
+
+func snapshotPath(folder string, index uint64) string {
+	return filepath.Join(folder, fmt.Sprintf("%016d%s", index, snapshotSuffix))
+}
+
+func snapshotIndex(name string) (uint64, bool) {
+	digits, ok := strings.CutSuffix(name, snapshotSuffix)
+	if !ok {
+		return 0, false
+	}
+	n, err := strconv.ParseUint(digits, 10, 64)
+	return n, err == nil
+}
+
+// writeWhole replaces the file at path by one frame of m, so that after a crash
+// either the old or the new file is there, whole.
+func (r *Recorder) writeWhole(path string, m proto.Message) error {
+	data, err := appendFrame(nil, m)
+	if err != nil {
+		return err
+	}
+	temp := path + tempSuffix
+	f, err := r.Files.Create(temp)
+	if err != nil {
+		return err
+	}
+	if _, err := f.Write(data); err != nil {
+		return errors.Join(err, f.Close(), r.Files.Remove(temp))
+	}
+	if err := f.Sync(); err != nil {
+		return errors.Join(err, f.Close())
+	}
+	if err := f.Close(); err != nil {
+		return err
+	}
+	if err := r.Files.Rename(temp, path); err != nil {
+		return err
+	}
+	return r.Files.SyncFolder(filepath.Dir(path))
+}
+
+// readWhole reads a file that writeWhole wrote.
+func (r *Recorder) readWhole(path string, m proto.Message) error {
+	data, err := r.Files.Read(path)
+	if err != nil {
+		return err
+	}
+	payload, err := cutFrame(data, maxSnapshot)
+	if err == nil {
+		err = proto.Unmarshal(payload, m)
+	}
+	if err != nil {
+		return &DamagedError{Path: path, Cause: err}
+	}
+	return nil
+}
+
+// loadSnapshot reads the newest snapshot; nil if there is none.
+func (r *Recorder) loadSnapshot(names []string) (*messenger.LogSnapshot, error) {
+	var newest uint64
+	found := false
+	for _, name := range names {
+		if index, ok := snapshotIndex(name); ok {
+			newest = max(newest, index)
+			found = true
+		}
+	}
+	if !found {
+		return nil, nil
+	}
+	snap := new(messenger.LogSnapshot)
+	if err := r.readWhole(snapshotPath(r.Folder, newest), snap); err != nil {
+		return nil, err
+	}
+	return snap, nil
+}
+
+// removeLeftovers removes unfinished files and snapshots older than the newest.
+func (r *Recorder) removeLeftovers(names []string) error {
+	for _, name := range names {
+		index, isSnapshot := snapshotIndex(name)
+		if strings.HasSuffix(name, tempSuffix) || isSnapshot && index < r.snap.GetIndex() {
+			if err := r.Files.Remove(filepath.Join(r.Folder, name)); err != nil {
+				return eris.Wrap(err, "remove leftover")
+			}
+		}
+	}
+	return nil
+}
