--- a/internal/wire/messenger/messenger.go
+++ b/internal/wire/messenger/messenger.go
@@ -2,4 +2,7 @@
 // generated from the .proto files beside it.
 package messenger
 
-//go:generate protoc --go_out=../../.. --go_opt=module=verbenareach --go-drpc_out=../../.. --go-drpc_opt=module=verbenareach -I . agent.proto peer.proto
+//go:generate protoc --go_out=../../.. --go_opt=module=verbenareach --go-drpc_out=../../.. --go-drpc_opt=module=verbenareach -I . agent.proto
+//go:generate protoc --go_out=../../.. --go_opt=module=verbenareach --go-drpc_out=../../.. --go-drpc_opt=module=verbenareach -I . insight.proto
+//go:generate protoc --go_out=../../.. --go_opt=module=verbenareach --go-drpc_out=../../.. --go-drpc_opt=module=verbenareach -I . control.proto
+//go:generate protoc --go_out=../../.. --go_opt=module=verbenareach --go-drpc_out=../../.. --go-drpc_opt=module=verbenareach -I . peer.proto
