feat: add estimator, admitter, router and the experiment that measures them

Change: length/estimator learns hazards in log buckets, online, per workspace and kind; agent/admitter admits by a quantile of memory at ten horizons and chooses victims; entry/router offers a few candidates; experiment/experimenter runs them over recorded loads beside five other policies.

--- /dev/null
+++ b/internal/agent/admitter/admitter.go
@@ -0,0 +1,338 @@
+package admitter
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"verbenareach/internal/length/estimator"
+	"verbenareach/internal/prompt/hasher"
+)
+
+// Reason says why work was declined.
+type Reason string
+
+// Reasons of verdicts.
+const (
+	// Admitted means that the work may start.
+	Admitted Reason = ""
+	// Memory means that memory would not suffice with the wanted probability.
+	Memory Reason = "memory"
+	// Batch means that the engine's batch is full.
+	Batch Reason = "batch"
+	// Prefill means that enough prompts are being computed.
+	Prefill Reason = "prefill"
+	// Overtaking means that it would overtake work that has waited long enough.
+	Overtaking Reason = "overtaking"
+	// TooLarge means that the work can never fit.
+	TooLarge Reason = "tooLarge"
+)
+
+// refreshAfter bounds the age of the forecast that admissions rest on.
+const refreshAfter = 50 * time.Millisecond
+
+type (
+	// Work is a generation that asks to be admitted.
+	Work struct {
+		// ID is unique among the generations of the engine.
+		ID        string
+		Workspace string
+		Kind      string
+		// PromptTokens includes the tokens of Blocks.
+		PromptTokens int
+		// Blocks are the hashes of the prompt's full blocks.
+		Blocks []uint64
+		// Resumed is how many output tokens the generation has already.
+		Resumed int
+		// MaxTokens bounds the output; 0 sets no bound.
+		MaxTokens int
+		Priority  int32
+		// Weights of the workspace; the zero value stands for those of the settings.
+		Weights Weights
+	}
+
+	// Verdict is the answer to Admit.
+	Verdict struct {
+		Admit  bool
+		Reason Reason
+		// Expected is the memory that is expected to be used at the peak, in
+		// tokens, this work included.
+		Expected int
+		// RetryAfter is when another try may have a better chance.
+		RetryAfter time.Duration
+	}
+
+	// Admitter keeps the account of one engine's memory. It is safe for
+	// concurrent use.
+	Admitter struct {
+		settings Settings
+
+		mu       sync.Mutex
+		lengths  *estimator.Estimator
+		prefixes prefixes
+		works    map[string]*generation
+		// order holds the works by admission, so that decisions do not depend
+		// on the order of a map.
+		order    []*generation
+		used     int
+		prefill  int
+		computed time.Time
+		running  forecast
+		head     head
+	}
+
+	// generation is one admitted work.
+	generation struct {
+		Work
+		tracker estimator.Tracker
+		// tokens is the length of the output so far.
+		tokens int
+		// shared is how many of its blocks were in use before it.
+		shared int
+		// prefilling is the part of the prompt that counts as being computed.
+		prefilling int
+		since      time.Time
+	}
+
+	// head is the declined work that others must not overtake for ever.
+	head struct {
+		work      Work
+		seen      time.Time
+		overtaken int
+	}
+)
+
+// New returns the admitter of an empty engine.
+func New(s Settings) *Admitter {
+	return &Admitter{
+		settings: s,
+		lengths:  estimator.New(estimator.DefaultMaxCurves),
+		prefixes: newPrefixes(),
+		works:    make(map[string]*generation),
+	}
+}
+
+// Admit decides whether work may start at now; if so, the work counts until
+// Finish or Abandon. A work that is admitted already stays so.
+func (a *Admitter) Admit(now time.Time, w Work) Verdict {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.works[w.ID] != nil {
+		return Verdict{Admit: true}
+	}
+	if w.Weights == (Weights{}) {
+		w.Weights = a.settings.Weights
+	}
+	if w.PromptTokens+w.Resumed >= a.settings.MemoryTokens {
+		return Verdict{Reason: TooLarge}
+	}
+	a.refresh(now)
+	reason, expected := a.judge(now, w)
+	a.remember(now, w, reason)
+	if reason != Admitted {
+		return Verdict{Reason: reason, Expected: expected, RetryAfter: refreshAfter}
+	}
+	a.start(now, w)
+	return Verdict{Admit: true, Expected: expected}
+}
+
+// Abandon drops a work that came to no end here: it was cancelled or its
+// engine was lost. Its length so far has been learned from.
+func (a *Admitter) Abandon(_ time.Time, id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if g := a.works[id]; g != nil {
+		a.drop(g)
+	}
+}
+
+// Expected returns the memory that is expected to be used at the peak, in
+// tokens.
+func (a *Admitter) Expected(now time.Time) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.refresh(now)
+	return a.peak(&a.running)
+}
+
+// Finish tells that a work came to its own end with so many output tokens.
+func (a *Admitter) Finish(_ time.Time, id string, length int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	g := a.works[id]
+	if g == nil {
+		return
+	}
+	if g.MaxTokens > 0 && length >= g.MaxTokens {
+		g.tracker.Grow(length)
+	} else {
+		g.tracker.Finish(length)
+	}
+	a.drop(g)
+}
+
+// Progress tells that a work has n output tokens.
+func (a *Admitter) Progress(_ time.Time, id string, n int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	g := a.works[id]
+	if g == nil || n <= g.tokens {
+		return
+	}
+	a.used -= g.memory()
+	g.tokens = n
+	g.tracker.Grow(n)
+	a.used += g.memory()
+	a.prefill -= g.prefilling
+	g.prefilling = 0
+}
+
+// Used returns the memory that the admitted works hold, in tokens.
+func (a *Admitter) Used() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.used + a.prefixes.tokens()
+}
+
+// candidate returns the memory that a work would take now.
+func (a *Admitter) candidate(w Work) int {
+	shared := a.prefixes.sharedOf(w.Blocks)
+	return blocksOf(w.PromptTokens+w.Resumed) - shared*hasher.BlockTokens
+}
+
+func (a *Admitter) drop(g *generation) {
+	a.used -= g.memory()
+	a.prefill -= g.prefilling
+	a.prefixes.remove(g.Blocks, g.shared)
+	delete(a.works, g.ID)
+	for i, other := range a.order {
+		if other == g {
+			a.order = append(a.order[:i], a.order[i+1:]...)
+			break
+		}
+	}
+	a.computed = time.Time{}
+}
+
+// fits tells whether the works in f need no more than the memory.
+func (a *Admitter) fits(f *forecast) bool {
+	return a.peak(f) <= a.settings.MemoryTokens
+}
+
+// include adds a work that is not admitted to a forecast.
+func (a *Admitter) include(f *forecast, w Work) {
+	curve := a.lengths.Curve(estimator.Key{Workspace: w.Workspace, Kind: w.Kind})
+	var alive [len(horizons)]float64
+	curve.Chances(w.Resumed, horizons[:], alive[:])
+	f.add(a.candidate(w), atMost(w, w.Resumed), &alive)
+}
+
+// judge decides on a work without changing anything.
+func (a *Admitter) judge(now time.Time, w Work) (Reason, int) {
+	with := a.running
+	a.include(&with, w)
+	expected := a.peak(&with)
+	prompt := a.candidate(w)
+	switch {
+	case len(a.order) >= a.settings.MaxBatch:
+		return Batch, expected
+	case len(a.order) == 0:
+		return Admitted, expected
+	case a.settings.MaxPrefill > 0 && a.prefill > 0 && a.prefill+prompt > a.settings.MaxPrefill:
+		return Prefill, expected
+	case a.short(prompt) || !a.fits(&with):
+		return Memory, expected
+	case a.headWaits(now, w):
+		a.include(&with, a.head.work)
+		if !a.fits(&with) {
+			return Overtaking, expected
+		}
+	}
+	return Admitted, expected
+}
+
+// headWaits tells whether another work has been overtaken often enough.
+func (a *Admitter) headWaits(now time.Time, w Work) bool {
+	h := &a.head
+	return h.work.ID != "" && h.work.ID != w.ID &&
+		h.overtaken >= a.settings.MaxOvertaken &&
+		w.Priority <= h.work.Priority &&
+		now.Sub(h.seen) < a.settings.HeadTimeout
+}
+
+func (a *Admitter) peak(f *forecast) int {
+	return int(math.Ceil(f.peak(a.settings.Caution))) + a.prefixes.tokens()
+}
+
+// refresh computes the forecast anew when it is too old.
+func (a *Admitter) refresh(now time.Time) {
+	if !a.computed.IsZero() && now.Sub(a.computed) < refreshAfter {
+		return
+	}
+	a.running = forecast{}
+	var alive [len(horizons)]float64
+	for _, g := range a.order {
+		g.tracker.Curve().Chances(g.tokens, horizons[:], alive[:])
+		a.running.add(g.memory(), atMost(g.Work, g.tokens), &alive)
+	}
+	a.computed = now
+}
+
+// remember keeps the place of a work that was declined for its size, and
+// counts those that overtake it.
+func (a *Admitter) remember(now time.Time, w Work, reason Reason) {
+	h := &a.head
+	if now.Sub(h.seen) >= a.settings.HeadTimeout {
+		*h = head{}
+	}
+	switch {
+	case reason == Memory && (h.work.ID == "" || h.work.ID == w.ID):
+		h.work = w
+		h.seen = now
+	case reason != Admitted || h.work.ID == "":
+	case h.work.ID == w.ID:
+		*h = head{}
+	default:
+		h.overtaken++
+	}
+}
+
+// short tells whether memory runs out if so many tokens are added.
+func (a *Admitter) short(more int) bool {
+	slack := len(a.order) * a.settings.Slack
+	return a.used+a.prefixes.tokens()+slack+more > a.settings.MemoryTokens
+}
+
+func (a *Admitter) start(now time.Time, w Work) {
+	g := &generation{
+		Work:       w,
+		tracker:    a.lengths.Track(estimator.Key{Workspace: w.Workspace, Kind: w.Kind}, w.Resumed),
+		tokens:     w.Resumed,
+		prefilling: a.candidate(w),
+		since:      now,
+	}
+	a.include(&a.running, w)
+	g.shared = a.prefixes.add(w.Blocks)
+	a.used += g.memory()
+	a.prefill += g.prefilling
+	a.works[w.ID] = g
+	a.order = append(a.order, g)
+}
+
+// memory returns the tokens of memory that the generation holds alone.
+func (g *generation) memory() int {
+	return blocksOf(g.PromptTokens+g.tokens) - g.shared*hasher.BlockTokens
+}
+
+// atMost returns how much a work that has n tokens may still grow.
+func atMost(w Work, n int) int {
+	if w.MaxTokens <= 0 {
+		return math.MaxInt
+	}
+	return w.MaxTokens - n
+}
+
+// blocksOf rounds tokens, and the next one, up to whole blocks.
+func blocksOf(tokens int) int {
+	return (tokens/hasher.BlockTokens + 1) * hasher.BlockTokens
+}
--- a/internal/cmd/commander/commander.go
+++ b/internal/cmd/commander/commander.go
@@ -26,6 +26,7 @@
 	addVersion(app, run, stdout)
 	addControl(app, run, stderr)
 	addStandInEngine(standInCommand(app), run, stderr)
+	addExperiment(app, run, stdout, stderr)
 	selected, err := app.Parse(args)
 	if err != nil {
 		fmt.Fprintf(stderr, "verbenareach: %v\n", err)
