feat: serve operators: contract put, get, list, history and server list, leave, return

Control hosts have an HTTP service for operators, guarded by their key. Tests of the commands against a running control host pass with -race.

--- a/internal/cmd/commander/commander.go
+++ b/internal/cmd/commander/commander.go
@@ -25,6 +25,8 @@
 	addSettings(app, run, stdout)
 	addVersion(app, run, stdout)
 	addControl(app, run, stderr)
+	addContract(app, run, stdout)
+	addServer(app, run, stdout, stderr)
 	addStandInEngine(standInCommand(app), run, stderr)
 	selected, err := app.Parse(args)
 	if err != nil {
--- /dev/null
+++ b/internal/cmd/commander/operatorflags.go
@@ -0,0 +1,93 @@
+package commander
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/user"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/rotisserie/eris"
+
+	"verbenareach/internal/operator/requester"
+)
+
+// operatorFlags are the flags of every command that asks the control hosts.
+type operatorFlags struct {
+	addresses []string
+	keyFile   string
+	key       string
+	operator  string
+	asJSON    bool
+}
+
+// addOperatorFlags gives a command the flags by which it finds the control hosts.
+func addOperatorFlags(cmd *kingpin.CmdClause) *operatorFlags {
+	f := &operatorFlags{}
+	cmd.Flag("control", "Operators' address of a control host, IP number and port; repeat it for each host.").
+		Envar("VERBENAREACH_CONTROL").Required().StringsVar(&f.addresses)
+	cmd.Flag("key-file", "File that holds the operator key.").ExistingFileVar(&f.keyFile)
+	cmd.Flag("key", "The operator key; better given by the environment or a file.").
+		Envar("VERBENAREACH_OPERATOR_KEY").Hidden().StringVar(&f.key)
+	cmd.Flag("operator", "Name under which changes are recorded; the login name if left out.").
+		Envar("VERBENAREACH_OPERATOR").StringVar(&f.operator)
+	cmd.Flag("json", "Print JSON.").BoolVar(&f.asJSON)
+	return f
+}
+
+// requester returns the client that the flags describe.
+func (f *operatorFlags) requester() (*requester.Requester, error) {
+	key := f.key
+	if f.keyFile != "" {
+		data, err := os.ReadFile(f.keyFile)
+		if err != nil {
+			return nil, eris.Wrap(err, "operator key")
+		}
+		key = strings.TrimSpace(string(data))
+	}
+	if key == "" {
+		err := errors.New("the operator key is missing: give --key-file FILE or set VERBENAREACH_OPERATOR_KEY")
+		return nil, &exitError{code: exitUsage, err: err}
+	}
+	operator := f.operator
+	if operator == "" {
+		operator = loginName()
+	}
+	var addresses []string
+	for _, list := range f.addresses {
+		addresses = append(addresses, strings.FieldsFunc(list, func(r rune) bool { return r == ',' || r == ' ' || r == '\n' })...)
+	}
+	return &requester.Requester{Addresses: addresses, Key: key, Operator: operator}, nil
+}
+
+func loginName() string {
+	u, err := user.Current()
+	if err != nil {
+		return "unnamed"
+	}
+	return u.Username
+}
+
+// printJSON prints a value for programs.
+func printJSON(w io.Writer, v any) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
+
+// when prints a time in Unix nanoseconds for persons.
+func when(nanos int64) string {
+	return time.Unix(0, nanos).UTC().Format("2006-01-02 15:04:05Z")
+}
+
+// plural prints a count with its noun.
+func plural(n int, noun string) string {
+	if n == 1 {
+		return "1 " + noun
+	}
+	return fmt.Sprintf("%d %ss", n, noun)
+}
--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -17,6 +19,7 @@
 	"verbenareach/internal/control/distributor"
 	"verbenareach/internal/control/registrar"
 	"verbenareach/internal/event/logger"
+	"verbenareach/internal/operator/responder"
 	"verbenareach/internal/wire/messenger"
 )
 
@@ -37,23 +40,33 @@
 		propose     func(ctx context.Context, command []byte) (index uint64, result []byte, err error)
 		confirm     func(ctx context.Context) (index uint64, err error)
 		distributor *distributor.Distributor
+		peers       *peers
+		marker      *marker
+		// background are the goroutines that outlast a request.
+		background sync.WaitGroup
 	}
 )
 
 const (
 	// tickEvery is the time between two ticks of the agreed clock.
 	tickEvery      = 5 * time.Second
+	headerTimeout  = 5 * time.Second
+	readTimeout    = 30 * time.Second
+	idleTimeout    = 2 * time.Minute
 	proposeTimeout = 5 * time.Second
 )
 
 // Run serves until ctx ends.
-func (c *Controller) Run(ctx context.Context) error {
+func (c *Controller) Run(ctx context.Context) (err error) {
 	c.state = registrar.NewState()
 	log := &localLog{apply: c.apply}
 	c.propose, c.confirm = log.propose, log.confirm
 	c.distributor = &distributor.Distributor{
 		Host: c.Name, Propose: c.Propose, ConfirmRead: c.confirm, Log: c.Log,
 	}
+	c.peers = newPeers(c.Name, c.Settings.Peers)
+	c.marker = &marker{c: c}
+	defer func() { err = errors.Join(err, c.peers.pool.Close()) }()
 	mux := drpcmux.New()
 	if err := messenger.DRPCRegisterControl(mux, &service{c}); err != nil {
 		return eris.Wrap(err, "register control service")
@@ -63,16 +76,76 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for followers")
 	}
-	c.Log.Emit(time.Now(), logger.ControlStarted, "", logger.F("listen", lis.Addr().String()))
 	g, ctx := errgroup.WithContext(ctx)
+	if err := c.serveOperators(ctx, g); err != nil {
+		return errors.Join(err, lis.Close())
+	}
+	c.Log.Emit(time.Now(), logger.ControlStarted, "", logger.F("listen", lis.Addr().String()))
 	g.Go(func() error { return eris.Wrap(drpcserver.New(mux).Serve(ctx, lis), "serve followers") })
 	g.Go(func() error { return c.distributor.Run(ctx) })
 	g.Go(func() error { return c.tick(ctx) })
+	for _, peer := range c.peers.others {
+		g.Go(func() error {
+			c.peers.exchange(ctx, peer, c.distributor.SendLoads)
+			return nil
+		})
+	}
 	err = g.Wait()
+	c.background.Wait()
 	c.Log.Emit(time.Now(), logger.ControlStopped, "")
 	return err
 }
 
+// serveOperators serves operators' HTTP until ctx ends, if settings name a listener.
+func (c *Controller) serveOperators(ctx context.Context, g *errgroup.Group) error {
+	if c.Settings.OperatorListen == "" {
+		return nil
+	}
+	var lc net.ListenConfig
+	lis, err := lc.Listen(ctx, "tcp", c.Settings.OperatorListen)
+	if err != nil {
+		return eris.Wrap(err, "listen for operators")
+	}
+	s := &responder.Responder{
+		KeySHA256: c.Settings.OperatorKeySHA256, Propose: c.Propose, Confirm: c.confirmed,
+		View: func() registrar.View { return c.distributor.View() }, History: c.history,
+		Servers: c.servers, InForce: c.inForce,
+		Marked: func(m registrar.Mark) { c.marker.start(ctx, m) }, Log: c.Log,
+	}
+	server := &http.Server{
+		Handler: s.Handler(), ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+	}
+	g.Go(func() error {
+		if err := server.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
+			return eris.Wrap(err, "serve operators")
+		}
+		return nil
+	})
+	g.Go(func() error {
+		<-ctx.Done()
+		stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), proposeTimeout)
+		defer cancel()
+		return eris.Wrap(server.Shutdown(stop), "stop serving operators")
+	})
+	return nil
+}
+
+// confirmed returns once all that was committed before the call is applied here.
+func (c *Controller) confirmed(ctx context.Context) error {
+	index, err := c.confirm(ctx)
+	if err != nil {
+		return err
+	}
+	return c.distributor.WaitFor(ctx, index)
+}
+
+// history returns a contract's changes, oldest first.
+func (c *Controller) history(workspace string) []registrar.Record {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state.History(workspace)
+}
+
 // Propose has a command agreed on, and returns once it is applied here.
 func (c *Controller) Propose(ctx context.Context, command registrar.Command) (registrar.Result, error) {
 	data, err := command.Encode()
--- a/internal/control/controller/service.go
+++ b/internal/control/controller/service.go
@@ -64,7 +64,14 @@
 
 // Followers tells of the followers that this host hears.
 func (s *service) Followers(_ context.Context, _ *messenger.FollowersRequest) (*messenger.FollowersReply, error) {
-	return s.c.distributor.Followers(time.Now()), nil
+	reply := s.c.distributor.Followers(time.Now())
+	reply.Acks = s.c.marker.list()
+	return reply, nil
+}
+
+// PushMark tells an agent of its mark for another control host.
+func (s *service) PushMark(ctx context.Context, r *messenger.PushMarkRequest) (*messenger.PushMarkReply, error) {
+	return s.c.marker.reach(ctx, r)
 }
 
 // RecordOutcome commits a claimed call's answer.
--- a/internal/control/distributor/distributor.go
+++ b/internal/control/distributor/distributor.go
@@ -13,6 +13,7 @@
 	"verbenareach/internal/control/registrar"
 	"verbenareach/internal/event/logger"
 	"verbenareach/internal/wire/messenger"
+	"verbenareach/internal/wire/translator"
 )
 
 type (
@@ -39,7 +40,7 @@
 		// view is the newest state; its index never falls.
 		view registrar.View
 		// changes are the newest ones, oldest first: all above floor.
-		changes []registrar.Change
+		changes []published
 		floor   uint64
 		// advanced is closed and replaced when view moves on.
 		advanced chan struct{}
@@ -49,10 +50,17 @@
 		held  map[string]*heldMember
 		loads loadBoard
 		// relays counts the marks passed on through entries; waiting has who waits for them.
+		relays     uint64
 		waiting    map[uint64]chan *messenger.RelayedMark
 		heartbeats chan struct{}
 	}
 
+	// published is a change with its message, which all followers share.
+	published struct {
+		index   uint64
+		message *messenger.Change
+	}
+
 	// heldMember is what this host knows of one of its followers.
 	heldMember struct {
 		member registrar.Member
@@ -86,12 +94,10 @@
 	if view.Index <= d.view.Index {
 		return
 	}
-	d.view = view
-	d.changes = append(d.changes, changes...)
-	if extra := len(d.changes) - maxChanges; extra > 0 {
-		d.floor = d.changes[extra-1].Index
-		d.changes = slices.Clone(d.changes[extra:])
+	for _, c := range changes {
+		d.keep(c)
 	}
+	d.view = view
 	close(d.advanced)
 	d.advanced = make(chan struct{})
 	if len(changes) == 0 {
@@ -223,17 +229,35 @@
 }
 
 // since returns the changes above index, or false if they aren't kept any more.
-func (d *Distributor) since(index uint64) ([]registrar.Change, bool) {
+func (d *Distributor) since(index uint64) ([]published, bool) {
 	if index < d.floor {
 		return nil, false
 	}
-	i, _ := slices.BinarySearchFunc(d.changes, index+1, func(c registrar.Change, target uint64) int {
-		if c.Index < target {
+	i, _ := slices.BinarySearchFunc(d.changes, index+1, func(p published, target uint64) int {
+		if p.index < target {
 			return -1
 		}
 		return 1
 	})
-	return d.changes[i:], true
+	return d.changes[i:len(d.changes):len(d.changes)], true
+}
+
+// keep adds a change to those kept for followers; the caller holds mu.
+func (d *Distributor) keep(c registrar.Change) {
+	if m, ok := d.view.Member(c.Removed); ok {
+		delete(d.loads.loads, m.Ordinal)
+	}
+	message, err := translator.ChangeTo(c)
+	if err != nil {
+		// Followers get a snapshot in place of a change that can't be sent.
+		d.changes, d.floor = nil, c.Index
+		return
+	}
+	d.changes = append(d.changes, published{index: c.Index, message: message})
+	if extra := len(d.changes) - maxChanges; extra >= maxChanges/4 {
+		d.floor = d.changes[extra-1].index
+		d.changes = slices.Clone(d.changes[extra:])
+	}
 }
 
 func (d *Distributor) silence() time.Duration {
--- a/internal/control/distributor/loadboard.go
+++ b/internal/control/distributor/loadboard.go
@@ -45,10 +45,20 @@
 	return m
 }
 
-// post notes an agent's load.
+// disown notes that an agent no longer follows this host: what other hosts say
+// of it counts again.
+func (b *loadBoard) disown(ordinal uint32) {
+	if l, ok := b.loads[ordinal]; ok {
+		l.own = false
+		b.loads[ordinal] = l
+	}
+}
+
+// post notes an agent's load. What the agent itself said goes before what
+// another host passed on.
 func (b *loadBoard) post(ordinal, load uint32, own bool) {
 	old, known := b.loads[ordinal]
-	if known && old.load == load && old.own == own {
+	if known && (old.own && !own || old.load == load && old.own == own) {
 		return
 	}
 	if b.loads == nil {
--- /dev/null
+++ b/internal/control/distributor/relay.go
@@ -0,0 +1,75 @@
+package distributor
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"verbenareach/internal/control/registrar"
+	"verbenareach/internal/wire/messenger"
+)
+
+const (
+	// maxRelays bounds the entries that are tried for one mark.
+	maxRelays    = 3
+	relayTimeout = 2 * time.Second
+)
+
+// RelayMark has entries that follow this host pass a mark on to the agent at
+// address. It returns the agent's answer and the name of the entry.
+func (d *Distributor) RelayMark(ctx context.Context, address string, m *messenger.MarkRequest) (*messenger.MarkReply, string, error) {
+	err := eris.Errorf("no entry follows %s", d.Host)
+	for i, s := range d.entries() {
+		if i == maxRelays {
+			break
+		}
+		var reply *messenger.MarkReply
+		if reply, err = d.relayBy(ctx, s, address, m); err == nil {
+			return reply, s.member.Name, nil
+		}
+	}
+	return nil, "", err
+}
+
+// entries returns the sessions of entries, in random order.
+func (d *Distributor) entries() []*session {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var entries []*session
+	for s := range d.sessions {
+		if s.member.Role == registrar.RoleEntry {
+			entries = append(entries, s)
+		}
+	}
+	rand.Shuffle(len(entries), func(i, j int) { entries[i], entries[j] = entries[j], entries[i] })
+	return entries
+}
+
+func (d *Distributor) relayBy(ctx context.Context, s *session, address string, m *messenger.MarkRequest) (*messenger.MarkReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	answer := make(chan *messenger.RelayedMark, 1)
+	d.mu.Lock()
+	d.relays++
+	id := d.relays
+	d.waiting[id] = answer
+	s.relays = append(s.relays, &messenger.RelayMark{Id: id, Address: address, Mark: m})
+	s.wake()
+	d.mu.Unlock()
+	defer func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		delete(d.waiting, id)
+	}()
+	select {
+	case <-ctx.Done():
+		return nil, eris.Wrap(ctx.Err(), "entry gave no answer")
+	case r := <-answer:
+		if r.GetError() != "" {
+			return nil, eris.New(r.GetError())
+		}
+		return r.GetReply(), nil
+	}
+}
--- a/internal/control/distributor/session.go
+++ b/internal/control/distributor/session.go
@@ -46,7 +46,7 @@
 	// outgoing is what the writer has to send next.
 	outgoing struct {
 		view     registrar.View
-		changes  []registrar.Change
+		changes  []published
 		snapshot bool
 		fresh    uint64
 		welcome  *messenger.Welcome
@@ -124,6 +124,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.sessions, s)
+	if m, ok := d.view.Member(s.member.Name); ok && !s.superseded {
+		d.loads.disown(m.Ordinal)
+	}
 	d.Log.Emit(time.Now(), logger.FollowerGone, "", logger.F("member", s.member.Name),
 		logger.F("incarnation", s.member.Incarnation))
 }
@@ -329,20 +332,16 @@
 }
 
 // sendChanges sends changes in parts; a part ends between two indexes.
-func (s *session) sendChanges(index uint64, changes []registrar.Change) error {
+func (s *session) sendChanges(index uint64, changes []published) error {
 	part, size := &messenger.Changes{}, 0
 	for i, c := range changes {
-		m, err := translator.ChangeTo(c)
-		if err != nil {
-			return err
-		}
-		part.Changes = append(part.Changes, m)
-		size += len(m.GetContract()) + 100
+		part.Changes = append(part.Changes, c.message)
+		size += len(c.message.GetContract()) + 100
 		last := i == len(changes)-1
-		if !last && (size < partBytes || changes[i+1].Index == c.Index) {
+		if !last && (size < partBytes || changes[i+1].index == c.index) {
 			continue
 		}
-		part.Index = c.Index
+		part.Index = c.index
 		if last {
 			part.Index = index
 		}
--- a/internal/control/registrar/state.go
+++ b/internal/control/registrar/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 )
 
@@ -81,6 +82,11 @@
 	return s.elapsed
 }
 
+// History returns the kept changes of a workspace's contract, oldest first.
+func (s *State) History(workspace string) []Record {
+	return slices.Clone(s.contracts.records[workspace])
+}
+
 // Index returns the highest log index applied.
 func (s *State) Index() uint64 {
 	return s.index
--- a/internal/event/logger/controlevents.go
+++ b/internal/event/logger/controlevents.go
@@ -15,7 +15,15 @@
 	ControlLeft      = Event{1151, log.WarnLevel, "control host left for another"}
 	MemberSuperseded = Event{1152, log.ErrorLevel, "another process has taken this one's name"}
 
+	// Events of operators' changes.
+	ContractChanged = Event{1201, log.InfoLevel, "contract change decided"}
+	MarkChanged     = Event{1202, log.InfoLevel, "leave or return mark decided"}
+	MarkConfirmed   = Event{1203, log.InfoLevel, "agent obeys its mark"}
+	MarkUnconfirmed = Event{1204, log.WarnLevel, "agent has not confirmed its mark"}
+	OperatorRefused = Event{1205, log.WarnLevel, "operator refused: wrong key"}
+
 	controlEvents = []Event{
 		ControlStarted, ControlStopped, FollowerConnected, FollowerGone, MemberExpired, ControlLeft, MemberSuperseded,
+		ContractChanged, MarkChanged, MarkConfirmed, MarkUnconfirmed, OperatorRefused,
 	}
 )
