--- /dev/null
+++ b/internal/event/explainer/story.go
@@ -0,0 +1,174 @@
+package explainer
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"verbenareach/internal/event/logger"
+	"verbenareach/internal/wire/messenger"
+)
+
+type (
+	// Story is what the processes that took part tell of one generation, call or request.
+	Story struct {
+		ID string `json:"id"`
+		// Outcome is the last known end in one sentence; empty while there is none.
+		Outcome string `json:"outcome,omitempty"`
+		// Steps are in the order of time; those of one process keep its order.
+		Steps []Step `json:"steps"`
+		// Dropped counts records that a process dropped to stay within its memory.
+		Dropped uint32 `json:"dropped,omitempty"`
+		// Asked is how many processes were asked; Missing names those that did not answer.
+		Asked   int      `json:"asked"`
+		Missing []string `json:"missing,omitempty"`
+		// KeptSince is from when on every process that answered still has its records.
+		KeptSince time.Time `json:"keptSince"`
+	}
+
+	// Step is one record of a story.
+	Step struct {
+		At      time.Time `json:"at"`
+		Process string    `json:"process"`
+		Role    string    `json:"role"`
+		// Event is the code in docs/events.md, such as VR2203.
+		Event   string `json:"event"`
+		Message string `json:"message"`
+		Details []Part `json:"details,omitempty"`
+	}
+
+	// Part is one detail of a step.
+	Part struct {
+		Key   string `json:"key"`
+		Value string `json:"value"`
+	}
+)
+
+// outcomes are the events that end a story, by number.
+var outcomes = map[int]string{
+	logger.RequestRefused.Number:      "The request was refused before it ran.",
+	logger.GenerationEnded.Number:     "The generation was delivered whole.",
+	logger.GenerationLost.Number:      "The generation was left incomplete.",
+	logger.GenerationCancelled.Number: "The caller gave the generation up.",
+	logger.CallAnswered.Number:        "The call was answered.",
+	logger.CallUnknown.Number:         "The outcome of the call is unknown.",
+	logger.CallNotRun.Number:          "The call was proven not to have run.",
+	logger.ClaimReplayed.Number:       "The recorded outcome was returned again.",
+	logger.ClaimConflict.Number:       "The call was refused: its idempotency key belongs to another request.",
+}
+
+// Tell makes a story of the replies of all processes that were asked.
+func Tell(id string, replies []*messenger.ExplainReply, missing []string) Story {
+	events := make(map[int]logger.Event)
+	for _, ev := range logger.Catalogue() {
+		events[ev.Number] = ev
+	}
+	story := Story{ID: id, Steps: []Step{}, Asked: len(replies) + len(missing), Missing: missing}
+	for _, reply := range replies {
+		story.Dropped += reply.GetDropped()
+		if since := time.Unix(0, reply.GetKeptSince()); since.After(story.KeptSince) {
+			story.KeptSince = since.UTC()
+		}
+		for _, rec := range reply.GetRecords() {
+			story.Steps = append(story.Steps, step(reply, rec, events))
+		}
+	}
+	slices.SortStableFunc(story.Steps, func(a, b Step) int { return cmp.Compare(a.At.UnixNano(), b.At.UnixNano()) })
+	for _, s := range story.Steps {
+		if outcome, ok := outcomes[number(s.Event)]; ok {
+			story.Outcome = outcome
+		}
+	}
+	return story
+}
+
+// Print writes the story for a person.
+func (s Story) Print(w io.Writer) error {
+	if len(s.Steps) == 0 {
+		fmt.Fprintf(w, "Nothing is known of %s.\n", s.ID)
+		return s.printLimits(w)
+	}
+	fmt.Fprintf(w, "%s, %s\n\n", s.ID, s.Steps[0].At.Format("2006-01-02 15:04:05.000 MST"))
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tw, "AFTER\tPROCESS\tEVENT\tWHAT HAPPENED")
+	for _, step := range s.Steps {
+		after := step.At.Sub(s.Steps[0].At).Round(100 * time.Microsecond)
+		fmt.Fprintf(tw, "%v\t%s\t%s\t%s\n", after, step.Process, step.Event, step.sentence())
+	}
+	if err := tw.Flush(); err != nil {
+		return err
+	}
+	fmt.Fprintln(w)
+	if s.Outcome != "" {
+		fmt.Fprintln(w, s.Outcome)
+	} else {
+		fmt.Fprintln(w, "No end is recorded: it may still be running.")
+	}
+	return s.printLimits(w)
+}
+
+// printLimits says what the story may lack.
+func (s Story) printLimits(w io.Writer) error {
+	if s.Dropped > 0 {
+		fmt.Fprintf(w, "%d records in the middle were dropped to stay within the memory for records.\n", s.Dropped)
+	}
+	if len(s.Missing) > 0 {
+		fmt.Fprintf(w, "%d of %d processes did not answer: %s.\n", len(s.Missing), s.Asked, strings.Join(s.Missing, ", "))
+	}
+	_, err := fmt.Fprintf(w, "Asked %d processes; their records go back to %s.\n", s.Asked, s.KeptSince.Format("15:04:05 MST"))
+	return err
+}
+
+func (s Step) sentence() string {
+	var b strings.Builder
+	b.WriteString(s.Message)
+	for i, p := range s.Details {
+		if i == 0 {
+			b.WriteString(":")
+		} else {
+			b.WriteString(",")
+		}
+		fmt.Fprintf(&b, " %s %s", words(p.Key), p.Value)
+	}
+	return b.String()
+}
+
+func number(code string) int {
+	var n int
+	if _, err := fmt.Sscanf(code, "VR%d", &n); err != nil {
+		return 0
+	}
+	return n
+}
+
+func step(reply *messenger.ExplainReply, rec *messenger.EventRecord, events map[int]logger.Event) Step {
+	ev, known := events[int(rec.GetNumber())]
+	if !known {
+		ev = logger.Event{Number: int(rec.GetNumber()), Message: "event of another version"}
+	}
+	s := Step{
+		At: time.Unix(0, rec.GetAt()).UTC(), Process: reply.GetProcess(), Role: reply.GetRole(),
+		Event: ev.Code(), Message: ev.Message,
+	}
+	for _, f := range rec.GetFields() {
+		s.Details = append(s.Details, Part{Key: f.GetKey(), Value: f.GetValue()})
+	}
+	return s
+}
+
+// words turns a camel-case key into words.
+func words(key string) string {
+	var b strings.Builder
+	for _, r := range key {
+		if r >= 'A' && r <= 'Z' {
+			b.WriteByte(' ')
+			r += 'a' - 'A'
+		}
+		b.WriteRune(r)
+	}
+	return b.String()
+}
