feat: gather stories and service levels from all processes, and show the burn report

With more than 50 series each entry names its worst, and a second question gets these from all entries, so that each one shown is exact.

--- /dev/null
+++ b/internal/insight/gatherer/gatherer_test.go
@@ -0,0 +1,120 @@
+package gatherer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"verbenareach/internal/control/registrar"
+	"verbenareach/internal/event/explainer"
+	"verbenareach/internal/event/logger"
+	"verbenareach/internal/insight/answerer"
+	"verbenareach/internal/report/reporter"
+	"verbenareach/internal/wire/messenger"
+)
+
+var start = time.Date(2026, 12, 4, 6, 30, 0, 0, time.UTC)
+
+// system is some processes that answer over pipes, by address.
+type system struct {
+	t         *testing.T
+	answerers map[string]*answerer.Answerer
+}
+
+func (s *system) add(name string, role registrar.Role) *answerer.Answerer {
+	a := &answerer.Answerer{
+		Keeper:   &explainer.Keeper{Process: name, Role: string(role)},
+		Reporter: &reporter.Reporter{Process: name, Since: start},
+		Now:      func() time.Time { return start.Add(time.Minute) },
+	}
+	s.answerers[name] = a
+	return a
+}
+
+func (s *system) gatherer(silent ...registrar.Member) *Gatherer {
+	members := silent
+	for name, a := range s.answerers {
+		members = append(members, registrar.Member{Name: name, Role: registrar.Role(a.Keeper.Role), Address: name})
+	}
+	return &Gatherer{Conn: s.conn, Members: func() []registrar.Member { return members }}
+}
+
+func (s *system) conn(_ context.Context, address string) drpc.Conn {
+	here, there := net.Pipe()
+	a, ok := s.answerers[address]
+	if !ok {
+		// Nobody reads at the other end, as when a host hangs.
+		s.t.Cleanup(func() { _ = there.Close() })
+		return drpcconn.New(here)
+	}
+	mux := drpcmux.New()
+	if err := messenger.DRPCRegisterInsight(mux, a); err != nil {
+		s.t.Error(err)
+	}
+	go func() {
+		// The pipe ends with the client's Close.
+		if err := drpcserver.New(mux).ServeOne(s.t.Context(), there); err != nil && !errors.Is(err, net.ErrClosed) {
+			return
+		}
+	}()
+	return drpcconn.New(here)
+}
+
+func TestExplainGathersAndNamesTheSilent(t *testing.T) {
+	s := &system{t: t, answerers: make(map[string]*answerer.Answerer)}
+	s.add("entry-a", registrar.RoleEntry).Keeper.Keep(logger.Record{At: start, Event: logger.GenerationRouted, Subject: "g"})
+	s.add("entry-b", registrar.RoleEntry).Keeper.Keep(logger.Record{At: start.Add(2), Event: logger.GenerationEnded, Subject: "g"})
+	s.add("engine", registrar.RoleAgent).Keeper.Keep(logger.Record{At: start.Add(1), Event: logger.WorkAdmitted, Subject: "g"})
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	story := s.gatherer(registrar.Member{Name: "frozen", Role: registrar.RoleAgent, Address: "frozen"}).Explain(ctx, "g")
+	if len(story.Steps) != 3 || story.Steps[1].Process != "engine" || story.Outcome != "The generation was delivered whole." {
+		t.Errorf("story %+v", story)
+	}
+	if len(story.Missing) != 1 || story.Missing[0] != "frozen" || story.Asked != 4 {
+		t.Errorf("missing %v of %d", story.Missing, story.Asked)
+	}
+}
+
+// TestBurnIsExactForTheWorst has entries whose worst series differ: each series
+// in the report must hold the counts of all entries.
+func TestBurnIsExactForTheWorst(t *testing.T) {
+	s := &system{t: t, answerers: make(map[string]*answerer.Answerer)}
+	const workspaces = 3 * worstSeries
+	for e, name := range []string{"entry-a", "entry-b"} {
+		r := s.add(name, registrar.RoleEntry).Reporter
+		for i := range workspaces {
+			key := reporter.Key{Workspace: fmt.Sprint(i), Model: "m"}
+			r.Called(start, key, registrar.Targets{}, time.Millisecond, true)
+			if (i+e*7)%workspaces < 10 {
+				r.Refused(start, key, reporter.RefusedRoom)
+			}
+		}
+	}
+	s.add("engine", registrar.RoleAgent)
+	g := s.gatherer()
+	report := g.Burn(t.Context(), start, "", "")
+	if !report.Partial || len(report.Entries) != 2 || len(report.Missing) != 0 {
+		t.Errorf("partial %v, entries %v, missing %v", report.Partial, report.Entries, report.Missing)
+	}
+	if len(report.Series) < worstSeries || report.Series[0].Windows[0].RefusedRoom != 2 {
+		t.Errorf("%d series, first %+v", len(report.Series), report.Series[0])
+	}
+	for _, series := range report.Series {
+		if got := series.Windows[0].Requests; got != 2 {
+			t.Errorf("workspace %s has %d requests, want those of both entries", series.Workspace, got)
+		}
+	}
+	one := g.Burn(t.Context(), start, "5", "m")
+	if one.Partial || len(one.Series) != 1 || one.Series[0].Windows[0].Requests != 2 {
+		t.Errorf("one workspace: %+v", one)
+	}
+}
