--- a/internal/cmd/commander/commander.go
+++ b/internal/cmd/commander/commander.go
@@ -31,6 +31,9 @@
 	standIn := standInCommand(app)
 	addStandInEngine(standIn, run, stderr)
 	addStandInService(standIn, run, stderr)
+	addContract(app, run, stdout)
+	addServer(app, run, stdout, stderr)
+	addExperiment(app, run, stdout, stderr)
 	selected, err := app.Parse(args)
 	if err != nil {
 		fmt.Fprintf(stderr, "verbenareach: %v\n", err)
