--- /dev/null
+++ b/internal/role/runner/relay_bench_test.go
@@ -0,0 +1,144 @@
+package runner
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"verbenareach/internal/engine/emulator"
+)
+
+const (
+	benchStreams = 64
+	benchTokens  = 200
+	benchStep    = 10 * time.Millisecond
+)
+
+// BenchmarkRelay compares, in one run, what a token costs in processor time and
+// how late the first token comes: at the engine directly, through
+// httputil.ReverseProxy, and through an entry and an agent. The cost includes
+// caller and engine; the difference to direct is what the way between costs.
+func BenchmarkRelay(b *testing.B) {
+	parameters := emulator.DefaultParameters()
+	parameters.StepBase, parameters.StepPerSequence, parameters.StepPerKiloToken = benchStep, 0, 0
+	parameters.MemoryTokens = 1 << 20
+	s := &Standalone{
+		Host: "127.77.2.1", BasePort: testBasePort, DataFolder: b.TempDir(),
+		Entries: 1, Engines: 1, Services: 1, Parameters: parameters,
+	}
+	s.Prepare()
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	defer func() { stop(); <-done }()
+	engine := s.Engine(0).Address(ctx)
+	proxy := startProxy(b, engine)
+	transport := &http.Transport{MaxIdleConnsPerHost: benchStreams}
+	client := &http.Client{Transport: transport}
+	for awaitToken(client, s.EntryAddress(0)) != nil {
+		time.Sleep(20 * time.Millisecond)
+	}
+	for _, way := range []struct{ name, address string }{
+		{"direct", engine}, {"reverseProxy", proxy}, {"entryAndAgent", s.EntryAddress(0)},
+	} {
+		b.Run(way.name, func(b *testing.B) { benchmarkWay(b, client, way.address) })
+	}
+}
+
+func benchmarkWay(b *testing.B, client *http.Client, address string) {
+	var mu sync.Mutex
+	var firsts []time.Duration
+	tokens := 0
+	before := processorTime()
+	for b.Loop() {
+		var wg sync.WaitGroup
+		for range benchStreams {
+			wg.Go(func() {
+				first, n, err := readStream(client, address, benchTokens)
+				mu.Lock()
+				defer mu.Unlock()
+				if err != nil || n != benchTokens {
+					b.Errorf("%d tokens, %v", n, err)
+				}
+				tokens += n
+				firsts = append(firsts, first)
+			})
+		}
+		wg.Wait()
+	}
+	used := processorTime() - before
+	slices.Sort(firsts)
+	b.ReportMetric(float64(used.Microseconds())/float64(tokens), "cpu-µs/token")
+	b.ReportMetric(float64(firsts[len(firsts)/2].Microseconds())/1000, "first-ms/p50")
+	b.ReportMetric(float64(firsts[len(firsts)*95/100].Microseconds())/1000, "first-ms/p95")
+}
+
+func awaitToken(client *http.Client, address string) error {
+	_, n, err := readStream(client, address, 1)
+	if err == nil && n == 0 {
+		return io.EOF
+	}
+	return err
+}
+
+// readStream reads one stream and returns when its first token came and how many.
+func readStream(client *http.Client, address string, tokens int) (first time.Duration, n int, err error) {
+	body := fmt.Sprintf(`{"model":"rota-large","stream":true,"seed":7,"max_tokens":%d,"messages":[{"role":"user","content":"x"}],"stand_in_length":%d}`, tokens, tokens)
+	r, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		return 0, 0, err
+	}
+	r.Header.Set("Authorization", "Bearer "+DemoKey)
+	began := time.Now()
+	resp, err := client.Do(r)
+	if err != nil {
+		return 0, 0, err
+	}
+	defer resp.Body.Close()
+	buf := make([]byte, 64<<10)
+	marker := []byte(`"finish_reason":null`)
+	for err == nil {
+		var read int
+		read, err = resp.Body.Read(buf)
+		if n == 0 {
+			first = time.Since(began)
+		}
+		n += bytes.Count(buf[:read], marker)
+	}
+	if err == io.EOF {
+		err = nil
+	}
+	return first, n, err
+}
+
+func startProxy(b *testing.B, engine string) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: engine})
+	proxy.Transport = &http.Transport{MaxIdleConnsPerHost: benchStreams}
+	server := &http.Server{Handler: proxy}
+	go func() { _ = server.Serve(l) }()
+	b.Cleanup(func() { _ = server.Close() })
+	return l.Addr().String()
+}
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
