fix: go on elsewhere at once when a stalled link's agent does not answer again

Cause: after a stall was noticed (1.8 s), the entry waited as long again for the same agent to answer the attach.

--- /dev/null
+++ b/internal/cmd/commander/process_test.go
@@ -0,0 +1,375 @@
+package commander
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"verbenareach/internal/config/parser"
+	"verbenareach/internal/control/registrar"
+	"verbenareach/internal/engine/emulator"
+	"verbenareach/internal/role/runner"
+)
+
+const (
+	// asProgram makes the test binary run as the program itself.
+	asProgram   = "VERBENAREACH_TEST_AS_PROGRAM"
+	processHost = "127.77.3.1"
+	waitLimit   = 30 * time.Second
+	streamSize  = 1000
+)
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) != "" {
+		os.Exit(Main(os.Args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// fleet is a system of processes, with engines in the test's own.
+type fleet struct {
+	t         *testing.T
+	folder    string
+	processes map[string]*exec.Cmd
+	logs      map[string]*bytes.Buffer
+}
+
+func (f *fleet) address(port int) string { return fmt.Sprintf("%s:%d", processHost, port) }
+
+// start runs the role of the settings as a process.
+func (f *fleet) start(s parser.Settings) {
+	f.t.Helper()
+	s.FailureDomain, s.Region = "riga-a", "riga"
+	data, err := json.Marshal(s)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	path := filepath.Join(f.folder, s.Name+".json")
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	cmd := exec.Command(os.Args[0], s.Role, "--settings", path)
+	cmd.Env = append(os.Environ(), asProgram+"=1")
+	f.logs[s.Name] = &bytes.Buffer{}
+	cmd.Stderr = f.logs[s.Name]
+	if err := cmd.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	f.processes[s.Name] = cmd
+}
+
+func (f *fleet) signal(name string, sig os.Signal) {
+	f.t.Helper()
+	if err := f.processes[name].Process.Signal(sig); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// exitCode waits for a process to end.
+func (f *fleet) exitCode(name string) int {
+	_ = f.processes[name].Wait()
+	return f.processes[name].ProcessState.ExitCode()
+}
+
+func (f *fleet) control() string { return f.address(22020) }
+
+func (f *fleet) startControl() {
+	f.start(parser.Settings{Role: "control", Name: "control-1", Control: &parser.Control{
+		Listen: f.control(), OperatorListen: f.address(22010), DataFolder: filepath.Join(f.folder, "data"),
+		OperatorKeySHA256: registrar.HashKey(runner.DemoOperatorKey),
+		Peers:             []parser.Peer{{Name: "control-1", Address: f.control()}},
+	}})
+}
+
+func (f *fleet) startAgent(i int) {
+	f.start(parser.Settings{Role: "agent", Name: fmt.Sprintf("engine-%d", i), Agent: &parser.Agent{
+		Listen: f.address(22050 + i), AnnounceListen: f.address(22070 + i), Control: []string{f.control()},
+	}})
+}
+
+func (f *fleet) startEntry(i int) {
+	f.start(parser.Settings{Role: "entry", Name: fmt.Sprintf("entry-%d", i), Entry: &parser.Entry{
+		Listen: f.address(22000 + i), PeerListen: f.address(22030 + i), Control: []string{f.control()},
+	}})
+}
+
+// operate runs an operator's command until it succeeds.
+func (f *fleet) operate(args ...string) {
+	f.t.Helper()
+	f.t.Setenv("VERBENAREACH_CONTROL", f.address(22010))
+	f.t.Setenv("VERBENAREACH_OPERATOR_KEY", runner.DemoOperatorKey)
+	var stdout, stderr bytes.Buffer
+	deadline := time.Now().Add(waitLimit)
+	for {
+		stdout.Reset()
+		stderr.Reset()
+		if Main(args, &stdout, &stderr) == exitOK {
+			return
+		}
+		if time.Now().After(deadline) {
+			f.t.Fatalf("%v: %s%s", args, &stdout, &stderr)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func startFleet(t *testing.T) *fleet {
+	f := &fleet{t: t, folder: t.TempDir(), processes: make(map[string]*exec.Cmd), logs: make(map[string]*bytes.Buffer)}
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(func() {
+		for _, cmd := range f.processes {
+			_ = cmd.Process.Signal(syscall.SIGCONT)
+			_ = cmd.Process.Kill()
+			_ = cmd.Wait()
+		}
+		stop()
+		if t.Failed() {
+			for name, text := range f.logs {
+				t.Logf("%s:\n%s", name, text)
+			}
+		}
+	})
+	f.startControl()
+	parameters := emulator.DefaultParameters()
+	parameters.StepBase = 2 * time.Millisecond
+	for i := range 3 {
+		engine := &emulator.Server{
+			Listen: processHost + ":0", Announce: f.address(22070 + i),
+			Models: []emulator.Model{{Model: runner.DemoModel}}, Parameters: parameters,
+		}
+		go func() { _ = engine.Run(ctx) }()
+		f.startAgent(i)
+	}
+	for i := range 2 {
+		f.startEntry(i)
+	}
+	path := filepath.Join(f.folder, "contract.json")
+	data, err := json.Marshal(runner.DemoContract())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	f.operate("contract", "put", path)
+	return f
+}
+
+// request sends a request to an entry until it is answered with 200.
+func (f *fleet) request(entry int, method, path, last, body string) *http.Response {
+	f.t.Helper()
+	deadline := time.Now().Add(waitLimit)
+	for {
+		r, err := http.NewRequest(method, "http://"+f.address(22000+entry)+path, strings.NewReader(body))
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		r.Header.Set("Authorization", "Bearer "+runner.DemoKey)
+		if last != "" {
+			r.Header.Set("Last-Event-ID", last)
+		}
+		resp, err := http.DefaultClient.Do(r)
+		if err == nil && resp.StatusCode == http.StatusOK {
+			return resp
+		}
+		detail := fmt.Sprint(err)
+		if err == nil {
+			text, _ := io.ReadAll(resp.Body)
+			_ = resp.Body.Close()
+			detail = string(text)
+		}
+		if time.Now().After(deadline) {
+			f.t.Fatalf("%s %s: %s", method, path, detail)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// reading is one generation as its caller sees it.
+type reading struct {
+	f       *fleet
+	resp    *http.Response
+	lines   *bufio.Scanner
+	texts   []string
+	last    string
+	whole   bool
+	longest time.Duration
+}
+
+func (f *fleet) open(entry int) *reading {
+	f.t.Helper()
+	body := fmt.Sprintf(`{"model":"%s","stream":true,"seed":11,"messages":[{"role":"user","content":"Draft a rota"}],"stand_in_length":%d}`, runner.DemoModel, streamSize)
+	r := &reading{f: f}
+	r.attach(f.request(entry, http.MethodPost, "/v1/chat/completions", "", body))
+	return r
+}
+
+func (r *reading) attach(resp *http.Response) {
+	r.resp, r.lines = resp, bufio.NewScanner(resp.Body)
+}
+
+// read takes n tokens, or all until the end.
+func (r *reading) read(n int) {
+	r.f.t.Helper()
+	id := ""
+	for before := time.Now(); n != 0 && r.lines.Scan(); {
+		name, value, _ := strings.Cut(r.lines.Text(), ": ")
+		switch {
+		case name == "id":
+			id = value
+		case name == "event":
+			r.whole = value == "end"
+			if value == "incomplete" {
+				r.f.t.Error("incomplete")
+			}
+		case name == "data" && id != "":
+			r.texts = append(r.texts, value)
+			r.last, id = id, ""
+			r.longest = max(r.longest, time.Since(before))
+			before = time.Now()
+			n--
+		}
+	}
+}
+
+// cancel ends the generation, so that its agent does not wait for its caller.
+func (r *reading) cancel() {
+	r.f.t.Helper()
+	_ = r.resp.Body.Close()
+	id, _, _ := strings.Cut(r.last, "@")
+	req, err := http.NewRequest(http.MethodDelete, "http://"+r.f.address(22000)+"/v1/generations/"+id, nil)
+	if err != nil {
+		r.f.t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+runner.DemoKey)
+	req.Header.Set("Last-Event-ID", r.last)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		r.f.t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+}
+
+// server returns where the generation is now.
+func (r *reading) server() string {
+	_, rest, _ := strings.Cut(r.last, "@")
+	server, _, _ := strings.Cut(rest, "/")
+	return server
+}
+
+// check reads to the end and compares with an undisturbed generation.
+func (r *reading) check(want *reading) {
+	r.f.t.Helper()
+	r.read(-1)
+	_ = r.resp.Body.Close()
+	if !r.whole || strings.Join(r.texts, "") != strings.Join(want.texts, "") {
+		r.f.t.Errorf("whole %v, %d tokens, last %s, want %d", r.whole, len(r.texts), r.last, len(want.texts))
+	}
+	r.f.t.Logf("longest time between tokens %v", r.longest)
+}
+
+// TestProcessesUnderFailure kills, freezes and stops processes in mid-stream; the
+// caller gets the whole answer each time.
+func TestProcessesUnderFailure(t *testing.T) {
+	f := startFleet(t)
+	want := f.open(0)
+	want.read(-1)
+	if !want.whole || len(want.texts) != streamSize {
+		t.Fatalf("undisturbed: whole %v, %d tokens", want.whole, len(want.texts))
+	}
+	t.Run("agent killed", func(t *testing.T) {
+		f.t = t
+		r := f.open(0)
+		r.read(100)
+		victim := r.server()
+		f.signal(victim, syscall.SIGKILL)
+		r.check(want)
+		_ = f.exitCode(victim)
+		f.restart(victim)
+	})
+	t.Run("agent frozen", func(t *testing.T) {
+		f.t = t
+		r := f.open(0)
+		r.read(100)
+		victim := r.server()
+		f.signal(victim, syscall.SIGSTOP)
+		r.check(want)
+		f.signal(victim, syscall.SIGCONT)
+	})
+	t.Run("entry killed", func(t *testing.T) {
+		f.t = t
+		r := f.open(1)
+		r.read(100)
+		f.signal("entry-1", syscall.SIGKILL)
+		r.read(-1)
+		id, _, _ := strings.Cut(r.last, "@")
+		r.attach(f.request(0, http.MethodGet, "/v1/generations/"+id, r.last, ""))
+		r.check(want)
+		_ = f.exitCode("entry-1")
+		f.startEntry(1)
+	})
+	t.Run("server leaves", func(t *testing.T) {
+		f.t = t
+		r := f.open(0)
+		r.read(100)
+		leaving := r.server()
+		f.operate("server", "leave", leaving)
+		for range 6 {
+			other := f.open(0)
+			other.read(3)
+			if other.server() == leaving {
+				t.Errorf("new work reached %s", leaving)
+			}
+			other.cancel()
+		}
+		r.check(want)
+		f.operate("server", "return", leaving)
+	})
+	t.Run("agent stops", func(t *testing.T) {
+		f.t = t
+		r := f.open(0)
+		r.read(100)
+		stopping := r.server()
+		f.signal(stopping, syscall.SIGTERM)
+		r.read(100)
+		f.signal(stopping, syscall.SIGTERM)
+		r.check(want)
+		if !strings.Contains(r.last, "@"+stopping+"/") {
+			t.Errorf("the stop moved the generation to %s", r.last)
+		}
+		if code := f.exitCode(stopping); code != exitOK {
+			t.Errorf("exit code %d", code)
+		}
+		f.restart(stopping)
+	})
+	t.Run("entry stops", func(t *testing.T) {
+		f.t = t
+		r := f.open(0)
+		r.read(100)
+		f.signal("entry-0", syscall.SIGTERM)
+		r.check(want)
+		if code := f.exitCode("entry-0"); code != exitOK {
+			t.Errorf("exit code %d", code)
+		}
+	})
+}
+
+// restart starts an agent again.
+func (f *fleet) restart(name string) {
+	var i int
+	if _, err := fmt.Sscanf(name, "engine-%d", &i); err != nil {
+		f.t.Fatal(err)
+	}
+	f.startAgent(i)
+}
--- a/internal/entry/booker/booker_test.go
+++ b/internal/entry/booker/booker_test.go
@@ -202,14 +202,14 @@
 	}
 }
 
-func (w *world) book(id, key, body string) (*messenger.CallReply, error) {
-	return w.booker().Call(context.Background(), bookingOf(id, key, body))
+func (w *world) book(id, body string) (*messenger.CallReply, error) {
+	return w.booker().Call(context.Background(), bookingOf(id, body))
 }
 
-func bookingOf(id, key, body string) Request {
+func bookingOf(id, body string) Request {
 	return Request{
 		ID: id, Workspace: "w", Service: "rota", Method: "POST", Path: "/swaps", Body: []byte(body),
-		Key: key, KeyFromCaller: true, Deadline: time.Now().Add(callTimeout),
+		Key: "key", KeyFromCaller: true, Deadline: time.Now().Add(callTimeout),
 	}
 }
 
@@ -229,12 +229,12 @@
 				faults := make([]int, i+1)
 				faults[i] = fault
 				w := newWorld(t, faults)
-				_, firstErr := w.book("c1", "key", "swap")
+				_, firstErr := w.book("c1", "swap")
 				checkTruth(t, firstErr, w.ran("swap"))
-				reply, err := w.book("c2", "key", "swap")
+				reply, err := w.book("c2", "swap")
 				var unknown *UnknownError
 				if errors.As(err, &unknown) {
-					reply, err = w.book("c3", "key", "swap")
+					reply, err = w.book("c3", "swap")
 				}
 				if err != nil || reply.GetStatus() != 201 || w.ran("swap") != 1 {
 					t.Errorf("again: %v, %v; it ran %d times (first: %v)", reply, err, w.ran("swap"), firstErr)
@@ -257,11 +257,11 @@
 
 func TestKeyWithAnotherRequestIsRefused(t *testing.T) {
 	w := newWorld(t, nil)
-	if _, err := w.book("c1", "key", "swap"); err != nil {
+	if _, err := w.book("c1", "swap"); err != nil {
 		t.Fatal(err)
 	}
 	var conflict *ConflictError
-	if _, err := w.book("c2", "key", "other swap"); !errors.As(err, &conflict) || w.ran("other swap") != 0 {
+	if _, err := w.book("c2", "other swap"); !errors.As(err, &conflict) || w.ran("other swap") != 0 {
 		t.Errorf("got %v", err)
 	}
 }
@@ -271,12 +271,12 @@
 	w := newWorld(t, []int{faultNone, faultAnswerLost, faultLost})
 	b := w.booker()
 	b.AddressOf = func(string) (string, bool) { w.restart(); return w.current().address, true }
-	_, err := b.Call(context.Background(), bookingOf("c1", "key", "swap"))
+	_, err := b.Call(context.Background(), bookingOf("c1", "swap"))
 	var unknown *UnknownError
 	if !errors.As(err, &unknown) {
 		t.Errorf("got %v", err)
 	}
-	if _, err := w.book("c2", "key", "swap"); !errors.As(err, &unknown) || w.ran("swap") != 1 {
+	if _, err := w.book("c2", "swap"); !errors.As(err, &unknown) || w.ran("swap") != 1 {
 		t.Errorf("again: %v; it ran %d times", err, w.ran("swap"))
 	}
 }
@@ -293,7 +293,7 @@
 			var wg sync.WaitGroup
 			errs := make([]error, 3)
 			for i := range errs {
-				wg.Go(func() { _, errs[i] = w.book(fmt.Sprintf("c%d", i), "key", "swap") })
+				wg.Go(func() { _, errs[i] = w.book(fmt.Sprintf("c%d", i), "swap") })
 			}
 			if restart {
 				w.restart()
--- a/internal/entry/relayer/attempt.go
+++ b/internal/entry/relayer/attempt.go
@@ -46,7 +46,9 @@
 		stream messenger.DRPCAgent_GenerateClient
 		cancel context.CancelCauseFunc
 		// watch cancels the stream unless it is reset in time.
-		watch        *time.Timer
+		watch *time.Timer
+		// stallTimeout is how long the link may be silent; before the answer it may
+		// be shorter than after.
 		stallTimeout time.Duration
 		// mu guards sending, as acknowledgements come from their own goroutine.
 		mu sync.Mutex
@@ -58,7 +60,8 @@
 	start := c.startMessage(target)
 	c.relayer.Log.Emit(time.Now(), logger.GenerationRouted, c.generation.ID, logger.F("server", target.Server),
 		logger.F("epoch", c.generation.Epoch), logger.F("from", c.generation.Next))
-	result, err := c.follow(ctx, target, &messenger.GenerateUp{Body: &messenger.GenerateUp_Start{Start: start}})
+	up := &messenger.GenerateUp{Body: &messenger.GenerateUp_Start{Start: start}}
+	result, err := c.follow(ctx, target, up, c.relayer.stallTimeout())
 	c.relayer.report(target, result)
 	return result, err
 }
@@ -69,14 +72,16 @@
 		GenerationId: c.generation.ID, NextIndex: c.generation.Next,
 		Incarnation: target.Incarnation, Workspace: c.start.GetWorkspace(),
 	}
-	return c.follow(ctx, target, &messenger.GenerateUp{Body: &messenger.GenerateUp_Attach{Attach: attach}})
+	up := &messenger.GenerateUp{Body: &messenger.GenerateUp_Attach{Attach: attach}}
+	return c.follow(ctx, target, up, min(reattachTimeout, c.relayer.stallTimeout()))
 }
 
 // follow sends the first message of an attempt and takes all that comes back.
+// The answer must come within the answer timeout.
 // The error is a CallerError; all else is in the result.
-func (c *course) follow(ctx context.Context, target Target, first *messenger.GenerateUp) (attemptResult, error) {
+func (c *course) follow(ctx context.Context, target Target, first *messenger.GenerateUp, answerTimeout time.Duration) (attemptResult, error) {
 	var result attemptResult
-	l, err := c.relayer.open(ctx, target)
+	l, err := c.relayer.open(ctx, target, answerTimeout)
 	if err == nil {
 		defer l.close()
 		if c.ran == messenger.Ran_RAN_NO {
@@ -100,9 +105,9 @@
 
 // open dials target's agent. Until something is sent, a failure proves that the
 // agent did nothing.
-func (r *Relayer) open(ctx context.Context, target Target) (*link, error) {
+func (r *Relayer) open(ctx context.Context, target Target, answerTimeout time.Duration) (*link, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	l := &link{cancel: cancel, stallTimeout: r.stallTimeout()}
+	l := &link{cancel: cancel, stallTimeout: answerTimeout}
 	l.watch = time.AfterFunc(l.stallTimeout, func() { cancel(errStalled) })
 	conn := r.Pool.Conn(ctx, target.Address)
 	stream, err := messenger.NewDRPCAgentClient(conn).Generate(ctx)
@@ -138,6 +143,7 @@
 			if err := c.admitted(target, body.Admitted, &result); err != nil {
 				return result, err
 			}
+			l.stallTimeout = c.relayer.stallTimeout()
 			stopAcks = l.acknowledge(ctx)
 		case *messenger.GenerateDown_Declined:
 			c.declined(target, body.Declined, &result)
--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -24,6 +24,10 @@
 	// with a generation.
 	DefaultResumeTimeout = 20 * time.Second
 
+	// reattachTimeout bounds the wait for an agent whose link was lost: one that
+	// lives answers within a few milliseconds.
+	reattachTimeout = 300 * time.Millisecond
+
 	ackEvery = time.Second
 )
 
@@ -219,7 +223,7 @@
 
 // Cancel ends a generation at the agent that holds it.
 func (r *Relayer) Cancel(ctx context.Context, workspace, generation string, target Target) error {
-	l, err := r.open(ctx, target)
+	l, err := r.open(ctx, target, r.stallTimeout())
 	if err != nil {
 		return eris.Wrap(err, "cancel")
 	}
--- a/internal/entry/relayer/relayer_test.go
+++ b/internal/entry/relayer/relayer_test.go
@@ -69,12 +69,17 @@
 		a.start = &messenger.GenerateStart{GenerationId: up.GetAttach().GetGenerationId(), Epoch: 1, Model: "m"}
 	}
 	f.mu.Unlock()
+	a.play(script)
+	return nil
+}
+
+// play does the steps up to the first that fails.
+func (a *attemptScript) play(script []step) {
 	for _, s := range script {
-		if err := s(a); err != nil {
-			return nil
+		if s(a) != nil {
+			return
 		}
 	}
-	return nil
 }
 
 func (a *attemptScript) send(down *messenger.GenerateDown) error { return a.stream.Send(down) }
--- a/internal/role/runner/relay_bench_test.go
+++ b/internal/role/runner/relay_bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -116,7 +117,7 @@
 		}
 		n += bytes.Count(buf[:read], marker)
 	}
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		err = nil
 	}
 	return first, n, err
