feat: share a contract's limits between entries by leased slices

One entry is the home of a workspace (rendezvous hash) and lends rates as quantities and levels as rights, under a lease. A new home first hears the other entries, or waits out what a former home may have lent.

--- /dev/null
+++ b/internal/entry/limiter/limiter_test.go
@@ -0,0 +1,392 @@
+package limiter
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"verbenareach/internal/control/registrar"
+	"verbenareach/internal/wire/messenger"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// tries counts how many of n demands e takes now.
+func (f *fleet) tries(e *node, c registrar.Contract, d Demand, n int) int {
+	taken := 0
+	for range n {
+		if f.try(e, c, d) != nil {
+			taken++
+		}
+	}
+	return taken
+}
+
+func settledFleet(n int) *fleet {
+	f := newFleet(3, n)
+	f.advance(defaultFreshness + defaultLease + time.Second)
+	return f
+}
+
+func other(f *fleet, not ...*node) *node {
+	for _, e := range f.entries {
+		found := true
+		for _, n := range not {
+			found = found && e != n
+		}
+		if found {
+			return e
+		}
+	}
+	return nil
+}
+
+func TestHomeThatControlRemovedStopsLending(t *testing.T) {
+	f := settledFleet(3)
+	c := contractOf(registrar.Limits{RequestsPerSecond: 10})
+	home := homeOf(t, f, c.Workspace)
+	f.remove(home)
+	home.deaf, home.cut = true, true
+	f.advance(defaultFreshness / 2)
+	if f.tries(home, c, Demand{}, 1) != 1 {
+		t.Error("a home that was confirmed a moment ago lent nothing")
+	}
+	f.advance(defaultFreshness)
+	if n := f.tries(home, c, Demand{}, 10); n != 0 {
+		t.Errorf("a home that nobody confirms lent %d requests", n)
+	}
+}
+
+func TestHomesGoOnWithoutControlWhileAllAgree(t *testing.T) {
+	f := settledFleet(3)
+	c := contractOf(registrar.Limits{RequestsPerSecond: 10})
+	home := homeOf(t, f, c.Workspace)
+	f.tries(home, c, Demand{}, 1)
+	for _, e := range f.entries {
+		e.deaf = true
+	}
+	for range 20 {
+		f.advance(time.Second)
+		if n := f.tries(other(f, home), c, Demand{}, 5); n != 5 {
+			t.Fatalf("with control silent %d of 5 requests were lent", n)
+		}
+	}
+	f.entries[0].cut = true
+	f.entries[1].cut = true
+	f.advance(2 * defaultFreshness)
+	if n := f.tries(home, c, Demand{}, 10); n != 0 {
+		t.Errorf("without control and peers the home lent %d requests", n)
+	}
+}
+
+func TestNewHomeWaitsOutSlicesOfOneThatIsSilent(t *testing.T) {
+	f := settledFleet(3)
+	c := contractOf(registrar.Limits{RequestsPerSecond: 10, ConcurrentGenerations: 4})
+	home := homeOf(t, f, c.Workspace)
+	borrower := other(f, home)
+	if f.try(borrower, c, Demand{Generation: true}) == nil {
+		t.Fatal("nothing lent at first")
+	}
+	f.remove(home)
+	f.tell()
+	next := homeOf(t, f, c.Workspace)
+	silent := other(f, home, next)
+	silent.cut = true
+	for waited := time.Duration(0); waited < defaultFreshness+defaultLease-defaultTick; waited += defaultTick {
+		if f.tries(next, c, Demand{}, 1) != 0 {
+			t.Fatalf("the new home lent after %s, before it heard all", waited)
+		}
+		f.advance(defaultTick)
+	}
+	f.advance(2 * defaultTick)
+	if n := f.tries(next, c, Demand{}, 10); n > 3 {
+		t.Errorf("the new home began with %d requests instead of an empty bucket", n)
+	}
+	f.advance(time.Second)
+	if n := f.tries(next, c, Demand{}, 20); n < 8 || n > 12 {
+		t.Errorf("a second later the new home lent %d requests of 10 a second", n)
+	}
+}
+
+func TestNewHomeHearsOthersAndLendsAtOnce(t *testing.T) {
+	f := settledFleet(3)
+	c := contractOf(registrar.Limits{ConcurrentGenerations: 4})
+	home := homeOf(t, f, c.Workspace)
+	borrower := other(f, home)
+	if n := f.tries(borrower, c, Demand{Generation: true}, 3); n != 3 {
+		t.Fatalf("%d of 3 lent", n)
+	}
+	f.remove(home)
+	f.tell()
+	next := homeOf(t, f, c.Workspace)
+	f.tries(next, c, Demand{Generation: true}, 1)
+	f.advance(3 * defaultTick)
+	if n := f.tries(next, c, Demand{Generation: true}, 4); n != 1 {
+		t.Errorf("the new home lent %d generations beside the 3 of 4 that run", n)
+	}
+}
+
+func TestMovedBucketKeepsItsLevel(t *testing.T) {
+	f := settledFleet(2)
+	c := contractOf(registrar.Limits{RequestsPerSecond: 100})
+	home := homeOf(t, f, c.Workspace)
+	if n := f.tries(home, c, Demand{}, 100); n != 100 {
+		t.Fatalf("%d of 100 lent", n)
+	}
+	for homeOf(t, f, c.Workspace) == home {
+		e := &node{name: "entry-" + string(rune('c'+len(f.entries)))}
+		f.entries = append(f.entries, e)
+		f.restart(e)
+	}
+	f.tell()
+	next := homeOf(t, f, c.Workspace)
+	f.tries(next, c, Demand{}, 1)
+	f.advance(2 * defaultTick)
+	if n := f.tries(next, c, Demand{}, 100); n > 30 {
+		t.Errorf("%d lent 200 ms after the bucket was empty, at 100 a second", n)
+	}
+}
+
+func TestLoansEndWithTheirLease(t *testing.T) {
+	limits := registrar.Limits{RequestsPerSecond: 10, TokensPerSecond: 1000, ConcurrentGenerations: 5, TokensInFlight: 500}
+	s := &slice{workspace: "w", sequences: &settledFleet(1).entries[0].sequences, limits: limits}
+	need := amounts{requests: 1, tokens: 10, generations: 1, inFlight: 10}
+	loan := &messenger.Loan{
+		Status:     messenger.LoanStatus_LOAN_STATUS_LENT,
+		LeaseNanos: int64(time.Second),
+		Granted:    amounts{requests: 3, tokens: 30, generations: 3, inFlight: 30}.encode(),
+	}
+	lend := func(now time.Time) {
+		ask := s.ask(now, need, need)
+		s.apply(now, now, ask.GetSequence(), loan)
+	}
+	lend(fleetNow)
+	if !s.take(fleetNow.Add(999*time.Millisecond), need, false) {
+		t.Error("not taken within the lease")
+	}
+	if s.take(fleetNow.Add(time.Second), need, false) {
+		t.Error("taken after the lease")
+	}
+	if s.used.generations != 1 || s.held.generations != 1 {
+		t.Errorf("used %d, held %d after the lease, want what runs", s.used.generations, s.held.generations)
+	}
+	rate := amounts{requests: 1, tokens: 10}
+	lend(fleetNow)
+	if !s.take(fleetNow.Add(999*time.Millisecond), rate, false) {
+		t.Error("rate not taken within the lease")
+	}
+	if s.take(fleetNow.Add(time.Second), rate, false) {
+		t.Error("rate taken after the lease")
+	}
+	late := s.ask(fleetNow, need, need)
+	s.declared(fleetNow)
+	s.apply(fleetNow, fleetNow, late.GetSequence(), loan)
+	if s.take(fleetNow, need, false) {
+		t.Error("taken from a loan that came after the slice was declared to another home")
+	}
+	lend(fleetNow)
+	s.follow(2, limits)
+	if s.take(fleetNow, need, false) {
+		t.Error("taken under a contract that was replaced")
+	}
+	ask := s.ask(fleetNow, need, need)
+	s.follow(3, limits)
+	s.apply(fleetNow, fleetNow, ask.GetSequence(), loan)
+	if s.take(fleetNow, need, false) {
+		t.Error("taken from a loan under a contract that was replaced while it was on its way")
+	}
+}
+
+func TestChangedContractIsInForceAtOnce(t *testing.T) {
+	f := settledFleet(3)
+	c := contractOf(registrar.Limits{RequestsPerSecond: 1000, ConcurrentGenerations: 100})
+	for _, e := range f.entries {
+		if n := f.tries(e, c, Demand{Generation: true}, 10); n != 10 {
+			t.Fatalf("%d of 10 lent", n)
+		}
+	}
+	c.Number, c.Limits = 2, registrar.Limits{RequestsPerSecond: 1000, ConcurrentGenerations: 32}
+	taken := 0
+	for _, e := range f.entries {
+		taken += f.tries(e, c, Demand{Generation: true}, 10)
+	}
+	if taken > 2 {
+		t.Errorf("%d further generations lent beside 30 of 32", taken)
+	}
+	c.Number, c.Limits = 3, registrar.Limits{}
+	grant, refused := f.entries[0].Acquire(context.Background(), f.now, c, Demand{Generation: true})
+	if refused != nil || grant == nil {
+		t.Errorf("refused without limits: %v", refused)
+	}
+	grant.Spend(f.now, 10)
+	grant.Release(f.now)
+}
+
+func TestDebtOfTokensIsPaidFirst(t *testing.T) {
+	f := settledFleet(3)
+	c := contractOf(registrar.Limits{TokensPerSecond: 1000, TokensInFlight: 10_000})
+	home := homeOf(t, f, c.Workspace)
+	e := other(f, home)
+	g := f.try(e, c, Demand{Generation: true, PromptTokens: 100, ExpectedTokens: 500})
+	if g == nil {
+		t.Fatal("not lent")
+	}
+	g.Spend(f.now, 3900)
+	f.tick()
+	// 1000 were in the bucket, 100 and 3900 are taken: 3 s of rate are owed, and 100 more are needed.
+	for _, at := range []*node{e, home, other(f, home, e)} {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_, refused := at.Acquire(ctx, f.now, c, Demand{Generation: true, PromptTokens: 100})
+		if refused == nil {
+			t.Fatalf("%s: a request was lent during a debt", at.name)
+		}
+	}
+	f.advance(3 * time.Second)
+	if f.tries(home, c, Demand{Generation: true, PromptTokens: 100}, 1) != 0 {
+		t.Error("lent before the debt was paid")
+	}
+	f.advance(200 * time.Millisecond)
+	if f.tries(home, c, Demand{Generation: true, PromptTokens: 100}, 1) != 1 {
+		t.Error("not lent after the debt was paid")
+	}
+	if used := e.lockSlice(c.Workspace); used.used.inFlight != 100+3900 {
+		t.Errorf("%d tokens in flight, want 4000", used.used.inFlight)
+	} else {
+		used.mu.Unlock()
+	}
+	g.Release(f.now)
+	g.Release(f.now)
+	if used := e.lockSlice(c.Workspace); used.used != (amounts{}) {
+		t.Errorf("%+v in use after the release", used.used)
+	} else {
+		used.mu.Unlock()
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	tests := []struct {
+		name   string
+		limits registrar.Limits
+		before int
+		d      Demand
+		want   Limit
+		atMost time.Duration
+	}{
+		{"requests", registrar.Limits{RequestsPerSecond: 0.5}, 1, Demand{}, LimitRequests, 2 * time.Second},
+		{"generations", registrar.Limits{ConcurrentGenerations: 1}, 1, Demand{Generation: true}, LimitGenerations, maxReleaseWait},
+		{"tokens", registrar.Limits{TokensPerSecond: 10}, 1, Demand{Generation: true, PromptTokens: 50}, LimitTokens, 5 * time.Second},
+		{"tokens in flight", registrar.Limits{TokensInFlight: 60}, 1, Demand{Generation: true, PromptTokens: 50}, LimitInFlight, maxReleaseWait},
+		{"never", registrar.Limits{TokensInFlight: 60}, 0, Demand{Generation: true, PromptTokens: 61}, LimitInFlight, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := settledFleet(3)
+			c := contractOf(tt.limits)
+			e := other(f, homeOf(t, f, c.Workspace))
+			if n := f.tries(e, c, tt.d, tt.before); n != tt.before {
+				t.Fatalf("%d of %d lent before", n, tt.before)
+			}
+			_, refused := e.Acquire(context.Background(), f.now, c, tt.d)
+			if refused == nil {
+				t.Fatal("not refused")
+			}
+			if refused.Limit != tt.want || refused.RetryAfter > tt.atMost || tt.atMost > 0 && refused.RetryAfter < minRetryAfter {
+				t.Errorf("refused for %s after %s, want %s within %s", refused.Limit, refused.RetryAfter, tt.want, tt.atMost)
+			}
+			if tt.want != LimitRequests && tt.want != LimitTokens {
+				return
+			}
+			f.advance(refused.RetryAfter - time.Millisecond)
+			if f.tries(e, c, tt.d, 1) != 0 {
+				t.Error("lent before Retry-After")
+			}
+			f.advance(2 * time.Millisecond)
+			if f.tries(e, c, tt.d, 1) != 1 {
+				t.Error("not lent after Retry-After")
+			}
+		})
+	}
+}
+
+func TestHomeOutOfReach(t *testing.T) {
+	f := settledFleet(3)
+	c := contractOf(registrar.Limits{RequestsPerSecond: 10})
+	home := homeOf(t, f, c.Workspace)
+	home.cut = true
+	e := other(f, home)
+	e.Patience = 30 * time.Millisecond
+	_, refused := e.Acquire(context.Background(), f.now, c, Demand{})
+	if refused == nil || refused.Limit != LimitUnreachable || refused.RetryAfter <= 0 {
+		t.Errorf("got %v, want a refusal for %s", refused, LimitUnreachable)
+	}
+	grant, refused := e.Acquire(context.Background(), f.now, c, Demand{Resumed: true, Generation: true})
+	if refused != nil {
+		t.Errorf("a resumed generation was refused: %v", refused)
+	}
+	grant.Release(f.now)
+}
+
+// TestManyCallersWaitInLine lets goroutines wait for generations that others end.
+func TestManyCallersWaitInLine(t *testing.T) {
+	f := newFleet(1, 1)
+	e := f.entries[0]
+	e.ConfirmedAt = nil
+	e.Patience = 30 * time.Second
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var running sync.WaitGroup
+	running.Go(func() { _ = e.Run(ctx) })
+	c := contractOf(registrar.Limits{ConcurrentGenerations: 3, TokensInFlight: 300})
+	var mu sync.Mutex
+	most, now := 0, 0
+	var callers sync.WaitGroup
+	for range 60 {
+		callers.Go(func() {
+			grant, refused := e.Acquire(ctx, time.Now(), c, Demand{Generation: true, PromptTokens: 40, ExpectedTokens: 40})
+			if refused != nil {
+				t.Errorf("refused: %v", refused)
+				return
+			}
+			mu.Lock()
+			now++
+			most = max(most, now)
+			mu.Unlock()
+			grant.Spend(time.Now(), 50)
+			mu.Lock()
+			now--
+			mu.Unlock()
+			grant.Release(time.Now())
+		})
+	}
+	callers.Wait()
+	cancel()
+	running.Wait()
+	if most > 3 {
+		t.Errorf("%d generations at once, limit 3", most)
+	}
+}
+
+func TestIdleWorkspacesCostNothing(t *testing.T) {
+	f := settledFleet(3)
+	c := contractOf(registrar.Limits{RequestsPerSecond: 10, ConcurrentGenerations: 5})
+	e := other(f, homeOf(t, f, c.Workspace))
+	f.try(e, c, Demand{Generation: true})
+	f.end(e)
+	f.advance(3 * defaultLease)
+	for _, e := range f.entries {
+		if stats := e.Stats(); stats.Slices != 0 || stats.Accounts != 0 {
+			t.Errorf("%s keeps %d slices and %d accounts", e.name, stats.Slices, stats.Accounts)
+		}
+	}
+	asks := e.Stats().Asks
+	f.advance(time.Minute)
+	if n := e.Stats().Asks - asks; n != 0 {
+		t.Errorf("%d asks for an idle workspace", n)
+	}
+}
