--- a/internal/cmd/commander/commander.go
+++ b/internal/cmd/commander/commander.go
@@ -22,7 +22,18 @@
 	app.ErrorWriter(stderr)
 	app.Terminate(nil)
 	run := make(map[string]func() error)
+	addRole(app, run, stderr, "entry", "Run an entry, which serves callers.")
+	addRole(app, run, stderr, "agent", "Run an agent, the only way to the backend server beside it.")
+	addRole(app, run, stderr, "control", "Run a control host, which keeps contracts, marks and claims.")
+	addStandalone(app, run, stdout, stderr)
+	addSettings(app, run, stdout)
 	addVersion(app, run, stdout)
+	standIn := standInCommand(app)
+	addStandInEngine(standIn, run, stderr)
+	addStandInService(standIn, run, stderr)
+	addContract(app, run, stdout)
+	addServer(app, run, stdout, stderr)
+	addExperiment(app, run, stdout, stderr)
 	selected, err := app.Parse(args)
 	if err != nil {
 		fmt.Fprintf(stderr, "verbenareach: %v\n", err)
@@ -34,7 +45,7 @@
 	}
 	if err := command(); err != nil {
 		fmt.Fprintf(stderr, "verbenareach: %v\n", err)
-		return exitFailure
+		return exitCode(err)
 	}
 	return exitOK
 }
--- /dev/null
+++ b/internal/control/distributor/exchange.go
@@ -0,0 +1,46 @@
+package distributor
+
+import (
+	"context"
+	"errors"
+	"io"
+
+	"github.com/rotisserie/eris"
+
+	"verbenareach/internal/wire/messenger"
+)
+
+// Exchange takes the loads that another control host passes on, until its stream ends.
+func (d *Distributor) Exchange(stream messenger.DRPCControl_ExchangeStream) error {
+	for {
+		m, err := stream.Recv()
+		if errors.Is(err, io.EOF) || errors.Is(err, context.Canceled) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		d.mu.Lock()
+		d.loads.postBatch(m.GetLoads())
+		d.mu.Unlock()
+	}
+}
+
+// SendLoads passes the loads of this host's own agents on over stream, until
+// ctx ends or the stream fails.
+func (d *Distributor) SendLoads(ctx context.Context, stream messenger.DRPCControl_ExchangeClient) error {
+	sent := uint64(0)
+	for sleep(ctx, d.loadsEvery()/2) {
+		d.mu.Lock()
+		batch := d.loads.batch(sent, true)
+		sent = d.loads.sequence
+		d.mu.Unlock()
+		if batch == nil {
+			continue
+		}
+		if err := stream.Send(&messenger.ExchangeUp{Host: d.Host, Loads: batch}); err != nil {
+			return eris.Wrap(err, "send loads")
+		}
+	}
+	return eris.Wrap(stream.CloseSend(), "end loads")
+}
