feat: give each process's metrics at /metrics by tally

Counters of events by number, tokens, and histograms of first token and gaps; no label holds a workspace, so their number is bounded.

--- a/internal/event/logger/logger.go
+++ b/internal/event/logger/logger.go
@@ -24,6 +24,8 @@
 		Out *log.Logger
 		// Keep receives each record with a subject; nil keeps none.
 		Keep func(Record)
+		// Count receives each event; nil counts none.
+		Count func(Event)
 	}
 )
 
@@ -32,6 +34,9 @@
 	if l == nil {
 		return
 	}
+	if l.Count != nil {
+		l.Count(ev)
+	}
 	if l.Keep != nil && subject != "" {
 		l.Keep(Record{At: now, Event: ev, Subject: subject, Fields: fields})
 	}
--- /dev/null
+++ b/internal/event/meter/meter.go
@@ -0,0 +1,155 @@
+// Package meter gives a process's metrics in the usual text format.
+package meter
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/rotisserie/eris"
+	"github.com/uber-go/tally/v4"
+	tallyprom "github.com/uber-go/tally/v4/prometheus"
+
+	"verbenareach/internal/event/logger"
+)
+
+const (
+	// reportEvery is how often counts reach /metrics.
+	reportEvery = time.Second
+	// prefix starts the name of each metric.
+	prefix = "verbenareach"
+
+	readHeaderTimeout = 5 * time.Second
+)
+
+// Meter holds the metrics of one process. Their number is bounded: no label
+// holds a workspace, which the burn report is for. A nil Meter counts nothing.
+type Meter struct {
+	scope    tally.Scope
+	closer   io.Closer
+	reporter tallyprom.Reporter
+	// events counts by event number.
+	events map[int]tally.Counter
+
+	tokens     tally.Counter
+	firstToken tally.Histogram
+	gap        tally.Histogram
+}
+
+// New returns the meter of a process. Close it after use.
+func New(role, process string) (*Meter, error) {
+	registry := prom.NewRegistry()
+	for _, c := range []prom.Collector{collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{})} {
+		if err := registry.Register(c); err != nil {
+			return nil, eris.Wrap(err, "metrics")
+		}
+	}
+	reporter := tallyprom.NewReporter(tallyprom.Options{
+		Registerer: registry,
+		Gatherer:   registry,
+		// Without this the library panics; a metric that can't be registered is left out.
+		OnRegisterError: func(error) {},
+	})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: prefix, Tags: map[string]string{"role": role, "process": process},
+		CachedReporter: reporter, Separator: tallyprom.DefaultSeparator, SanitizeOptions: sanitizing(),
+		OmitCardinalityMetrics: true,
+	}, reportEvery)
+	m := &Meter{scope: scope, closer: closer, reporter: reporter, events: make(map[int]tally.Counter)}
+	for _, ev := range logger.Catalogue() {
+		m.events[ev.Number] = scope.Tagged(map[string]string{"event": ev.Code()}).Counter("events_total")
+	}
+	m.tokens = scope.Counter("tokens_total")
+	m.firstToken = scope.Histogram("first_token_seconds", firstTokenBuckets())
+	m.gap = scope.Histogram("between_tokens_seconds", gapBuckets())
+	return m, nil
+}
+
+// Close stops the counting.
+func (m *Meter) Close() error {
+	if m == nil {
+		return nil
+	}
+	return m.closer.Close()
+}
+
+// Count counts one event. It is meant for Logger.Count.
+func (m *Meter) Count(ev logger.Event) {
+	if m == nil {
+		return
+	}
+	if c, ok := m.events[ev.Number]; ok {
+		c.Inc(1)
+	}
+}
+
+// FirstToken counts the time from a request's arrival to its first token.
+func (m *Meter) FirstToken(d time.Duration) {
+	if m != nil {
+		m.firstToken.RecordDuration(d)
+	}
+}
+
+// Gap counts the time between two deliveries of tokens to one caller.
+func (m *Meter) Gap(d time.Duration) {
+	if m != nil {
+		m.gap.RecordDuration(d)
+	}
+}
+
+// Gauge returns the gauge of a name, such as "running_generations".
+func (m *Meter) Gauge(name string) tally.Gauge {
+	if m == nil {
+		return tally.NoopScope.Gauge(name)
+	}
+	return m.scope.Gauge(name)
+}
+
+// Tokens counts tokens delivered to callers.
+func (m *Meter) Tokens(n int) {
+	if m != nil {
+		m.tokens.Inc(int64(n))
+	}
+}
+
+// Serve answers GET /metrics on l until ctx ends, and closes l.
+func (m *Meter) Serve(ctx context.Context, l net.Listener) error {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", m.reporter.HTTPHandler())
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	stop := context.AfterFunc(ctx, func() {
+		// A scrape that is cut off is made again a little later.
+		_ = server.Close()
+	})
+	defer stop()
+	err := server.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return eris.Wrap(err, "serve metrics")
+}
+
+// firstTokenBuckets double from 5 ms to 82 s.
+func firstTokenBuckets() tally.Buckets {
+	return tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 15)
+}
+
+// gapBuckets double from 1 ms to 16 s.
+func gapBuckets() tally.Buckets {
+	return tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 15)
+}
+
+// sanitizing keeps the hyphens of processes' names, which label values may have.
+func sanitizing() *tally.SanitizeOptions {
+	options := tallyprom.DefaultSanitizerOpts
+	options.ValueCharacters = tally.ValidCharacters{
+		Ranges:     tally.AlphanumericRange,
+		Characters: tally.UnderscoreDashDotCharacters,
+	}
+	return &options
+}
