feat: explain ID, report and /metrics over all processes

Each process keeps its records and answers for them over drpc; control hosts gather them for operators. Entries count service levels of generations and calls as callers see them. A browser reaches the page with the operator key as the password of basic authentication. Before, the standalone control host did not answer (named as missing by explain): it now runs like the others.

--- a/internal/agent/server/agent.go
+++ b/internal/agent/server/agent.go
@@ -62,6 +62,8 @@
 		// for the defaults.
 		ResumeGrace time.Duration
 		KeepEnded   time.Duration
+		// RegisterPeer adds further services that other processes call; nil adds none.
+		RegisterPeer func(mux *drpcmux.Mux) error
 		// Log receives events; nil drops them.
 		Log *logger.Logger
 
@@ -161,7 +163,13 @@
 }
 
 func (a *Agent) register(mux *drpcmux.Mux) error {
-	return messenger.DRPCRegisterAgent(mux, &peerService{agent: a})
+	if err := messenger.DRPCRegisterAgent(mux, &peerService{agent: a}); err != nil {
+		return err
+	}
+	if a.RegisterPeer == nil {
+		return nil
+	}
+	return a.RegisterPeer(mux)
 }
 
 // report tells control how things stand.
--- a/internal/cmd/commander/commander.go
+++ b/internal/cmd/commander/commander.go
@@ -34,6 +34,8 @@
 	addContract(app, run, stdout)
 	addServer(app, run, stdout, stderr)
 	addExperiment(app, run, stdout, stderr)
+	addExplain(app, run, stdout)
+	addReport(app, run, stdout)
 	selected, err := app.Parse(args)
 	if err != nil {
 		fmt.Fprintf(stderr, "verbenareach: %v\n", err)
--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -20,7 +20,6 @@
 	"verbenareach/internal/control/registrar"
 	"verbenareach/internal/event/logger"
 	"verbenareach/internal/operator/responder"
-	"verbenareach/internal/wire/messenger"
 )
 
 type (
@@ -34,6 +33,8 @@
 		Log *logger.Logger
 		// Started is called once commands may be proposed; nil for nobody to tell.
 		Started func()
+		// RegisterPeer adds further services that other processes call; nil adds none.
+		RegisterPeer func(mux *drpcmux.Mux) error
 
 		// mu guards state; Apply is called in log order.
 		mu    sync.Mutex
@@ -70,8 +71,8 @@
 	c.marker = &marker{c: c}
 	defer func() { err = errors.Join(err, c.peers.pool.Close()) }()
 	mux := drpcmux.New()
-	if err := messenger.DRPCRegisterControl(mux, &service{c}); err != nil {
-		return eris.Wrap(err, "register control service")
+	if err := c.register(mux); err != nil {
+		return eris.Wrap(err, "register services")
 	}
 	var lc net.ListenConfig
 	lis, err := lc.Listen(ctx, "tcp", c.Settings.Listen)
@@ -115,7 +116,7 @@
 		KeySHA256: c.Settings.OperatorKeySHA256, Propose: c.Propose, Confirm: c.confirmed,
 		View: func() registrar.View { return c.distributor.View() }, History: c.history,
 		Servers: c.servers, InForce: c.inForce,
-		Marked: func(m registrar.Mark) { c.marker.start(ctx, m) }, Log: c.Log,
+		Marked: func(m registrar.Mark) { c.marker.start(ctx, m) }, Routes: c.insight().Routes, Log: c.Log,
 	}
 	server := &http.Server{
 		Handler: s.Handler(), ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
--- /dev/null
+++ b/internal/control/controller/insight.go
@@ -0,0 +1,44 @@
+package controller
+
+import (
+	"context"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmux"
+
+	"verbenareach/internal/control/registrar"
+	"verbenareach/internal/insight/gatherer"
+	"verbenareach/internal/insight/presenter"
+	"verbenareach/internal/wire/messenger"
+)
+
+// insight returns what shows operators the records and service levels of all processes.
+func (c *Controller) insight() *presenter.Presenter {
+	return &presenter.Presenter{Gatherer: &gatherer.Gatherer{
+		Conn: func(ctx context.Context, address string) drpc.Conn {
+			return c.peers.pool.Get(ctx, address, dial)
+		},
+		Members: c.everyone,
+	}}
+}
+
+// everyone returns all live members and all control hosts.
+func (c *Controller) everyone() []registrar.Member {
+	var members []registrar.Member
+	c.distributor.View().EachMember(func(m registrar.Member) { members = append(members, m) })
+	for _, p := range c.Settings.Peers {
+		members = append(members, registrar.Member{Name: p.Name, Role: registrar.RoleControl, Address: p.Address})
+	}
+	return members
+}
+
+// register adds the services that other processes call.
+func (c *Controller) register(mux *drpcmux.Mux) error {
+	if err := messenger.DRPCRegisterControl(mux, &service{c}); err != nil {
+		return err
+	}
+	if c.RegisterPeer == nil {
+		return nil
+	}
+	return c.RegisterPeer(mux)
+}
--- a/internal/entry/server/call.go
+++ b/internal/entry/server/call.go
@@ -8,6 +8,7 @@
 	"verbenareach/internal/control/registrar"
 	"verbenareach/internal/entry/booker"
 	"verbenareach/internal/event/logger"
+	"verbenareach/internal/report/reporter"
 	"verbenareach/internal/wire/messenger"
 )
 
@@ -48,11 +49,13 @@
 	}
 	permit, err := e.acquire(r.Context(), now, contract, false)
 	if err != nil {
+		e.countRefusal(time.Now(), reporter.ServiceKey(contract.Workspace, req.Service), asRefusal(err))
 		e.refuseRequest(w, id, contract.Workspace, asRefusal(err))
 		return
 	}
 	defer permit.release()
 	reply, err := e.Booker.Call(r.Context(), req)
+	e.countCall(now, time.Now(), contract, req.Service, err)
 	if err != nil {
 		e.refuseRequest(w, id, contract.Workspace, asRefusal(err))
 		return
--- a/internal/entry/server/entry.go
+++ b/internal/entry/server/entry.go
@@ -18,6 +18,7 @@
 	"verbenareach/internal/entry/booker"
 	"verbenareach/internal/entry/relayer"
 	"verbenareach/internal/event/logger"
+	"verbenareach/internal/report/reporter"
 	"verbenareach/internal/wire/acceptor"
 )
 
@@ -70,6 +71,8 @@
 		// MaxBodyBytes and RequestTimeout are 0 for the defaults.
 		MaxBodyBytes   int64
 		RequestTimeout time.Duration
+		// Reporter counts service levels; nil counts none.
+		Reporter *reporter.Reporter
 		// Log receives events; nil drops them.
 		Log *logger.Logger
 
--- a/internal/entry/server/generation.go
+++ b/internal/entry/server/generation.go
@@ -53,8 +53,10 @@
 		return
 	}
 	start.GenerationId = id
+	m := e.measureGeneration(now, contract, start)
 	permit, err := e.acquire(r.Context(), now, contract, true)
 	if err != nil {
+		m.failed(e, time.Now(), asRefusal(err))
 		e.refuseRequest(w, id, contract.Workspace, asRefusal(err))
 		return
 	}
@@ -63,12 +65,12 @@
 	start.AdmitDeadline = deadline.UnixNano()
 	req := relayer.Request{Start: start, Deadline: deadline}
 	if stream {
-		e.stream(w, r, id, contract.Workspace, permit, func(ctx context.Context, sink relayer.Sink) error {
+		e.stream(w, r, id, m, permit, func(ctx context.Context, sink relayer.Sink) error {
 			return e.Relayer.Relay(ctx, req, sink)
 		})
 		return
 	}
-	e.answerWhole(w, r, req, contract.Workspace, permit)
+	e.answerWhole(w, r, req, m, permit)
 }
 
 func (e *Entry) readGeneration(w http.ResponseWriter, r *http.Request) (registrar.Contract, *messenger.GenerateStart, bool, *RefusalError) {
@@ -85,18 +87,18 @@
 }
 
 // stream writes a generation as events while it is made.
-func (e *Entry) stream(w http.ResponseWriter, r *http.Request, id, workspace string, permit Permit, relay func(context.Context, relayer.Sink) error) {
+func (e *Entry) stream(w http.ResponseWriter, r *http.Request, id string, m *measure, permit Permit, relay func(context.Context, relayer.Sink) error) {
 	events := newEventWriter(w)
 	stopComments := keepAlive(events)
 	defer stopComments()
-	err := relay(r.Context(), relayer.Sink{
+	err := relay(r.Context(), m.watch(relayer.Sink{
 		Moved: events.moved,
 		Tokens: func(first uint64, texts []string) error {
 			permit.spend(time.Now(), len(texts))
 			return events.tokens(first, texts)
 		},
 		End: events.end,
-	})
+	}, true))
 	if err == nil {
 		return
 	}
@@ -106,19 +108,20 @@
 		return
 	}
 	refusal := asRefusal(err)
+	m.failed(e, time.Now(), refusal)
 	if events.hasBegun() {
 		_ = events.incomplete(refusal)
 		return
 	}
-	e.refuseRequest(w, id, workspace, refusal)
+	e.refuseRequest(w, id, m.contract.Workspace, refusal)
 }
 
 // answerWhole writes a generation in one piece, or an error.
-func (e *Entry) answerWhole(w http.ResponseWriter, r *http.Request, req relayer.Request, workspace string, permit Permit) {
+func (e *Entry) answerWhole(w http.ResponseWriter, r *http.Request, req relayer.Request, m *measure, permit Permit) {
 	var text strings.Builder
 	var n uint64
 	finish := ""
-	err := e.Relayer.Relay(r.Context(), req, relayer.Sink{
+	err := e.Relayer.Relay(r.Context(), req, m.watch(relayer.Sink{
 		Moved: func(sequencer.Cursor, *messenger.GenerateStart) error { return nil },
 		Tokens: func(_ uint64, texts []string) error {
 			permit.spend(time.Now(), len(texts))
@@ -129,14 +132,15 @@
 			return nil
 		},
 		End: func(reason string) error { finish = reason; return nil },
-	})
+	}, false))
 	var gone *relayer.CallerError
 	if errors.As(err, &gone) {
 		e.Log.Emit(time.Now(), logger.GenerationCancelled, req.Start.GetGenerationId(), logger.F("cause", gone))
 		return
 	}
 	if err != nil {
-		e.refuseRequest(w, req.Start.GetGenerationId(), workspace, asRefusal(err))
+		m.failed(e, time.Now(), asRefusal(err))
+		e.refuseRequest(w, req.Start.GetGenerationId(), m.contract.Workspace, asRefusal(err))
 		return
 	}
 	whole := answer{ID: req.Start.GetGenerationId(), Model: req.Start.GetModel(), Usage: usage{req.Start.GetPromptTokens(), n}}
--- a/internal/entry/server/resume.go
+++ b/internal/entry/server/resume.go
@@ -35,6 +35,7 @@
 		e.refuseRequest(w, r.PathValue("id"), contract.Workspace, refusal)
 		return
 	}
+	m := e.measureResume(time.Now(), contract)
 	permit, err := e.acquire(r.Context(), time.Now(), contract, true)
 	if err != nil {
 		e.refuseRequest(w, cursor.Generation, contract.Workspace, asRefusal(err))
@@ -42,7 +43,7 @@
 	}
 	defer permit.release()
 	e.Log.Emit(time.Now(), logger.GenerationAttached, cursor.Generation, logger.F("server", cursor.Server), logger.F("after", cursor.Index))
-	e.stream(w, r, cursor.Generation, contract.Workspace, permit, func(ctx context.Context, sink relayer.Sink) error {
+	e.stream(w, r, cursor.Generation, m, permit, func(ctx context.Context, sink relayer.Sink) error {
 		found, ok := e.locate(ctx, contract.Workspace, cursor)
 		if !ok {
 			return &relayer.NotFoundError{ID: cursor.Generation}
--- a/internal/event/explainer/explainer_test.go
+++ b/internal/event/explainer/explainer_test.go
@@ -23,8 +23,8 @@
 }
 
 func TestStoryOfTwoProcesses(t *testing.T) {
-	entry := &Keeper{Process: "entry-riga-a", Role: "entry"}
-	agent := &Keeper{Process: "engine-riga-a", Role: "agent"}
+	entry := &Keeper{Process: "entry-riga-a", Role: "entry", Since: start}
+	agent := &Keeper{Process: "engine-riga-a", Role: "agent", Since: start}
 	entry.Keep(record(0, logger.GenerationRouted, "g1", logger.F("server", "engine-riga-a"), logger.F("why", "prefix cached")))
 	agent.Keep(record(time.Millisecond, logger.WorkAdmitted, "g1", logger.F("memoryTokensUsed", uint64(1200))))
 	entry.Keep(record(2*time.Millisecond, logger.GenerationStarted, "g1", logger.F("firstToken", 180*time.Millisecond)))
--- a/internal/event/explainer/keeper.go
+++ b/internal/event/explainer/keeper.go
@@ -38,6 +38,8 @@
 		// Process and Role say whose records these are.
 		Process string
 		Role    string
+		// Since is when the process started to keep records.
+		Since time.Time
 		// Retention is how long a story stays after its newest record; 0 means DefaultRetention.
 		Retention time.Duration
 		// MaxBytes bounds the memory for records; 0 means DefaultMaxBytes. Stories that are
@@ -45,8 +47,8 @@
 		MaxBytes int
 
 		mu sync.Mutex
-		// since is when the keeping started, or when the newest story lies that had to go early.
-		since time.Time
+		// lost is the newest record of the stories that had to go early; zero if none had.
+		lost  time.Time
 		bytes int
 		// stories by subject; each is an element of order, least recently touched first.
 		stories map[string]*list.Element
@@ -75,7 +77,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.expire(now)
-	reply := &messenger.ExplainReply{Process: k.Process, Role: k.Role, KeptSince: k.since.UnixNano()}
+	reply := &messenger.ExplainReply{Process: k.Process, Role: k.Role, KeptSince: k.keptSince(now).UnixNano()}
 	element, ok := k.stories[id]
 	if !ok {
 		return reply
@@ -101,7 +103,6 @@
 		k.stories = make(map[string]*list.Element)
 		k.order = list.New()
 		k.keyNumbers = make(map[string]uint64)
-		k.since = rec.At
 	}
 	k.expire(rec.At)
 	s := k.at(rec)
@@ -194,20 +195,13 @@
 
 // expire drops the stories that have had no record for the retention.
 func (k *Keeper) expire(now time.Time) {
-	retention := k.Retention
-	if retention == 0 {
-		retention = DefaultRetention
-	}
 	for {
 		s := k.oldest()
-		if s == nil || now.Sub(s.newest) <= retention {
-			break
+		if s == nil || now.Sub(s.newest) <= k.retention() {
+			return
 		}
 		k.drop(s)
 	}
-	if horizon := now.Add(-retention); k.since.Before(horizon) {
-		k.since = horizon
-	}
 }
 
 func (k *Keeper) drop(s *story) {
@@ -216,6 +210,17 @@
 	k.bytes -= s.bytes()
 }
 
+// keptSince returns since when no story was lost.
+func (k *Keeper) keptSince(now time.Time) time.Time {
+	since := now.Add(-k.retention())
+	for _, t := range []time.Time{k.Since, k.lost} {
+		if t.After(since) {
+			since = t
+		}
+	}
+	return since
+}
+
 func (k *Keeper) keyNumber(key string) uint64 {
 	n, ok := k.keyNumbers[key]
 	if !ok {
@@ -237,6 +242,13 @@
 	return s
 }
 
+func (k *Keeper) retention() time.Duration {
+	if k.Retention == 0 {
+		return DefaultRetention
+	}
+	return k.Retention
+}
+
 // shrink drops the least recently touched stories until the rest fits.
 func (k *Keeper) shrink() {
 	limit := k.MaxBytes
@@ -248,7 +260,7 @@
 		if s == nil {
 			return
 		}
-		k.since = s.newest
+		k.lost = s.newest
 		k.drop(s)
 	}
 }
--- a/internal/event/explainer/story.go
+++ b/internal/event/explainer/story.go
@@ -155,6 +155,9 @@
 		Event: ev.Code(), Message: ev.Message,
 	}
 	for _, f := range rec.GetFields() {
+		if f.GetValue() == "" {
+			continue
+		}
 		s.Details = append(s.Details, Part{Key: f.GetKey(), Value: f.GetValue()})
 	}
 	return s
--- a/internal/operator/requester/requester.go
+++ b/internal/operator/requester/requester.go
@@ -16,7 +16,9 @@
 	"github.com/rotisserie/eris"
 
 	"verbenareach/internal/control/registrar"
+	"verbenareach/internal/event/explainer"
 	"verbenareach/internal/operator/responder"
+	"verbenareach/internal/report/assessor"
 )
 
 type (
@@ -108,6 +110,27 @@
 	return reply, err
 }
 
+// Explain returns the story of a generation, call or request.
+func (c *Requester) Explain(ctx context.Context, id string) (explainer.Story, error) {
+	var story explainer.Story
+	err := c.do(ctx, http.MethodGet, "/v1/explain/"+url.PathEscape(id), nil, &story)
+	return story, err
+}
+
+// Report returns the service-level burn of a workspace and model; empty names stand for all.
+func (c *Requester) Report(ctx context.Context, workspace, model string) (assessor.Report, error) {
+	var report assessor.Report
+	err := c.do(ctx, http.MethodGet, "/v1/report?"+burnQuery(workspace, model), nil, &report)
+	return report, err
+}
+
+// ReportPage returns the same as one HTML page.
+func (c *Requester) ReportPage(ctx context.Context, workspace, model string) ([]byte, error) {
+	var page []byte
+	err := c.do(ctx, http.MethodGet, "/report?"+burnQuery(workspace, model), nil, &page)
+	return page, err
+}
+
 // Servers returns all backend servers.
 func (c *Requester) Servers(ctx context.Context) (responder.ServerList, error) {
 	var list responder.ServerList
@@ -194,12 +217,20 @@
 	if resp.StatusCode >= http.StatusBadRequest && json.Unmarshal(data, &refused) == nil && refused.Code != "" {
 		return &refused
 	}
+	if raw, ok := reply.(*[]byte); ok && resp.StatusCode == http.StatusOK {
+		*raw = data
+		return nil
+	}
 	if err := json.Unmarshal(data, reply); err != nil {
 		return eris.Wrapf(err, "status %d, answer not understood", resp.StatusCode)
 	}
 	return nil
 }
 
+func burnQuery(workspace, model string) string {
+	return url.Values{"workspace": {workspace}, "model": {model}}.Encode()
+}
+
 // mayHaveRun tells whether a failed change may have been made.
 func mayHaveRun(err error, refused *responder.RefusalError) bool {
 	if refused != nil {
--- a/internal/operator/responder/responder.go
+++ b/internal/operator/responder/responder.go
@@ -35,6 +35,8 @@
 		InForce func(ctx context.Context, index uint64, now time.Time) InForce
 		// Marked is told of each mark that is in force, to have it confirmed.
 		Marked func(m registrar.Mark)
+		// Routes adds further routes behind the same key; nil adds none.
+		Routes func(mux *http.ServeMux)
 		// Log receives the events; nil for none.
 		Log *logger.Logger
 	}
@@ -60,16 +62,21 @@
 	mux.HandleFunc("GET /v1/servers", s.listServers)
 	mux.HandleFunc("POST /v1/servers/{name}/marks", s.mark)
 	mux.HandleFunc("GET /v1/inForce", s.inForce)
+	if s.Routes != nil {
+		s.Routes(mux)
+	}
 	return s.guard(mux)
 }
 
 // guard lets only requests with the operators' key through.
 func (s *Responder) guard(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		key := operatorKey(r)
 		hash := registrar.HashKey(key)
-		if !ok || subtle.ConstantTimeCompare([]byte(hash), []byte(s.KeySHA256)) != 1 {
+		if key == "" || subtle.ConstantTimeCompare([]byte(hash), []byte(s.KeySHA256)) != 1 {
 			s.Log.Emit(time.Now(), logger.OperatorRefused, "", logger.F("from", r.RemoteAddr))
+			// A browser then asks for the key, as the password of any user.
+			w.Header().Set("WWW-Authenticate", `Basic realm="operators"`)
 			refuse(w, http.StatusUnauthorized, RefusalError{Code: CodeBadKey, Message: "the operator key is missing or wrong", Ran: "no"})
 			return
 		}
@@ -79,6 +86,16 @@
 	})
 }
 
+// operatorKey returns the key of a request: a bearer's token, or the password
+// that a browser sends.
+func operatorKey(r *http.Request) string {
+	if key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer "); ok {
+		return key
+	}
+	_, key, _ := r.BasicAuth()
+	return key
+}
+
 func (s *Responder) listContracts(w http.ResponseWriter, r *http.Request) {
 	if !s.confirmed(w, r) {
 		return
--- a/internal/report/reporter/reporter.go
+++ b/internal/report/reporter/reporter.go
@@ -34,6 +34,10 @@
 		// MaxSeries bounds the number of series; 0 means DefaultMaxSeries. What
 		// belongs to further ones is counted under Overflow.
 		MaxSeries int
+		// OnFirstToken, OnGap and OnTokens are told of each delivery; nil for nobody to tell.
+		OnFirstToken func(time.Duration)
+		OnGap        func(time.Duration)
+		OnTokens     func(n int)
 
 		mu     sync.RWMutex
 		series map[Key]*series
@@ -42,8 +46,9 @@
 	// Stream counts one generation as its caller sees it. It belongs to one
 	// goroutine. A nil Stream counts nothing.
 	Stream struct {
-		series  *series
-		targets registrar.Targets
+		reporter *Reporter
+		series   *series
+		targets  registrar.Targets
 		// last is when the newest token was delivered, or when the request arrived.
 		last    time.Time
 		started bool
@@ -103,7 +108,7 @@
 	s.targets = targets
 	s.used = now
 	s.mu.Unlock()
-	return &Stream{series: s, targets: targets, last: now}
+	return &Stream{reporter: r, series: s, targets: targets, last: now}
 }
 
 // Refused counts a request that was refused before it ran.
@@ -244,6 +249,7 @@
 	}
 	gap := max(now.Sub(s.last), 0)
 	s.last = now
+	s.tell(gap, n)
 	s.series.mu.Lock()
 	defer s.series.mu.Unlock()
 	open := s.series.slotAt(now)
@@ -259,6 +265,20 @@
 	}
 }
 
+// tell tells whoever wants to know of n tokens that came together after a gap.
+func (s *Stream) tell(gap time.Duration, n int) {
+	r := s.reporter
+	if !s.started && r.OnFirstToken != nil {
+		r.OnFirstToken(gap)
+	}
+	if s.started && r.OnGap != nil {
+		r.OnGap(gap)
+	}
+	if r.OnTokens != nil {
+		r.OnTokens(n)
+	}
+}
+
 func (s *slot) firstToken(targets registrar.Targets, took time.Duration) {
 	s.counts.FirstTokens++
 	if target := time.Duration(targets.FirstToken); target > 0 && took > target {
--- a/internal/role/runner/agent.go
+++ b/internal/role/runner/agent.go
@@ -8,12 +8,12 @@
 	"verbenareach/internal/config/parser"
 	"verbenareach/internal/control/follower"
 	"verbenareach/internal/control/registrar"
-	"verbenareach/internal/event/logger"
 	"verbenareach/internal/wire/acceptor"
 	"verbenareach/internal/wire/messenger"
 )
 
-func runAgent(ctx context.Context, s parser.Settings, l *logger.Logger) error {
+func runAgent(ctx context.Context, s parser.Settings, in *insight) error {
+	l := in.log
 	listener, err := acceptor.Listen(ctx, s.Agent.Listen)
 	if err != nil {
 		return err
@@ -30,7 +30,7 @@
 		},
 	}
 	a := &agentserver.Agent{
-		Self: f.Member(), Listener: listener, AnnounceListener: announceListener, Log: l,
+		Self: f.Member(), Listener: listener, AnnounceListener: announceListener, RegisterPeer: in.register, Log: l,
 		View: f.View, Changed: f.Changed, Fresh: usable(f), Announce: f.SetSelf, RecordOutcome: f.RecordOutcome,
 		Report: func(status agentserver.Status) { f.SetReport(reportOf(status)) },
 	}
--- a/internal/role/runner/entry.go
+++ b/internal/role/runner/entry.go
@@ -4,20 +4,18 @@
 	"context"
 	"time"
 
-	"storj.io/drpc/drpcmux"
-
 	"verbenareach/internal/config/parser"
 	"verbenareach/internal/control/follower"
 	"verbenareach/internal/control/registrar"
 	"verbenareach/internal/entry/booker"
 	"verbenareach/internal/entry/relayer"
 	entryserver "verbenareach/internal/entry/server"
-	"verbenareach/internal/event/logger"
 	"verbenareach/internal/wire/acceptor"
 	"verbenareach/internal/wire/dialer"
 )
 
-func runEntry(ctx context.Context, s parser.Settings, l *logger.Logger) error {
+func runEntry(ctx context.Context, s parser.Settings, in *insight) error {
+	l := in.log
 	listener, err := acceptor.Listen(ctx, s.Entry.Listen)
 	if err != nil {
 		return err
@@ -41,7 +39,7 @@
 		// An entry that control can't reach goes on with what it knows: the agents'
 		// gates keep it from doing harm.
 		Ready:        func(time.Time) bool { return !f.FreshAt().IsZero() },
-		RegisterPeer: func(*drpcmux.Mux) error { return nil },
+		RegisterPeer: in.register, Reporter: in.reporter,
 		MaxBodyBytes: s.Entry.MaxBodyBytes, RequestTimeout: time.Duration(s.Entry.RequestTimeout),
 		Relayer: &relayer.Relayer{Pool: pool, Choose: picker.ChooseEngine, Report: picker.ReportGeneration, Log: l},
 		Booker: &booker.Booker{
--- a/internal/role/runner/runner.go
+++ b/internal/role/runner/runner.go
@@ -27,17 +27,19 @@
 
 // Run runs the role of the settings until ctx ends and all work in progress is done.
 func Run(ctx context.Context, s parser.Settings, l *logger.Logger) error {
-	switch {
-	case s.Entry != nil:
-		return runEntry(ctx, s, l)
-	case s.Agent != nil:
-		return runAgent(ctx, s, l)
-	case s.Control != nil:
-		c := &controller.Controller{Name: s.Name, Settings: *s.Control, Log: l}
-		return c.Run(ctx)
-	default:
-		return eris.New("the settings name no role")
-	}
+	return runWith(ctx, s, l, func(ctx context.Context, in *insight) error {
+		switch {
+		case s.Entry != nil:
+			return runEntry(ctx, s, in)
+		case s.Agent != nil:
+			return runAgent(ctx, s, in)
+		case s.Control != nil:
+			c := &controller.Controller{Name: s.Name, Settings: *s.Control, Log: in.log, RegisterPeer: in.register}
+			return c.Run(ctx)
+		default:
+			return eris.New("the settings name no role")
+		}
+	})
 }
 
 // runFollowed runs serve beside a follower, which goes on until serve is done.
--- a/internal/role/runner/standalone.go
+++ b/internal/role/runner/standalone.go
@@ -121,7 +121,7 @@
 	backends, stopBackends := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackends()
 	controlGroup := &errgroup.Group{}
-	controlGroup.Go(func() error { return s.control.Run(control) })
+	controlGroup.Go(func() error { return s.runControl(control) })
 	backendGroup := &errgroup.Group{}
 	if err := s.runBackends(backends, backendGroup); err != nil {
 		return err
@@ -273,6 +273,15 @@
 	return nil
 }
 
+func (s *Standalone) runControl(ctx context.Context) error {
+	settings := s.settings(s.control.Name, "control")
+	settings.Control = &s.control.Settings
+	return runWith(ctx, settings, s.log(settings), func(ctx context.Context, in *insight) error {
+		s.control.Log, s.control.RegisterPeer = in.log, in.register
+		return s.control.Run(ctx)
+	})
+}
+
 func (s *Standalone) settings(name, role string) parser.Settings {
 	return parser.Settings{Role: role, Name: name, FailureDomain: "local", Region: "local", LogLevel: "info"}
 }
