--- a/internal/control/registrar/contractbook.go
+++ b/internal/control/registrar/contractbook.go
@@ -57,6 +57,8 @@
 		order []string
 		// owners has the workspace of each key hash.
 		owners map[string]string
+		// most bounds the records.
+		most int
 	}
 )
 
@@ -89,6 +91,7 @@
 	b.contracts = make(map[string]Contract)
 	b.records = make(map[string][]Record)
 	b.owners = make(map[string]string)
+	b.most = maxRecords
 }
 
 func (b *contractBook) current(workspace string) (Contract, bool) {
@@ -168,7 +171,7 @@
 
 // trim drops the oldest records beyond the bound.
 func (b *contractBook) trim() {
-	for n := len(b.order); len(b.order) > maxRecords && n > 0; n-- {
+	for n := len(b.order); len(b.order) > b.most && n > 0; n-- {
 		workspace := b.order[0]
 		b.order = b.order[1:]
 		if len(b.records[workspace]) == 1 {
--- a/internal/control/registrar/snapshot.go
+++ b/internal/control/registrar/snapshot.go
@@ -5,6 +5,7 @@
 	"container/heap"
 	"encoding/json"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/klauspost/compress/zstd"
@@ -56,13 +57,18 @@
 	}
 )
 
+// The codecs hold large buffers, so they are made once.
+var (
+	compressor   = sync.OnceValues(func() (*zstd.Encoder, error) { return zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1)) })
+	decompressor = sync.OnceValues(func() (*zstd.Decoder, error) { return zstd.NewReader(nil, zstd.WithDecoderConcurrency(1)) })
+)
+
 // Restore returns the state that a snapshot holds.
 func Restore(data []byte) (*State, error) {
-	r, err := zstd.NewReader(nil)
+	r, err := decompressor()
 	if err != nil {
 		return nil, eris.Wrap(err, "restore state")
 	}
-	defer r.Close()
 	plain, err := r.DecodeAll(data, nil)
 	if err != nil {
 		return nil, eris.Wrap(err, "restore state")
@@ -81,11 +87,11 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "snapshot state")
 	}
-	w, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
+	w, err := compressor()
 	if err != nil {
 		return nil, eris.Wrap(err, "snapshot state")
 	}
-	return w.EncodeAll(plain, nil), eris.Wrap(w.Close(), "snapshot state")
+	return w.EncodeAll(plain, nil), nil
 }
 
 func (s *State) image() image {
--- /dev/null
+++ b/internal/control/registrar/state_test.go
@@ -0,0 +1,387 @@
+package registrar
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/leanovate/gopter/prop"
+)
+
+func TestHistories(t *testing.T) {
+	p := properties()
+	p.Property("one winner for each number, and a resend gets its first answer", prop.ForAll(oneWinner, histories()))
+	p.Property("a claim is granted to one claimant, and again only after a refusal", prop.ForAll(atMostOnce, histories()))
+	p.Property("a restored snapshot is the same state, then and later", prop.ForAll(sameAfterRestore, histories(), histories()))
+	p.Property("a lower index changes nothing, and the view's index never falls", prop.ForAll(neverFalls, histories()))
+	p.Property("changes lead a view to the state", prop.ForAll(changesLead, histories()))
+	p.Property("fencing numbers grow", prop.ForAll(fencesGrow, histories()))
+	checkProperties(t, p)
+}
+
+func oneWinner(history []uint32) bool {
+	l := newLedger()
+	winners, records := make(map[string]string), make(map[string]string)
+	for i, n := range history {
+		c := commandFrom(n)
+		r := l.do(c)
+		if i%43 == 0 {
+			l.restart()
+		}
+		var id, content, record string
+		var outcome Outcome
+		switch {
+		case r.Contract != nil:
+			outcome = r.Contract.Outcome
+			id = fmt.Sprintf("%s/%d", c.PutContract.Contract.Workspace, c.PutContract.Replaces+1)
+			content = string(c.PutContract.Contract.Digest())
+			record = fmt.Sprint(r.Contract.Record.Number, r.Contract.Record.By, r.Contract.Record.At, r.Contract.Record.Index)
+		case r.Mark != nil:
+			outcome = r.Mark.Outcome
+			id = fmt.Sprintf("%s/%d", c.SetMark.Server, c.SetMark.Replaces+1)
+			content = fmt.Sprint(c.SetMark.Leaving)
+			record = fmt.Sprint(r.Mark.Mark)
+		default:
+			continue
+		}
+		winner, decided := winners[id]
+		switch outcome {
+		case OutcomeAccepted:
+			if decided {
+				return false
+			}
+			winners[id], records[id] = content, record
+		case OutcomeRepeated:
+			if winner != content || records[id] != record {
+				return false
+			}
+		case OutcomeConflict:
+			if decided && (winner == content || records[id] != record) {
+				return false
+			}
+		default:
+			return false
+		}
+	}
+	return true
+}
+
+func atMostOnce(history []uint32) bool {
+	l := newLedger()
+	granted := make(map[string]string)
+	replies := make(map[claimID][]byte)
+	refused := make(map[string]bool)
+	for i, n := range history {
+		c := commandFrom(n)
+		if c.Tick != nil {
+			// Expiry is a matter of its own: within the retention nothing is forgotten.
+			continue
+		}
+		r := l.do(c).Claim
+		if i%47 == 0 {
+			l.restart()
+		}
+		if r == nil {
+			continue
+		}
+		id := claimID{r.Claim.Workspace, r.Claim.Key}
+		epoch := func(e uint32) string { return fmt.Sprint(id, e) }
+		if replies[id] != nil && (r.Status == ClaimGranted || r.Status == ClaimRefused) {
+			return false
+		}
+		switch r.Status {
+		case ClaimGranted:
+			holder := fmt.Sprint(c.Claim.Claimant, r.Claim.Server, r.Claim.Incarnation)
+			if old, ok := granted[epoch(r.Claim.Epoch)]; ok && old != holder && c.Claim.Claimant != old[:len(c.Claim.Claimant)] {
+				return false
+			}
+			if r.Claim.Epoch > 1 && !refused[epoch(r.Claim.Epoch-1)] {
+				return false
+			}
+			granted[epoch(r.Claim.Epoch)] = holder
+		case ClaimRefused:
+			refused[epoch(r.Claim.Epoch)] = true
+		case ClaimDone:
+			if old, ok := replies[id]; ok && !bytes.Equal(old, r.Reply) || refused[epoch(r.Claim.Epoch)] {
+				return false
+			}
+			replies[id] = r.Reply
+		}
+	}
+	return true
+}
+
+func sameAfterRestore(before, after []uint32) bool {
+	a := newLedger()
+	for _, n := range before {
+		a.do(commandFrom(n))
+	}
+	b := &ledger{state: a.state, index: a.index}
+	b.restart()
+	for _, n := range after {
+		if !cmp.Equal(a.do(commandFrom(n)), b.do(commandFrom(n))) {
+			return false
+		}
+	}
+	one, err := a.state.Snapshot()
+	if err != nil {
+		return false
+	}
+	two, err := b.state.Snapshot()
+	return err == nil && bytes.Equal(one, two) && sameView(a.state.View(), b.state.View())
+}
+
+func neverFalls(history []uint32) bool {
+	s := NewState()
+	for i, n := range history {
+		data, err := commandFrom(n).Encode()
+		if err != nil {
+			return false
+		}
+		// Indexes come late, twice and with gaps.
+		index := uint64(i + int(n%7))
+		before, view := s.Index(), s.View()
+		result, changes := s.Apply(index, data)
+		if index <= before && (result != nil || changes != nil || s.Index() != before || !sameView(view, s.View())) {
+			return false
+		}
+		if s.Index() < before || s.View().Index != s.Index() {
+			return false
+		}
+	}
+	return true
+}
+
+func changesLead(history []uint32) bool {
+	s, v := NewState(), View{}
+	for i, n := range history {
+		data, err := commandFrom(n).Encode()
+		if err != nil {
+			return false
+		}
+		_, changes := s.Apply(uint64(i+1), data)
+		v = v.WithChanges(uint64(i+1), changes...)
+	}
+	return sameView(v, s.View())
+}
+
+func fencesGrow(history []uint32) bool {
+	l := newLedger()
+	last := make(map[string]uint64)
+	for _, n := range history {
+		c := commandFrom(n)
+		r := l.do(c)
+		if c.Fence == nil || r.Fence.Fence == 0 {
+			continue
+		}
+		if r.Fence.Fence <= last[c.Fence.Server] || len(l.state.fences.loads) > maxLoads {
+			return false
+		}
+		last[c.Fence.Server] = r.Fence.Fence
+	}
+	return true
+}
+
+func sameView(a, b View) bool {
+	return a.Index == b.Index && sameMap(a.contracts, b.contracts) && sameMap(a.marks, b.marks) &&
+		sameMap(a.members, b.members) && sameMap(a.workspaces, b.workspaces)
+}
+
+// sameMap compares two maps; a nil one equals an empty one.
+func sameMap(a, b any) bool {
+	return fmt.Sprint(a) == fmt.Sprint(b)
+}
+
+func TestResendsAfterManyChanges(t *testing.T) {
+	l := newLedger()
+	put := func(replaces uint64, content int) ContractResult {
+		c := contractOf("choir", content)
+		return *l.do(Command{PutContract: &PutContract{Replaces: replaces, Contract: c, By: "ieva", At: int64(content)}}).Contract
+	}
+	first := put(0, 0)
+	for i := 1; i <= 500; i++ {
+		if r := put(uint64(i), i); r.Outcome != OutcomeAccepted || r.Record.Number != uint64(i+1) {
+			t.Fatalf("change %d: %+v", i, r)
+		}
+		if i%100 == 0 {
+			l.restart()
+		}
+	}
+	if r := put(0, 0); r.Outcome != OutcomeRepeated || !cmp.Equal(r.Record, first.Record) || r.Current != 501 {
+		t.Errorf("resend of the first change: %+v, want the first answer %+v", r, first)
+	}
+	if r := put(250, 250); r.Outcome != OutcomeRepeated || r.Record.Number != 251 {
+		t.Errorf("resend of change 250: %+v", r)
+	}
+	r := put(250, 7)
+	if r.Outcome != OutcomeConflict || r.Record.Number != 251 || r.Record.At != 250 || r.Winner.Number != 501 {
+		t.Errorf("late loser of number 251: %+v", r)
+	}
+	if r := put(600, 1); r.Outcome != OutcomeConflict || r.Record.Number != 0 || r.Current != 501 {
+		t.Errorf("a number that isn't there yet: %+v", r)
+	}
+	if got := len(l.state.History("choir")); got != 501 {
+		t.Errorf("history has %d records, want 501", got)
+	}
+}
+
+func TestForgottenRecordsAreNoWinners(t *testing.T) {
+	b := &contractBook{}
+	b.init()
+	b.most = 100
+	for i := range b.most + 10 {
+		b.put(uint64(i+1), PutContract{Replaces: uint64(i), Contract: contractOf("choir", i%900)})
+	}
+	if len(b.order) != b.most || len(b.records["choir"]) != b.most {
+		t.Fatalf("%d records kept, bound is %d", len(b.order), maxRecords)
+	}
+	// Too old to be known: neither accepted again nor told who won.
+	r, _ := b.put(1<<30, PutContract{Replaces: 3, Contract: contractOf("choir", 3)})
+	if r.Outcome != OutcomeConflict || r.Record.Number != 0 {
+		t.Errorf("resend of a forgotten change: %+v", r)
+	}
+}
+
+func TestMembers(t *testing.T) {
+	l := newLedger()
+	announce := func(incarnation uint64, address, host string) MemberResult {
+		m := Member{Name: "engine-1", Role: RoleAgent, Incarnation: incarnation, Address: address}
+		return *l.do(Command{Announce: &Announce{Member: m, Host: host, At: int64(l.index)}}).Member
+	}
+	first := announce(5, "a", "c-1")
+	l.do(Command{SetMark: &SetMark{Server: "engine-1", Leaving: true}})
+	if r := announce(4, "late", "c-2"); r.Accepted || r.Incarnation != 5 {
+		t.Errorf("late announcement of an older incarnation: %+v", r)
+	}
+	second := announce(9, "b", "c-2")
+	if m, _ := l.state.View().Member("engine-1"); m.Address != "b" || m.Incarnation != 9 || m.Ordinal != 1 {
+		t.Errorf("after the restart: %+v", m)
+	}
+	if !l.state.View().Mark("engine-1").Leaving {
+		t.Error("an announcement cleared the mark")
+	}
+	l.do(Command{Expire: &Expire{Name: "engine-1", Incarnation: 5, Hold: first.Hold}})
+	if _, live := l.state.View().Member("engine-1"); !live {
+		t.Error("a late expiry removed the newer incarnation")
+	}
+	moved := announce(9, "b", "c-1")
+	l.do(Command{Expire: &Expire{Name: "engine-1", Incarnation: 9, Hold: second.Hold}})
+	if _, live := l.state.View().Member("engine-1"); !live {
+		t.Error("the former control host's expiry removed a member that moved")
+	}
+	l.do(Command{Expire: &Expire{Name: "engine-1", Incarnation: 9, Hold: moved.Hold}})
+	if _, live := l.state.View().Member("engine-1"); live {
+		t.Error("the member was not removed")
+	}
+	if r := announce(8, "late", "c-1"); r.Accepted {
+		t.Error("an older incarnation came back after the removal")
+	}
+}
+
+func TestMembersOfALostControlHost(t *testing.T) {
+	l := newLedger()
+	for i, host := range []string{"c-1", "c-2", "c-2"} {
+		m := Member{Name: fmt.Sprintf("engine-%d", i), Incarnation: 1}
+		l.do(Command{Announce: &Announce{Member: m, Host: host}})
+	}
+	for i := range 5 {
+		l.do(Command{Renew: &Renew{Host: "c-1"}})
+		l.do(Command{Tick: &Tick{Number: uint64(i + 1), Elapsed: Duration(5 * time.Second)}})
+		// The same tick from another host counts once.
+		l.do(Command{Tick: &Tick{Number: uint64(i + 1), Elapsed: Duration(5 * time.Second)}})
+	}
+	if l.state.Elapsed() != 25*time.Second {
+		t.Errorf("elapsed %s, want 25s", l.state.Elapsed())
+	}
+	live := 0
+	l.state.View().EachMember(func(Member) { live++ })
+	if _, ok := l.state.View().Member("engine-0"); !ok || live != 1 {
+		t.Errorf("%d members live, want only the one of the control host that renewed", live)
+	}
+}
+
+func TestClockJumpsDontEndRetention(t *testing.T) {
+	l := newLedger()
+	c := Claim{Workspace: "w", Key: "k", Digest: []byte("d"), Server: "s", Incarnation: 1}
+	claim := func(claimant string) ClaimResult {
+		return *l.do(Command{Claim: &MakeClaim{Claim: c, Claimant: claimant}}).Claim
+	}
+	claim("a")
+	l.do(Command{Tick: &Tick{Number: 1, Elapsed: Duration(365 * 24 * time.Hour)}})
+	l.do(Command{Tick: &Tick{Number: 2, Elapsed: Duration(-time.Hour)}})
+	if l.state.Elapsed() != MaxTick {
+		t.Errorf("a jump of a year counted as %s", l.state.Elapsed())
+	}
+	if r := claim("b"); r.Status != ClaimPending {
+		t.Errorf("after a clock jump: %+v", r)
+	}
+	for i := range uint64(DefaultRetention / MaxTick) {
+		l.do(Command{Tick: &Tick{Number: i + 3, Elapsed: Duration(MaxTick)}})
+	}
+	if got := len(l.state.claims.records) + l.state.claims.bytes + len(l.state.claims.expiries) + len(l.state.claims.each); got != 0 {
+		t.Errorf("after the retention something is still kept: %+v", l.state.claims)
+	}
+}
+
+func TestClaimBounds(t *testing.T) {
+	l := newLedger()
+	claim := func(key string, digest byte) ClaimResult {
+		c := Claim{Workspace: "w", Key: key, Digest: []byte{digest}, Server: "s", Incarnation: 1}
+		return *l.do(Command{Claim: &MakeClaim{Claim: c, Claimant: "a"}}).Claim
+	}
+	if r := claim(string(bytes.Repeat([]byte("k"), MaxClaimKeyBytes+1)), 1); r.Status != ClaimFull {
+		t.Errorf("a key over the bound: %s", r.Status)
+	}
+	granted := claim("k", 1)
+	if r := claim("k", 2); r.Status != ClaimConflict {
+		t.Errorf("same key, other digest: %s", r.Status)
+	}
+	big := EndClaim{Claim: granted.Claim, Reply: make([]byte, MaxOutcomeBytes+1)}
+	if r := l.do(Command{Outcome: &big}).Claim; r.Status != ClaimDone || !r.BodyDropped || len(r.Reply) != 0 {
+		t.Errorf("an outcome over the bound: %s, dropped %v, %d bytes", r.Status, r.BodyDropped, len(r.Reply))
+	}
+	l.state.claims.each["w"] = maxClaimsEach
+	if r := claim("another", 1); r.Status != ClaimFull {
+		t.Errorf("a workspace at its bound: %s", r.Status)
+	}
+}
+
+func TestFencesOfServersThatIgnoreThem(t *testing.T) {
+	l := newLedger()
+	issue := func(holder string, checks bool) FenceResult {
+		f := IssueFence{Server: "engine-1", Holder: holder, Lease: Duration(20 * time.Second), ChecksFences: checks}
+		return *l.do(Command{Fence: &f}).Fence
+	}
+	first := issue("a", false)
+	if again := issue("a", false); again.Fence <= first.Fence {
+		t.Errorf("the holder's next number: %+v", again)
+	}
+	if r := issue("b", false); r.Fence != 0 || r.Wait <= 0 {
+		t.Errorf("a successor within the lease: %+v", r)
+	}
+	if r := issue("b", true); r.Fence == 0 {
+		t.Errorf("a successor at a server that checks: %+v", r)
+	}
+	for i := range uint64(4) {
+		l.do(Command{Tick: &Tick{Number: i + 1, Elapsed: Duration(MaxTick)}})
+	}
+	if r := issue("c", false); r.Fence == 0 {
+		t.Errorf("a successor after the lease: %+v", r)
+	}
+}
+
+func TestUnknownCommands(t *testing.T) {
+	s := NewState()
+	for i, text := range []string{"", "{", `{"later":{}}`, "\x00\x01"} {
+		result, changes := s.Apply(uint64(i+1), []byte(text))
+		r, err := DecodeResult(result)
+		if err != nil || !r.Unknown || changes != nil || s.Index() != uint64(i+1) {
+			t.Errorf("%q: %s, %v", text, result, err)
+		}
+	}
+	if _, err := Restore([]byte("no snapshot")); err == nil {
+		t.Error("damage was restored")
+	}
+}
