--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -32,6 +32,8 @@
 		Settings parser.Control
 		// Log receives the events; nil for none.
 		Log *logger.Logger
+		// Started is called once commands may be proposed; nil for nobody to tell.
+		Started func()
 
 		// mu guards state; Apply is called in log order.
 		mu    sync.Mutex
@@ -76,6 +78,9 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for followers")
 	}
+	if c.Started != nil {
+		c.Started()
+	}
 	g, ctx := errgroup.WithContext(ctx)
 	if err := c.serveOperators(ctx, g); err != nil {
 		return errors.Join(err, lis.Close())
