--- /dev/null
+++ b/internal/control/controller/agreement.go
@@ -0,0 +1,85 @@
+package controller
+
+import (
+	"context"
+
+	"verbenareach/internal/control/registrar"
+)
+
+// Propose has a command agreed on, and returns once it is applied here.
+func (c *Controller) Propose(ctx context.Context, command registrar.Command) (registrar.Result, error) {
+	data, err := command.Encode()
+	if err != nil {
+		return registrar.Result{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	index, encoded, err := c.propose(ctx, data)
+	if err != nil {
+		return registrar.Result{}, err
+	}
+	result, err := registrar.DecodeResult(encoded)
+	if err != nil {
+		return registrar.Result{}, err
+	}
+	return result, c.distributor.WaitFor(ctx, index)
+}
+
+// apply applies one committed command.
+func (c *Controller) apply(index uint64, command []byte) []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	result, changes := c.state.Apply(index, command)
+	c.distributor.Publish(c.state.View(), changes)
+	return result
+}
+
+// confirmed returns once all that was committed before the call is applied here.
+func (c *Controller) confirmed(ctx context.Context) error {
+	_, err := c.confirmRead(ctx)
+	return err
+}
+
+// confirmRead is the agreement's confirmation. Its index may be above the last
+// command's, so the distributor is told of it.
+func (c *Controller) confirmRead(ctx context.Context) (uint64, error) {
+	index, err := c.confirm(ctx)
+	if err != nil {
+		return 0, err
+	}
+	c.distributor.Advance(index)
+	return index, nil
+}
+
+// history returns a contract's changes, oldest first.
+func (c *Controller) history(workspace string) []registrar.Record {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state.History(workspace)
+}
+
+// restore replaces the state by that of a snapshot.
+func (c *Controller) restore(_ uint64, data []byte) error {
+	state, err := registrar.Restore(data)
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state = state
+	c.distributor.Reset(state.View())
+	return nil
+}
+
+// snapshot returns the state after the last command.
+func (c *Controller) snapshot() ([]byte, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state.Snapshot()
+}
+
+func (c *Controller) ticks() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state.Ticks()
+}
--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -38,7 +38,8 @@
 		// mu guards state; Apply is called in log order.
 		mu    sync.Mutex
 		state *registrar.State
-		// propose and confirm are the agreement's two operations.
+		// propose and confirm are the agreement's two operations: both return once
+		// what they tell of is applied here.
 		propose     func(ctx context.Context, command []byte) (index uint64, result []byte, err error)
 		confirm     func(ctx context.Context) (index uint64, err error)
 		distributor *distributor.Distributor
@@ -64,7 +65,7 @@
 	log := &localLog{apply: c.apply}
 	c.propose, c.confirm = log.propose, log.confirm
 	c.distributor = &distributor.Distributor{
-		Host: c.Name, Propose: c.Propose, ConfirmRead: c.confirm, Log: c.Log,
+		Host: c.Name, Propose: c.Propose, ConfirmRead: c.confirmRead, Log: c.Log,
 	}
 	c.peers = newPeers(c.Name, c.Settings.Peers)
 	c.marker = &marker{c: c}
@@ -135,50 +136,6 @@
 	return nil
 }
 
-// confirmed returns once all that was committed before the call is applied here.
-func (c *Controller) confirmed(ctx context.Context) error {
-	index, err := c.confirm(ctx)
-	if err != nil {
-		return err
-	}
-	return c.distributor.WaitFor(ctx, index)
-}
-
-// history returns a contract's changes, oldest first.
-func (c *Controller) history(workspace string) []registrar.Record {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.state.History(workspace)
-}
-
-// Propose has a command agreed on, and returns once it is applied here.
-func (c *Controller) Propose(ctx context.Context, command registrar.Command) (registrar.Result, error) {
-	data, err := command.Encode()
-	if err != nil {
-		return registrar.Result{}, err
-	}
-	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
-	defer cancel()
-	index, encoded, err := c.propose(ctx, data)
-	if err != nil {
-		return registrar.Result{}, err
-	}
-	result, err := registrar.DecodeResult(encoded)
-	if err != nil {
-		return registrar.Result{}, err
-	}
-	return result, c.distributor.WaitFor(ctx, index)
-}
-
-// apply applies one committed command.
-func (c *Controller) apply(index uint64, command []byte) []byte {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	result, changes := c.state.Apply(index, command)
-	c.distributor.Publish(c.state.View(), changes)
-	return result
-}
-
 // tick renews this host's hold on its members and moves the agreed clock on,
 // unless another host did so since the last look.
 func (c *Controller) tick(ctx context.Context) error {
@@ -204,9 +161,3 @@
 		}
 	}
 }
-
-func (c *Controller) ticks() uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.state.Ticks()
-}
--- a/internal/control/controller/controller_test.go
+++ b/internal/control/controller/controller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -127,3 +128,48 @@
 		t.Fatalf("same key again: %v, %v", again, err)
 	}
 }
+
+func TestFollowersOfARestoredHost(t *testing.T) {
+	address := freeAddress(t)
+	c := &Controller{Name: "control-1", Settings: parser.Control{Listen: address}}
+	started := make(chan struct{})
+	c.Started = func() { close(started) }
+	background(t, c.Run)
+	<-started
+	old := &follower.Follower{Addresses: []string{address}, Self: registrar.Member{Name: "entry-1", Role: registrar.RoleEntry}}
+	background(t, old.Run)
+	// Contracts of a megabyte in all come to a new follower in several parts.
+	const n = 400
+	for i := range n {
+		contract := registrar.Contract{Workspace: fmt.Sprintf("w-%d", i)}
+		for j := range 30 {
+			name := fmt.Sprintf("key-%d-%d", i, j)
+			contract.Keys = append(contract.Keys, registrar.APIKey{Name: name, SHA256: registrar.HashKey(name)})
+		}
+		put := registrar.PutContract{Contract: contract}
+		r, err := c.Propose(context.Background(), registrar.Command{PutContract: &put})
+		if err != nil || r.Contract.Outcome != registrar.OutcomeAccepted {
+			t.Fatalf("put %d: %+v, %v", i, r, err)
+		}
+	}
+	data, err := c.snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.restore(0, data); err != nil {
+		t.Fatal(err)
+	}
+	late := &follower.Follower{Addresses: []string{address}, Self: registrar.Member{Name: "entry-2", Role: registrar.RoleEntry}}
+	background(t, late.Run)
+	for _, f := range []*follower.Follower{old, late} {
+		eventually(t, "all contracts at "+f.Self.Name, func() bool {
+			contracts := 0
+			f.View().EachContract(func(registrar.Contract) { contracts++ })
+			_, known := f.View().ContractByKey("key-399-29")
+			return contracts == n && known && f.Fresh(time.Now())
+		})
+	}
+	if err := c.restore(0, []byte("damaged")); err == nil {
+		t.Error("a damaged snapshot was restored")
+	}
+}
--- a/internal/control/distributor/distributor.go
+++ b/internal/control/distributor/distributor.go
@@ -86,6 +86,18 @@
 	maxFollowers = 4096
 )
 
+// Advance tells that the state published last holds all changes up to index.
+func (d *Distributor) Advance(index uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.init()
+	if index > d.view.Index {
+		d.view.Index = index
+		close(d.advanced)
+		d.advanced = make(chan struct{})
+	}
+}
+
 // Publish hands the state on after a command. It must be called in log order.
 func (d *Distributor) Publish(view registrar.View, changes []registrar.Change) {
 	d.mu.Lock()
--- a/internal/control/registrar/state_test.go
+++ b/internal/control/registrar/state_test.go
@@ -385,3 +385,26 @@
 		t.Error("damage was restored")
 	}
 }
+
+func TestFewLoadsAtOnce(t *testing.T) {
+	l := newLedger()
+	load := func(i int) FenceResult {
+		f := IssueFence{Server: fmt.Sprintf("engine-%d", i), Holder: "placer", Load: true, ChecksFences: true}
+		return *l.do(Command{Fence: &f}).Fence
+	}
+	first := load(0)
+	for i := 1; i < maxLoads; i++ {
+		load(i)
+	}
+	if r := load(maxLoads); r.Fence != 0 || r.Wait <= 0 {
+		t.Errorf("a load over the bound: %+v", r)
+	}
+	l.do(Command{FinishLoad: &FinishLoad{Server: "engine-0", Fence: first.Fence + 1}})
+	if r := load(maxLoads); r.Fence != 0 {
+		t.Errorf("after the end of another load of that server: %+v", r)
+	}
+	l.do(Command{FinishLoad: &FinishLoad{Server: "engine-0", Fence: first.Fence}})
+	if r := load(maxLoads); r.Fence == 0 {
+		t.Errorf("after a load ended: %+v", r)
+	}
+}
