--- a/internal/control/follower/follower_test.go
+++ b/internal/control/follower/follower_test.go
@@ -95,14 +95,14 @@
 	for {
 		m, err := stream.Recv()
 		if err != nil {
-			return nil
+			return err
 		}
 		if m.GetHeartbeat() == nil {
 			continue
 		}
 		fresh := &messenger.Fresh{Sequence: m.GetHeartbeat().GetSequence(), Index: index}
 		if err := stream.Send(&messenger.FollowDown{Body: &messenger.FollowDown_Fresh{Fresh: fresh}}); err != nil {
-			return nil
+			return err
 		}
 	}
 }
@@ -111,7 +111,7 @@
 func silent(_ *messenger.Hello, stream messenger.DRPCControl_FollowStream) error {
 	for {
 		if _, err := stream.Recv(); err != nil {
-			return nil
+			return err
 		}
 	}
 }
@@ -236,7 +236,7 @@
 		for {
 			m, err := stream.Recv()
 			if err != nil {
-				return nil
+				return err
 			}
 			select {
 			case <-cut:
