fix: tell the agent of the end even when the caller hangs up at once

The stream now forgets the caller before the end is delivered; the new test hears of 0 tokens without the change and of all 20 with it. Tests listen on a loopback address of their own, as two runs at once took the same ports.

--- a/internal/agent/server/agent.go
+++ b/internal/agent/server/agent.go
@@ -133,6 +133,7 @@
 		return nil
 	})
 	err := g.Wait()
+	a.currentBackend().close()
 	a.Log.Emit(time.Now(), logger.AgentStopped, "", logger.F("server", a.Self.Name))
 	return err
 }
--- a/internal/agent/server/backend.go
+++ b/internal/agent/server/backend.go
@@ -94,6 +94,17 @@
 		said.ChecksFences == other.ChecksFences && said.Service == other.Service && slices.Equal(said.Models, other.Models)
 }
 
+// close closes the idle connections to the backend server.
+func (b *backend) close() {
+	switch {
+	case b == nil:
+	case b.engine != nil:
+		b.engine.Client.CloseIdleConnections()
+	default:
+		b.service.Close()
+	}
+}
+
 // currentBackend returns the announced backend server; nil when there is none.
 func (a *Agent) currentBackend() *backend {
 	a.mu.Lock()
@@ -117,6 +128,7 @@
 	} else {
 		b.service = serviceconnector.New(said.Address)
 	}
+	known.close()
 	a.backend = b
 	a.Self.Backend = said.backend()
 	self := a.Self
@@ -129,6 +141,7 @@
 // dropBackend notes that the backend server is gone: its generations may go on elsewhere.
 func (a *Agent) dropBackend(now time.Time) {
 	a.mu.Lock()
+	a.backend.close()
 	a.backend = nil
 	a.Self.Backend = registrar.Backend{}
 	self := a.Self
--- a/internal/cmd/commander/process_test.go
+++ b/internal/cmd/commander/process_test.go
@@ -25,7 +25,6 @@
 const (
 	// asProgram makes the test binary run as the program itself.
 	asProgram   = "VERBENAREACH_TEST_AS_PROGRAM"
-	processHost = "127.77.3.1"
 	waitLimit   = 30 * time.Second
 	streamSize  = 1000
 )
@@ -45,7 +44,13 @@
 	logs      map[string]*bytes.Buffer
 }
 
-func (f *fleet) address(port int) string { return fmt.Sprintf("%s:%d", processHost, port) }
+func (f *fleet) address(port int) string { return fmt.Sprintf("%s:%d", processHost(), port) }
+
+// processHost returns a loopback address that no other run of the tests uses.
+func processHost() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.69.%d.%d", pid>>8&0xff, pid&0xff)
+}
 
 // start runs the role of the settings as a process.
 func (f *fleet) start(s parser.Settings) {
@@ -145,7 +150,7 @@
 	parameters.StepBase = 2 * time.Millisecond
 	for i := range 3 {
 		engine := &emulator.Server{
-			Listen: processHost + ":0", Announce: f.address(22070 + i),
+			Listen: f.address(0), Announce: f.address(22070 + i),
 			Models: []emulator.Model{{Model: runner.DemoModel}}, Parameters: parameters,
 		}
 		go func() { _ = engine.Run(ctx) }()
--- a/internal/entry/relayer/attempt.go
+++ b/internal/entry/relayer/attempt.go
@@ -45,6 +45,8 @@
 	link struct {
 		stream messenger.DRPCAgent_GenerateClient
 		cancel context.CancelCauseFunc
+		// forgetCaller keeps the stream from ending with the caller's request.
+		forgetCaller func() bool
 		// watch cancels the stream unless it is reset in time.
 		watch *time.Timer
 		// stallTimeout is how long the link may be silent; before the answer it may
@@ -106,8 +108,10 @@
 // open dials target's agent. Until something is sent, a failure proves that the
 // agent did nothing.
 func (r *Relayer) open(ctx context.Context, target Target, answerTimeout time.Duration) (*link, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
+	caller := ctx
+	ctx, cancel := context.WithCancelCause(context.WithoutCancel(caller))
 	l := &link{cancel: cancel, stallTimeout: answerTimeout}
+	l.forgetCaller = context.AfterFunc(caller, func() { cancel(caller.Err()) })
 	l.watch = time.AfterFunc(l.stallTimeout, func() { cancel(errStalled) })
 	conn := r.Pool.Conn(ctx, target.Address)
 	stream, err := messenger.NewDRPCAgentClient(conn).Generate(ctx)
@@ -207,6 +211,8 @@
 		result.kind, result.cause = attemptLost, "the end came at another index than the last token's"
 		return result, nil
 	}
+	// A caller may hang up as soon as it has the end; the agent must hear of it.
+	l.forgetCaller()
 	if err := c.sink.End(end.GetFinishReason()); err != nil {
 		return result, &CallerError{Err: err}
 	}
@@ -237,6 +243,7 @@
 // close leaves the attempt; the agent keeps it for a caller's return.
 func (l *link) close() {
 	l.watch.Stop()
+	l.forgetCaller()
 	if l.stream != nil {
 		_ = l.stream.Close()
 	}
--- a/internal/entry/relayer/relayer_test.go
+++ b/internal/entry/relayer/relayer_test.go
@@ -364,3 +364,31 @@
 	))
 	properties.TestingRun(t)
 }
+
+// TestAgentHearsOfTheEnd has a caller that hangs up as soon as it has the end.
+func TestAgentHearsOfTheEnd(t *testing.T) {
+	heard := make(chan uint64, 1)
+	b := newBench(t, [][]step{{admit, rest, func(a *attemptScript) error {
+		up, err := a.stream.Recv()
+		if err == nil {
+			heard <- up.GetAck().GetNextIndex()
+		}
+		close(heard)
+		return err
+	}}})
+	ctx, hangUp := context.WithCancel(context.Background())
+	sink := b.sink()
+	sink.End = func(string) error {
+		hangUp()
+		// The hang-up is noticed on another goroutine, in the caller's own time.
+		time.Sleep(20 * time.Millisecond)
+		return nil
+	}
+	start := &messenger.GenerateStart{GenerationId: "g", Workspace: "w", Model: "m"}
+	if err := b.relayer.Relay(ctx, Request{Start: start, Deadline: time.Now().Add(testDeadline)}, sink); err != nil {
+		t.Fatal(err)
+	}
+	if next := <-heard; next != testTokens {
+		t.Errorf("the agent heard of %d tokens", next)
+	}
+}
--- a/internal/role/runner/relay_bench_test.go
+++ b/internal/role/runner/relay_bench_test.go
@@ -35,7 +35,7 @@
 	parameters.StepBase, parameters.StepPerSequence, parameters.StepPerKiloToken = benchStep, 0, 0
 	parameters.MemoryTokens = 1 << 20
 	s := &Standalone{
-		Host: "127.77.2.1", BasePort: testBasePort, DataFolder: b.TempDir(),
+		Host: testHost(3), BasePort: testBasePort, DataFolder: b.TempDir(),
 		Entries: 1, Engines: 1, Services: 1, Parameters: parameters,
 	}
 	s.Prepare()
--- a/internal/service/connector/connector.go
+++ b/internal/service/connector/connector.go
@@ -40,6 +40,11 @@
 	}
 }
 
+// Close closes the idle connections.
+func (s *Service) Close() {
+	s.repeatable.CloseIdleConnections()
+}
+
 // Call sends one call and returns the reply. Its ran field is RAN_NO only when
 // no connection was made, RAN_YES when the service answered, RAN_UNKNOWN else.
 func (s *Service) Call(ctx context.Context, req *messenger.CallRequest) *messenger.CallReply {
