test: give each test process a loopback address of its own

Cause: several checkouts run the whole-path test at once on 127.77.1.1; one got 'bind: address already in use' and the test met the other's system (seen three times).

--- a/internal/role/runner/standalone_test.go
+++ b/internal/role/runner/standalone_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -35,6 +36,13 @@
 	id, name, data string
 }
 
+// testHost returns a loopback address that no other process's tests use: several
+// checkouts may be tested at once on one machine.
+func testHost(n int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid>>8&63, pid&255, n)
+}
+
 // startSystem runs a system on a loopback address of its own and waits until it serves.
 func startSystem(t *testing.T, host string, entries, engines, services int) *testSystem {
 	t.Helper()
@@ -207,7 +215,7 @@
 
 func TestWholePath(t *testing.T) {
 	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
-	s := startSystem(t, "127.77.1.1", 2, 2, 1)
+	s := startSystem(t, testHost(1), 2, 2, 1)
 	want := s.expected(300)
 	t.Run("another entry resumes", func(t *testing.T) { testResume(t, s, want) })
 	t.Run("bookings", func(t *testing.T) { testBookings(t, s) })
@@ -331,7 +339,7 @@
 }
 
 func TestPlannedStopFinishesWork(t *testing.T) {
-	s := startSystem(t, "127.77.1.2", 1, 1, 0)
+	s := startSystem(t, testHost(2), 1, 1, 0)
 	want := s.expected(500)
 	resp := s.open(len(want))
 	defer resp.Body.Close()
