feat: place requests by limits, fair queue, router and ejector in the entry

The entry takes a grant of the contract's limits, then waits in the queue for a backend server that the router holds to have room. Repeatable calls have a retry budget; a proven decline costs none of it.

--- a/internal/entry/booker/booker.go
+++ b/internal/entry/booker/booker.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"time"
 
+	"verbenareach/internal/entry/retrier"
 	"verbenareach/internal/event/logger"
 	"verbenareach/internal/wire/dialer"
 	"verbenareach/internal/wire/messenger"
@@ -18,7 +19,6 @@
 	// resolveTimeout bounds the question what became of a claim.
 	resolveTimeout = 5 * time.Second
 	recordTimeout  = 5 * time.Second
-	retryPause     = 20 * time.Millisecond
 )
 
 type (
@@ -64,8 +64,11 @@
 		Report func(now time.Time, target Target, answered bool)
 		// AddressOf returns the address of a backend server's agent.
 		AddressOf func(server string) (string, bool)
-		// AllowRetry takes one retry from the budget, or returns false; nil allows all.
-		AllowRetry func(now time.Time) bool
+		// Budget bounds the retries of calls that may have run; nil for no bound.
+		// A decline proves that nothing ran, so trying elsewhere is no retry.
+		Budget *retrier.Budget
+		// Backoff gives the pauses before further tries.
+		Backoff retrier.Backoff
 		// Log receives events; nil drops them.
 		Log *logger.Logger
 	}
@@ -133,6 +136,9 @@
 	var avoid []Target
 	mayHaveRun := false
 	var cause error
+	if b.Budget != nil {
+		b.Budget.Note(time.Now())
+	}
 	for {
 		target, err := b.Choose(ctx, time.Now(), req.Service, avoid)
 		if err != nil {
@@ -144,14 +150,15 @@
 			b.Log.Emit(time.Now(), logger.CallAnswered, req.ID, logger.F("server", target.Server), logger.F("status", reply.GetStatus()))
 			return reply, nil
 		}
-		mayHaveRun = mayHaveRun || err != nil || reply.GetRan() == messenger.Ran_RAN_UNKNOWN
+		unproven := err != nil || reply.GetRan() == messenger.Ran_RAN_UNKNOWN
+		mayHaveRun = mayHaveRun || unproven
 		cause = whyNot(reply, err)
-		if ctx.Err() != nil || b.AllowRetry != nil && !b.AllowRetry(time.Now()) {
+		if ctx.Err() != nil || unproven && b.Budget != nil && !b.Budget.Allow(time.Now()) {
 			return nil, unanswered(mayHaveRun, cause)
 		}
 		b.Log.Emit(time.Now(), logger.CallRetried, req.ID, logger.F("left", target.Server), logger.F("cause", cause))
 		avoid = append(avoid, target)
-		pause(ctx)
+		pause(ctx, b.Backoff.Pause(len(avoid)))
 	}
 }
 
@@ -166,8 +173,8 @@
 	})
 }
 
-func pause(ctx context.Context) {
-	timer := time.NewTimer(retryPause)
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/internal/entry/booker/claim.go
+++ b/internal/entry/booker/claim.go
@@ -103,7 +103,7 @@
 			}
 			unknown.Detail = err.Error()
 		}
-		pause(ctx)
+		pause(ctx, b.Backoff.Pause(3))
 		if ctx.Err() != nil {
 			b.Log.Emit(time.Now(), logger.CallUnknown, req.ID, logger.F("server", claim.GetServer()), logger.F("detail", unknown.GetDetail()))
 			return unknown
--- a/internal/entry/limiter/fleet_test.go
+++ b/internal/entry/limiter/fleet_test.go
@@ -72,7 +72,7 @@
 	e.view, e.confirmed = f.view, f.now
 	e.Limiter = &Limiter{
 		Name:        e.name,
-		Incarnation: incarnation,
+		Incarnation: func() uint64 { return incarnation },
 		View:        func() registrar.View { return e.view },
 		ConfirmedAt: func() time.Time { return e.confirmed },
 		Lend: func(_ context.Context, to registrar.Member, req *messenger.LendRequest) (*messenger.LendReply, error) {
--- a/internal/entry/limiter/lender.go
+++ b/internal/entry/limiter/lender.go
@@ -17,7 +17,7 @@
 // ServeDeclare answers an entry that has become the home of workspaces, at now.
 func (l *Limiter) ServeDeclare(now time.Time, req *messenger.DeclareRequest) *messenger.DeclareReply {
 	m := l.membership(now)
-	reply := &messenger.DeclareReply{Entry: l.Name, Incarnation: l.Incarnation}
+	reply := &messenger.DeclareReply{Entry: l.Name, Incarnation: l.Incarnation()}
 	if m.hash != req.GetEntries() {
 		return reply
 	}
@@ -178,7 +178,7 @@
 	if !ok {
 		return none
 	}
-	req := &messenger.LendRequest{Borrower: l.Name, Incarnation: l.Incarnation, Asks: asks}
+	req := &messenger.LendRequest{Borrower: l.Name, Incarnation: l.Incarnation(), Asks: asks}
 	if home.Name == l.Name {
 		return l.ServeLend(now, req).GetLoans()
 	}
--- a/internal/entry/limiter/limiter.go
+++ b/internal/entry/limiter/limiter.go
@@ -33,7 +33,7 @@
 	Limiter struct {
 		// Name and Incarnation are this entry's, as in the view.
 		Name        string
-		Incarnation uint64
+		Incarnation func() uint64
 		// View returns the newest agreed state.
 		View func() registrar.View
 		// ConfirmedAt tells when control last confirmed that the view is the newest.
--- a/internal/entry/limiter/limiter_bench_test.go
+++ b/internal/entry/limiter/limiter_bench_test.go
@@ -15,7 +15,7 @@
 
 func aloneLimiter() *Limiter {
 	view := registrar.View{}.WithMember(1, registrar.Member{Name: "entry-a", Role: registrar.RoleEntry, Incarnation: 1})
-	return &Limiter{Name: "entry-a", Incarnation: 1, View: func() registrar.View { return view }}
+	return &Limiter{Name: "entry-a", Incarnation: func() uint64 { return 1 }, View: func() registrar.View { return view }}
 }
 
 func BenchmarkAcquire(b *testing.B) {
--- a/internal/entry/relayer/attempt.go
+++ b/internal/entry/relayer/attempt.go
@@ -39,6 +39,10 @@
 		refusedStatus int
 		load          *messenger.Load
 		tokens        uint64
+		// firstToken is the time to the first token.
+		firstToken time.Duration
+		// callerGone is true when the attempt was left because of the caller.
+		callerGone bool
 	}
 
 	// link is the stream of one attempt with its watch against stalls.
@@ -59,6 +63,7 @@
 	c.relayer.Log.Emit(time.Now(), logger.GenerationRouted, c.generation.ID, logger.F("server", target.Server),
 		logger.F("epoch", c.generation.Epoch), logger.F("from", c.generation.Next))
 	result, err := c.follow(ctx, target, &messenger.GenerateUp{Body: &messenger.GenerateUp_Start{Start: start}})
+	result.callerGone = err != nil
 	c.relayer.report(target, result)
 	return result, err
 }
@@ -117,6 +122,7 @@
 // receive takes the agent's messages until the attempt ends.
 func (c *course) receive(ctx context.Context, l *link, target Target) (attemptResult, error) {
 	var result attemptResult
+	began := time.Now()
 	stopAcks := func() {}
 	defer func() { stopAcks() }()
 	for {
@@ -143,6 +149,9 @@
 			c.declined(target, body.Declined, &result)
 			return result, nil
 		case *messenger.GenerateDown_Tokens:
+			if result.firstToken == 0 {
+				result.firstToken = time.Since(began)
+			}
 			var caller *CallerError
 			if err := c.take(body.Tokens); errors.As(err, &caller) {
 				return result, err
--- a/internal/entry/relayer/course.go
+++ b/internal/entry/relayer/course.go
@@ -38,6 +38,9 @@
 	for {
 		target, err := c.relayer.Choose(ctx, time.Now(), c.start, c.avoid, deadline)
 		if ctx.Err() != nil {
+			if err == nil {
+				c.relayer.report(target, attemptResult{kind: attemptDeclined, callerGone: true})
+			}
 			return &CallerError{Err: ctx.Err()}
 		}
 		if err != nil && c.ran == messenger.Ran_RAN_NO {
--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -34,6 +34,8 @@
 		// Address is its agent's IP number and port.
 		Address     string
 		Incarnation uint64
+		// Reserved is what Choose counted for the generation there, in tokens.
+		Reserved int
 	}
 
 	// Request is a generation to be made. It is not changed once it runs.
@@ -78,6 +80,10 @@
 		Admitted bool
 		// Lost is true when the attempt broke off.
 		Lost bool
+		// CallerGone is true when the attempt was left because of the caller.
+		CallerGone bool
+		// FirstToken is the time to the first token; 0 if none came.
+		FirstToken time.Duration
 		// Reason is set when the backend server declined.
 		Reason messenger.DeclineReason
 		// Load is what the backend server last told; nil if nothing.
@@ -190,7 +196,7 @@
 	}
 	r.Report(time.Now(), target, Outcome{
 		Admitted: result.admitted, Lost: result.kind == attemptLost, Reason: result.reason,
-		Load: result.load, Tokens: result.tokens,
+		Load: result.load, Tokens: result.tokens, CallerGone: result.callerGone, FirstToken: result.firstToken,
 	})
 }
 
--- a/internal/entry/server/call.go
+++ b/internal/entry/server/call.go
@@ -7,6 +7,7 @@
 
 	"verbenareach/internal/control/registrar"
 	"verbenareach/internal/entry/booker"
+	"verbenareach/internal/entry/limiter"
 	"verbenareach/internal/event/logger"
 	"verbenareach/internal/report/reporter"
 	"verbenareach/internal/wire/messenger"
@@ -47,7 +48,7 @@
 	if req.Key == "" {
 		req.Key = "entry:" + id
 	}
-	permit, err := e.acquire(r.Context(), now, contract, false)
+	permit, err := e.acquire(r.Context(), now, contract, limiter.Demand{})
 	if err != nil {
 		e.countRefusal(time.Now(), reporter.ServiceKey(contract.Workspace, req.Service), asRefusal(err))
 		e.refuseRequest(w, id, contract.Workspace, asRefusal(err))
--- a/internal/entry/server/entry.go
+++ b/internal/entry/server/entry.go
@@ -16,6 +16,7 @@
 
 	"verbenareach/internal/control/registrar"
 	"verbenareach/internal/entry/booker"
+	"verbenareach/internal/entry/limiter"
 	"verbenareach/internal/entry/relayer"
 	"verbenareach/internal/event/logger"
 	"verbenareach/internal/report/reporter"
@@ -57,9 +58,9 @@
 		View func() registrar.View
 		// Ready tells whether the entry knows enough to serve.
 		Ready func(now time.Time) bool
-		// Acquire takes a permit from the contract's limits or fails with a RefusalError;
-		// nil takes none.
-		Acquire func(ctx context.Context, now time.Time, contract registrar.Contract, generation bool) (Permit, error)
+		// Acquire takes a permit from the contract's limits or fails with a
+		// limiter.RefusedError; nil takes none.
+		Acquire func(ctx context.Context, now time.Time, contract registrar.Contract, demand limiter.Demand) (Permit, error)
 		// Relayer makes generations, Booker calls.
 		Relayer *relayer.Relayer
 		Booker  *booker.Booker
--- a/internal/entry/server/generation.go
+++ b/internal/entry/server/generation.go
@@ -9,12 +9,17 @@
 	"time"
 
 	"verbenareach/internal/control/registrar"
+	"verbenareach/internal/entry/limiter"
 	"verbenareach/internal/entry/relayer"
 	"verbenareach/internal/event/logger"
 	"verbenareach/internal/generation/sequencer"
 	"verbenareach/internal/wire/messenger"
 )
 
+// reservedTokens are held of a workspace's tokens in flight when a generation
+// starts, beside its prompt; the rest is added as it grows.
+const reservedTokens = 256
+
 type (
 	// answer is a whole generation for a caller that wants no stream.
 	answer struct {
@@ -54,7 +59,7 @@
 	}
 	start.GenerationId = id
 	m := e.measureGeneration(now, contract, start)
-	permit, err := e.acquire(r.Context(), now, contract, true)
+	permit, err := e.acquire(r.Context(), now, contract, demandOf(start))
 	if err != nil {
 		m.failed(e, time.Now(), asRefusal(err))
 		e.refuseRequest(w, id, contract.Workspace, asRefusal(err))
@@ -162,11 +167,20 @@
 	writeRefusal(w, refusal)
 }
 
-func (e *Entry) acquire(ctx context.Context, now time.Time, contract registrar.Contract, generation bool) (Permit, error) {
+func (e *Entry) acquire(ctx context.Context, now time.Time, contract registrar.Contract, demand limiter.Demand) (Permit, error) {
 	if e.Acquire == nil {
 		return Permit{}, nil
 	}
-	return e.Acquire(ctx, now, contract, generation)
+	return e.Acquire(ctx, now, contract, demand)
+}
+
+// demandOf returns what a generation takes of its workspace's limits.
+func demandOf(start *messenger.GenerateStart) limiter.Demand {
+	expected := int64(reservedTokens)
+	if most := int64(start.GetMaxTokens()); most > 0 {
+		expected = min(expected, most)
+	}
+	return limiter.Demand{Generation: true, PromptTokens: int64(start.GetPromptTokens()), ExpectedTokens: expected}
 }
 
 // newID returns an id that no other request has: entry, start time and number.
--- a/internal/entry/server/refusal.go
+++ b/internal/entry/server/refusal.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"verbenareach/internal/entry/booker"
+	"verbenareach/internal/entry/limiter"
+	"verbenareach/internal/entry/queuer"
 	"verbenareach/internal/entry/relayer"
 	"verbenareach/internal/wire/messenger"
 )
@@ -64,10 +66,18 @@
 		callNotRun *booker.NotRunError
 		unknown    *booker.UnknownError
 		conflict   *booker.ConflictError
+		limited    *limiter.RefusedError
+		unplaced   *queuer.RefusedError
 	)
 	switch {
 	case errors.As(err, &refusal):
 		return refusal
+	case errors.As(err, &limited):
+		return limitRefusal(limited)
+	case notRunBy(err) && errors.As(err, &unplaced):
+		r := refuse(http.StatusServiceUnavailable, string(unplaced.Cause), unplaced.Error())
+		r.RetryAfter = unplaced.RetryAfter
+		return r
 	case errors.As(err, &notRun), errors.As(err, &callNotRun):
 		r := refuse(http.StatusServiceUnavailable, "noBackendServer", err.Error())
 		r.RetryAfter = time.Second
@@ -89,6 +99,27 @@
 	}
 }
 
+// limitRefusal tells of a request that is over its contract's limits.
+func limitRefusal(limited *limiter.RefusedError) *RefusalError {
+	status := http.StatusTooManyRequests
+	switch {
+	case limited.RetryAfter == 0:
+		status = http.StatusRequestEntityTooLarge
+	case limited.Limit == limiter.LimitUnreachable:
+		status = http.StatusServiceUnavailable
+	}
+	r := refuse(status, string(limited.Limit), limited.Error())
+	r.RetryAfter = limited.RetryAfter
+	return r
+}
+
+// notRunBy tells whether an error proves that nothing ran.
+func notRunBy(err error) bool {
+	var generation *relayer.NotRunError
+	var call *booker.NotRunError
+	return errors.As(err, &generation) || errors.As(err, &call)
+}
+
 // body returns the refusal as callers read it.
 func (r *RefusalError) body() []byte {
 	kind := "server_error"
--- a/internal/entry/server/resume.go
+++ b/internal/entry/server/resume.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"verbenareach/internal/control/registrar"
+	"verbenareach/internal/entry/limiter"
 	"verbenareach/internal/entry/relayer"
 	"verbenareach/internal/event/logger"
 	"verbenareach/internal/generation/sequencer"
@@ -36,7 +37,7 @@
 		return
 	}
 	m := e.measureResume(time.Now(), contract)
-	permit, err := e.acquire(r.Context(), time.Now(), contract, true)
+	permit, err := e.acquire(r.Context(), time.Now(), contract, limiter.Demand{Generation: true, Resumed: true})
 	if err != nil {
 		e.refuseRequest(w, cursor.Generation, contract.Workspace, asRefusal(err))
 		return
--- a/internal/event/logger/entryevents.go
+++ b/internal/event/logger/entryevents.go
@@ -25,11 +25,12 @@
 	ClaimGranted        = Event{2306, log.InfoLevel, "claim of a non-repeatable call committed"}
 	ClaimReplayed       = Event{2307, log.InfoLevel, "recorded outcome returned again"}
 	ClaimConflict       = Event{2308, log.WarnLevel, "idempotency key used with another request"}
+	BackendEjected      = Event{2401, log.WarnLevel, "failing backend server gets no new work for a while"}
 
 	entryEvents = []Event{
 		EntryStarted, EntryStopping, EntryStopped, RequestRefused, GenerationRouted, GenerationDeclined,
 		GenerationStarted, GenerationEnded, GenerationResumed, GenerationLost, GenerationCancelled, TokenDropped,
 		GenerationAttached, CallSent, CallAnswered, CallRetried, CallUnknown, CallNotRun, ClaimGranted,
-		ClaimReplayed, ClaimConflict,
+		ClaimReplayed, ClaimConflict, BackendEjected,
 	}
 )
