feat: have control hosts agree on one log

Members are identities of data folders, so a wiped host has no vote, and a damaged one asks to be rebuilt under a new identity.

The recorder tells in its marks only what is committed and durable: a mark that survived a torn write could have made a replaced entry count as committed (TestTornMarkTellsNoCommit).

--- a/internal/control/recorder/flush.go
+++ b/internal/control/recorder/flush.go
@@ -41,12 +41,15 @@
 	r.pending = r.spare[:0]
 	r.spare = nil
 	r.flushing = true
-	commit := r.commit
+	commit, durable := r.commit, r.durableCommit
 	r.mu.Unlock()
-	err := r.write(buf, lastIndex, commit)
+	err := r.write(buf, lastIndex, durable)
 	r.mu.Lock()
+	if err == nil {
+		r.durableCommit = min(commit, lastIndex)
+	}
 	if err == nil && len(r.pending) == 0 {
-		r.failed = r.writeMark(r.commit)
+		r.failed = r.writeMark(r.durableCommit)
 	}
 	r.flushing = false
 	r.full = false
--- a/internal/control/recorder/open.go
+++ b/internal/control/recorder/open.go
@@ -290,7 +290,7 @@
 	}
 	if term, ok := r.termOfEntry(snap.index); !ok || term != snap.term {
 		// A crash came between saving a snapshot and dropping the entries before it.
-		if _, err := r.restart(snap.index, snap.term); err != nil {
+		if err := r.restart(snap.index, snap.term); err != nil {
 			return err
 		}
 	}
--- a/internal/control/recorder/recorder.go
+++ b/internal/control/recorder/recorder.go
@@ -35,6 +35,8 @@
 		base    position
 		entries []*messenger.LogEntry
 		commit  uint64
+		// durableCommit is the part of commit that is durable here: marks may tell it.
+		durableCommit uint64
 
 		// pending are the encoded records that no write has taken yet.
 		pending []byte
@@ -48,6 +50,8 @@
 		failed error
 		closed bool
 
+		// stale are files to be removed.
+		stale []string
 		// segments are the files of the log, oldest first; the last one is open.
 		segments []*segment
 		// file and the offsets in it belong to whoever set flushing. Bytes of the
@@ -72,6 +76,22 @@
 // ErrClosed is returned after Close.
 var ErrClosed = errors.New("recorder is closed")
 
+// AdoptSnapshot makes a snapshot that WriteSnapshot has written the base of the log.
+// Entries after it stay if the log agrees with it; otherwise all are dropped.
+func (r *Recorder) AdoptSnapshot(snap *messenger.LogSnapshot) (ticket uint64, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if term, ok := r.termOfEntry(snap.Index); ok && term == snap.Term {
+		r.compact(snap.Index)
+	} else if err := r.restart(snap.Index, snap.Term); err != nil {
+		return 0, err
+	}
+	r.dropSnapshot(snap.Index)
+	r.snap = snap
+	r.commit = max(r.commit, snap.Index)
+	return r.queued, eris.Wrap(r.removeStale(), "remove old files")
+}
+
 // Append queues entries, whose indexes are contiguous and begin at most one
 // after the last entry and above FirstIndex-1. Entries held from the first
 // index on are replaced. It returns the ticket to Sync.
@@ -88,7 +108,11 @@
 	}
 	if len(entries) > 0 {
 		keep := entries[0].Index - r.base.index - 1
-		r.entries = append(r.entries[:keep:keep], entries...)
+		if keep < uint64(len(r.entries)) {
+			// Others may still read what is replaced, so it gets a copy.
+			r.entries = r.entries[:keep:keep]
+		}
+		r.entries = append(r.entries, entries...)
 	}
 	r.queued++
 	return r.queued, nil
@@ -167,38 +191,18 @@
 // Replaces returns the identities whose damaged logs were set aside.
 func (r *Recorder) Replaces() []string { return r.id.Replaces }
 
-// Restart queues that all entries are dropped and the log goes on after a
-// snapshot which SaveSnapshot has saved.
-func (r *Recorder) Restart(index, term uint64) (ticket uint64, err error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.restart(index, term)
-}
-
-// SaveSnapshot makes snap durable and drops the entries up to compactTo, which
-// is not above the snapshot's index, from memory and disk. The data of snap
-// are packed by Pack.
+// SaveSnapshot makes a snapshot durable, whose data are packed by Pack, and drops
+// the entries up to compactTo from memory and disk.
 func (r *Recorder) SaveSnapshot(snap *messenger.LogSnapshot, compactTo uint64) error {
-	if err := r.writeWhole(snapshotPath(r.Folder, snap.Index), snap); err != nil {
-		if isFull(err) {
-			return &FullError{Cause: err}
-		}
-		return eris.Wrap(err, "save snapshot")
+	if err := r.WriteSnapshot(snap); err != nil {
+		return err
 	}
 	r.mu.Lock()
-	old := r.snap
+	defer r.mu.Unlock()
+	r.dropSnapshot(snap.Index)
 	r.snap = snap
 	r.compact(min(compactTo, snap.Index))
-	stale := r.cutSegments()
-	r.mu.Unlock()
-	var errs []error
-	if old != nil && old.Index < snap.Index {
-		errs = append(errs, r.Files.Remove(snapshotPath(r.Folder, old.Index)))
-	}
-	for _, seg := range stale {
-		errs = append(errs, r.Files.Remove(segmentPath(r.Folder, seg.number)))
-	}
-	return eris.Wrap(errors.Join(errs...), "remove old files")
+	return eris.Wrap(r.removeStale(), "remove old files")
 }
 
 // SetCommit tells the highest committed index, which later marks carry.
@@ -242,6 +246,15 @@
 	return r.termAt(index)
 }
 
+// WriteSnapshot makes the file of a snapshot durable, beside the one in use.
+func (r *Recorder) WriteSnapshot(snap *messenger.LogSnapshot) error {
+	err := r.writeWhole(snapshotPath(r.Folder, snap.Index), snap)
+	if isFull(err) {
+		return &FullError{Cause: err}
+	}
+	return eris.Wrap(err, "write snapshot")
+}
+
 // compact drops entries up to index from memory.
 func (r *Recorder) compact(index uint64) {
 	if index <= r.base.index {
@@ -258,15 +271,11 @@
 	r.base = position{index, term}
 }
 
-// cutSegments takes the oldest segments off whose entries are all dropped.
-func (r *Recorder) cutSegments() []*segment {
-	n := 0
-	for n < len(r.segments)-1 && r.segments[n].last <= r.base.index {
-		n++
+// dropSnapshot has the snapshot in use removed for one at index.
+func (r *Recorder) dropSnapshot(index uint64) {
+	if r.snap != nil && r.snap.Index < index {
+		r.stale = append(r.stale, snapshotPath(r.Folder, r.snap.Index))
 	}
-	stale := r.segments[:n]
-	r.segments = r.segments[n:]
-	return stale
 }
 
 func (r *Recorder) last() (index, term uint64) {
@@ -276,17 +285,33 @@
 	return r.base.index, r.base.term
 }
 
-func (r *Recorder) restart(index, term uint64) (ticket uint64, err error) {
+// removeStale removes the old snapshot and the oldest segments whose entries are all
+// dropped.
+func (r *Recorder) removeStale() error {
+	for len(r.segments) > 1 && r.segments[0].last <= r.base.index {
+		r.stale = append(r.stale, segmentPath(r.Folder, r.segments[0].number))
+		r.segments = r.segments[1:]
+	}
+	var errs []error
+	for _, path := range r.stale {
+		errs = append(errs, r.Files.Remove(path))
+	}
+	r.stale = nil
+	return errors.Join(errs...)
+}
+
+// restart queues that all entries are dropped and the log goes on after a snapshot.
+func (r *Recorder) restart(index, term uint64) (err error) {
 	rec := messenger.LogRecord{Body: &messenger.LogRecord_Restart{
 		Restart: &messenger.LogReset{Index: index, Term: term},
 	}}
 	if r.pending, err = appendFrame(r.pending, &rec); err != nil {
-		return 0, err
+		return err
 	}
 	r.base = position{index, term}
 	r.entries = nil
 	r.queued++
-	return r.queued, nil
+	return nil
 }
 
 func (r *Recorder) termAt(index uint64) (uint64, bool) {
--- a/internal/control/recorder/recorder_test.go
+++ b/internal/control/recorder/recorder_test.go
@@ -178,11 +178,12 @@
 	if !do(21, ticket, err) {
 		return acked, term, false
 	}
-	if r.SaveSnapshot(&messenger.LogSnapshot{Index: 90, Term: 2}, 90) != nil {
+	snap := &messenger.LogSnapshot{Index: 90, Term: 2}
+	if r.WriteSnapshot(snap) != nil {
 		return acked, term, false
 	}
 	acked = 90
-	ticket, err = r.Restart(90, 2)
+	ticket, err = r.AdoptSnapshot(snap)
 	if !do(90, ticket, err) {
 		return acked, term, false
 	}
@@ -292,6 +293,32 @@
 	wantEntries(t, open(t, d), 1, last)
 }
 
+// TestTornMarkTellsNoCommit has a mark survive a torn write whose entry, which
+// replaced another one, does not.
+func TestTornMarkTellsNoCommit(t *testing.T) {
+	for seed := range int64(200) {
+		d := newFakeDisk()
+		r := open(t, d)
+		if err := put(r, 1, 1, 3); err != nil {
+			t.Fatal(err)
+		}
+		ticket, err := r.Append(entry(3, 2))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.SetCommit(3)
+		d.stepsLeft = 1
+		if err := r.Sync(ticket); !errors.Is(err, errKilled) {
+			t.Fatal(err)
+		}
+		d.crash(rand.New(rand.NewSource(seed)))
+		r = open(t, d)
+		if term, _ := r.Term(3); r.Commit() >= 3 && term != 2 {
+			t.Fatalf("seed %d: entry 3 of term %d counts as committed", seed, term)
+		}
+	}
+}
+
 func TestFailedSyncIsFinal(t *testing.T) {
 	d := newFakeDisk()
 	r := open(t, d)
--- /dev/null
+++ b/internal/control/replicator/ask.go
@@ -0,0 +1,105 @@
+package replicator
+
+import (
+	"context"
+	"errors"
+
+	"verbenareach/internal/control/recorder"
+	"verbenareach/internal/wire/messenger"
+)
+
+// NotSentError tells that a question did not reach the asked host.
+type NotSentError struct {
+	Cause error
+}
+
+var _ error = &NotSentError{}
+
+// Error tells the cause.
+func (e *NotSentError) Error() string { return "not sent: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *NotSentError) Unwrap() error { return e.Cause }
+
+// Answer answers another control host's question.
+func (r *Replicator) Answer(ctx context.Context, req *messenger.PeerRequest) *messenger.PeerReply {
+	switch body := req.Body.(type) {
+	case *messenger.PeerRequest_Hello:
+		return &messenger.PeerReply{Body: &messenger.PeerReply_Hello{Hello: r.hello()}}
+	case *messenger.PeerRequest_Propose:
+		index, result, err := r.Propose(ctx, body.Propose.Command)
+		return &messenger.PeerReply{
+			Error: encodeError(err),
+			Body:  &messenger.PeerReply_Propose{Propose: &messenger.ProposeReply{Index: index, Result: result}},
+		}
+	case *messenger.PeerRequest_ConfirmRead:
+		index, err := r.ConfirmRead(ctx)
+		return &messenger.PeerReply{
+			Error: encodeError(err),
+			Body:  &messenger.PeerReply_ConfirmRead{ConfirmRead: &messenger.ConfirmReadReply{Index: index}},
+		}
+	case *messenger.PeerRequest_Join:
+		err := r.rebuild(ctx, body.Join)
+		return &messenger.PeerReply{
+			Error: encodeError(err), Body: &messenger.PeerReply_Join{Join: &messenger.JoinReply{}},
+		}
+	}
+	return &messenger.PeerReply{Error: encodeError(&RefusedError{Reason: "unknown question"})}
+}
+
+// ask passes a question on and returns the answer, or the error that it carries.
+// Unless the question is known not to have been sent, a failure leaves the outcome unknown.
+func (r *Replicator) ask(ctx context.Context, address string, req *messenger.PeerRequest) (*messenger.PeerReply, error) {
+	reply, err := r.Ask(ctx, address, req)
+	if unsent := new(NotSentError); errors.As(err, &unsent) {
+		return nil, errors.Join(&NotLeaderError{}, err)
+	}
+	if err != nil {
+		return nil, &OutcomeUnknownError{Cause: err}
+	}
+	return reply, decodeError(reply.Error)
+}
+
+func encodeError(err error) *messenger.PeerError {
+	if err == nil {
+		return nil
+	}
+	e := &messenger.PeerError{Kind: messenger.PeerError_KIND_OUTCOME_UNKNOWN, Message: err.Error()}
+	if elsewhere := new(NotLeaderError); errors.As(err, &elsewhere) {
+		e.Kind = messenger.PeerError_KIND_NOT_LEADER
+		e.LeaderName, e.LeaderAddress = elsewhere.Name, elsewhere.Address
+	}
+	refused, full := new(RefusedError), new(recorder.FullError)
+	if errors.As(err, &refused) {
+		e.Kind = messenger.PeerError_KIND_REFUSED
+		e.Message = refused.Reason
+	}
+	if errors.As(err, &full) {
+		e.Kind = messenger.PeerError_KIND_REFUSED
+	}
+	return e
+}
+
+func decodeError(e *messenger.PeerError) error {
+	switch e.GetKind() {
+	case messenger.PeerError_KIND_NONE:
+		return nil
+	case messenger.PeerError_KIND_NOT_LEADER:
+		return &NotLeaderError{Name: e.LeaderName, Address: e.LeaderAddress}
+	case messenger.PeerError_KIND_REFUSED:
+		return &RefusedError{Reason: e.Message}
+	default:
+		return &OutcomeUnknownError{Cause: errors.New(e.Message)}
+	}
+}
+
+func (r *Replicator) hello() *messenger.HelloReply {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	reply := &messenger.HelloReply{Name: r.Name, LeaderName: r.leader.Name, LeaderAddress: r.leader.Address}
+	if r.running {
+		reply.Id = r.rec.ID()
+		reply.Members = r.members()
+	}
+	return reply
+}
