--- /dev/null
+++ b/internal/entry/booker/claim.go
@@ -0,0 +1,144 @@
+package booker
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"verbenareach/internal/event/logger"
+	"verbenareach/internal/wire/messenger"
+)
+
+// callOnce makes a non-repeatable call: claim, dispatch, record. Each round is
+// one epoch of the claim; a next one begins only when the former is proven not
+// to have run.
+func (b *Booker) callOnce(ctx context.Context, req Request) (*messenger.CallReply, error) {
+	var avoid []Target
+	afterEpoch := uint32(0)
+	for {
+		target, err := b.Choose(ctx, time.Now(), req.Service, avoid)
+		if err != nil {
+			return nil, b.notClaimed(req, err)
+		}
+		answer, err := b.Claim(ctx, &messenger.ClaimRequest{
+			Claim: &messenger.Claim{
+				Workspace: req.Workspace, Key: req.Key, Digest: req.Digest(),
+				Server: target.Server, Incarnation: target.Incarnation, Epoch: afterEpoch + 1,
+			},
+			Claimant: fmt.Sprintf("%s/%d", req.ID, afterEpoch+1), AfterEpoch: afterEpoch,
+		})
+		if err != nil {
+			b.Report(time.Now(), target, false)
+			return nil, b.notClaimed(req, err)
+		}
+		reply, err := b.act(ctx, req, target, answer)
+		b.Report(time.Now(), target, reply.GetRan() == messenger.Ran_RAN_YES)
+		if err != nil || reply.GetRan() == messenger.Ran_RAN_YES {
+			return reply, err
+		}
+		afterEpoch = answer.GetClaim().GetEpoch()
+		avoid = append(avoid, target)
+	}
+}
+
+// act does what control's answer allows. A reply with RAN_NO and no error means
+// that the next epoch may be claimed.
+func (b *Booker) act(ctx context.Context, req Request, target Target, answer *messenger.ClaimReply) (*messenger.CallReply, error) {
+	switch answer.GetStatus() {
+	case messenger.ClaimStatus_CLAIM_STATUS_GRANTED:
+		b.Log.Emit(time.Now(), logger.ClaimGranted, req.ID, logger.F("key", req.Key), logger.F("server", answer.GetClaim().GetServer()),
+			logger.F("epoch", answer.GetClaim().GetEpoch()))
+		return b.settle(ctx, req, answer.GetClaim(), b.dispatch(ctx, req, target, answer.GetClaim()))
+	case messenger.ClaimStatus_CLAIM_STATUS_PENDING:
+		return b.settle(ctx, req, answer.GetClaim(), b.resolve(ctx, req, answer.GetClaim()))
+	case messenger.ClaimStatus_CLAIM_STATUS_DONE:
+		b.Log.Emit(time.Now(), logger.ClaimReplayed, req.ID, logger.F("key", req.Key))
+		return answer.GetOutcome(), nil
+	case messenger.ClaimStatus_CLAIM_STATUS_REFUSED:
+		return &messenger.CallReply{Ran: messenger.Ran_RAN_NO}, nil
+	case messenger.ClaimStatus_CLAIM_STATUS_CONFLICT:
+		b.Log.Emit(time.Now(), logger.ClaimConflict, req.ID, logger.F("key", req.Key))
+		return nil, &ConflictError{Key: req.Key}
+	default:
+		return nil, b.notClaimed(req, errors.New(answer.GetStatus().String()))
+	}
+}
+
+// dispatch sends a claimed call once, and when no answer comes asks what became of it.
+func (b *Booker) dispatch(ctx context.Context, req Request, target Target, claim *messenger.Claim) *messenger.CallReply {
+	if claim.GetServer() != target.Server || claim.GetIncarnation() != target.Incarnation {
+		address, known := b.AddressOf(claim.GetServer())
+		if !known {
+			return b.resolve(ctx, req, claim)
+		}
+		target = Target{Server: claim.GetServer(), Address: address, Incarnation: claim.GetIncarnation()}
+	}
+	reply, err := b.send(ctx, req, target, claim)
+	if err == nil && reply.GetRan() != messenger.Ran_RAN_UNKNOWN {
+		return reply
+	}
+	return b.resolve(ctx, req, claim)
+}
+
+// notClaimed tells what a failure before our own dispatch proves: nothing, if
+// the caller may have sent the same key through another entry.
+func (b *Booker) notClaimed(req Request, cause error) error {
+	return unanswered(req.KeyFromCaller, cause)
+}
+
+// resolve asks the claim's agent to refuse the claim, or to tell its outcome.
+func (b *Booker) resolve(ctx context.Context, req Request, claim *messenger.Claim) *messenger.CallReply {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), resolveTimeout)
+	defer cancel()
+	unknown := &messenger.CallReply{Ran: messenger.Ran_RAN_UNKNOWN, Detail: "the backend server's agent can't be asked"}
+	for {
+		address, known := b.AddressOf(claim.GetServer())
+		if known {
+			conn := b.Pool.Conn(ctx, address)
+			answer, err := messenger.NewDRPCAgentClient(conn).RefuseClaim(ctx, &messenger.RefuseClaimRequest{Claim: claim})
+			_ = conn.Close()
+			if err == nil {
+				return answer.GetReply()
+			}
+			unknown.Detail = err.Error()
+		}
+		pause(ctx)
+		if ctx.Err() != nil {
+			b.Log.Emit(time.Now(), logger.CallUnknown, req.ID, logger.F("server", claim.GetServer()), logger.F("detail", unknown.GetDetail()))
+			return unknown
+		}
+	}
+}
+
+// settle commits what became of a claim. A reply with RAN_NO and no error means
+// that the refusal is committed and there is time for another round.
+func (b *Booker) settle(ctx context.Context, req Request, claim *messenger.Claim, reply *messenger.CallReply) (*messenger.CallReply, error) {
+	record, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
+	defer cancel()
+	switch reply.GetRan() {
+	case messenger.Ran_RAN_YES:
+		// The answer is true even if it can't be recorded now: the agent holds it for
+		// whoever asks next.
+		if _, err := b.RecordOutcome(record, claim, reply); err != nil {
+			b.Log.Emit(time.Now(), logger.CallUnknown, req.ID, logger.F("notRecorded", err))
+		}
+		b.Log.Emit(time.Now(), logger.CallAnswered, req.ID, logger.F("server", claim.GetServer()), logger.F("status", reply.GetStatus()))
+		return reply, nil
+	case messenger.Ran_RAN_NO:
+		b.Log.Emit(time.Now(), logger.CallNotRun, req.ID, logger.F("server", claim.GetServer()), logger.F("reason", reply.GetReason()))
+		recorded, err := b.RecordRefusal(record, claim)
+		if err != nil {
+			return nil, b.notClaimed(req, err)
+		}
+		if recorded.GetStatus() == messenger.ClaimStatus_CLAIM_STATUS_DONE {
+			return recorded.GetOutcome(), nil
+		}
+		if ctx.Err() != nil {
+			return nil, b.notClaimed(req, errors.New(reply.GetReason().String()))
+		}
+		return reply, nil
+	default:
+		return nil, &UnknownError{Cause: errors.New(reply.GetDetail())}
+	}
+}
