--- a/internal/cmd/commander/process_test.go
+++ b/internal/cmd/commander/process_test.go
@@ -24,9 +24,9 @@
 
 const (
 	// asProgram makes the test binary run as the program itself.
-	asProgram   = "VERBENAREACH_TEST_AS_PROGRAM"
-	waitLimit   = 30 * time.Second
-	streamSize  = 1000
+	asProgram  = "VERBENAREACH_TEST_AS_PROGRAM"
+	waitLimit  = 30 * time.Second
+	streamSize = 1000
 )
 
 func TestMain(m *testing.M) {
--- a/internal/entry/relayer/attempt.go
+++ b/internal/entry/relayer/attempt.go
@@ -39,6 +39,10 @@
 		refusedStatus int
 		load          *messenger.Load
 		tokens        uint64
+		// firstToken is the time to the first token.
+		firstToken time.Duration
+		// callerGone is true when the attempt was left because of the caller.
+		callerGone bool
 	}
 
 	// link is the stream of one attempt with its watch against stalls.
@@ -64,6 +68,7 @@
 		logger.F("epoch", c.generation.Epoch), logger.F("from", c.generation.Next))
 	up := &messenger.GenerateUp{Body: &messenger.GenerateUp_Start{Start: start}}
 	result, err := c.follow(ctx, target, up, c.relayer.stallTimeout())
+	result.callerGone = err != nil
 	c.relayer.report(target, result)
 	return result, err
 }
@@ -126,6 +131,7 @@
 // receive takes the agent's messages until the attempt ends.
 func (c *course) receive(ctx context.Context, l *link, target Target) (attemptResult, error) {
 	var result attemptResult
+	began := time.Now()
 	stopAcks := func() {}
 	defer func() { stopAcks() }()
 	for {
@@ -153,6 +159,9 @@
 			c.declined(target, body.Declined, &result)
 			return result, nil
 		case *messenger.GenerateDown_Tokens:
+			if result.firstToken == 0 {
+				result.firstToken = time.Since(began)
+			}
 			var caller *CallerError
 			if err := c.take(body.Tokens); errors.As(err, &caller) {
 				return result, err
--- a/internal/event/logger/event.go
+++ b/internal/event/logger/event.go
@@ -31,6 +31,7 @@
 func Catalogue() []Event {
 	var all []Event
 	all = append(all, controlEvents...)
+	all = append(all, agreementEvents...)
 	all = append(all, entryEvents...)
 	all = append(all, agentEvents...)
 	all = append(all, standInEvents...)
--- a/internal/role/runner/standalone_test.go
+++ b/internal/role/runner/standalone_test.go
@@ -36,10 +36,11 @@
 	id, name, data string
 }
 
-// testHost returns a loopback address that no other run of the tests uses.
+// testHost returns a loopback address that no other process's tests use: several
+// checkouts may be tested at once on one machine.
 func testHost(n int) string {
 	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 70+n, pid>>8&0xff, pid&0xff)
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid>>8&63, pid&255, n)
 }
 
 // startSystem runs a system on a loopback address of its own and waits until it serves.
