--- a/internal/cmd/commander/commander.go
+++ b/internal/cmd/commander/commander.go
@@ -35,6 +35,7 @@
 	addServer(app, run, stdout, stderr)
 	addExperiment(app, run, stdout, stderr)
 	addExplain(app, run, stdout)
+	addReplay(app, run, stdout, stderr)
 	addReport(app, run, stdout)
 	selected, err := app.Parse(args)
 	if err != nil {
--- a/internal/engine/connector/connector.go
+++ b/internal/engine/connector/connector.go
@@ -25,6 +25,7 @@
 
 var (
 	dataPrefix = []byte("data:")
+	idPrefix   = []byte("id:")
 	doneData   = []byte("[DONE]")
 )
 
@@ -51,8 +52,8 @@
 	Token struct {
 		Text         string
 		FinishReason string
-		// Index is the token's place in the generation; -1 from an engine that
-		// doesn't tell.
+		// Index is the token's place in the generation, which engines tell as the
+		// event's id or in the choice; -1 from an engine that doesn't tell.
 		Index int64
 	}
 
@@ -197,11 +198,16 @@
 // Next waits for the next token. It fails with a BrokenError when the stream
 // ends without a finish reason.
 func (s *Stream) Next() (Token, error) {
+	index := int64(-1)
 	for {
 		line, err := s.reader.ReadSlice('\n')
 		if err != nil {
 			return Token{}, &BrokenError{Err: err}
 		}
+		if id, ok := bytes.CutPrefix(line, idPrefix); ok {
+			index = eventIndex(id)
+			continue
+		}
 		data, ok := bytes.CutPrefix(line, dataPrefix)
 		if !ok {
 			continue
@@ -218,7 +224,7 @@
 			continue
 		}
 		first := c.Choices[0]
-		token := Token{Text: first.Text + first.Delta.Content, FinishReason: first.FinishReason, Index: -1}
+		token := Token{Text: first.Text + first.Delta.Content, FinishReason: first.FinishReason, Index: index}
 		if first.TokenIndex != nil {
 			token.Index = *first.TokenIndex
 		}
@@ -226,6 +232,15 @@
 	}
 }
 
+// eventIndex returns the token index that an event's id tells; -1 if it is none.
+func eventIndex(id []byte) int64 {
+	index, err := strconv.ParseInt(string(bytes.TrimSpace(id)), 10, 64)
+	if err != nil || index < 0 {
+		return -1
+	}
+	return index
+}
+
 // requestBody adds to the caller's body what the engine needs besides.
 func requestBody(start *messenger.GenerateStart) ([]byte, error) {
 	fields := make(map[string]json.RawMessage)
--- a/internal/engine/emulator/faults.go
+++ b/internal/engine/emulator/faults.go
@@ -92,3 +92,11 @@
 		writeError(w, http.StatusBadRequest, "invalid_request_error", "unknown fault "+order.Kind)
 	}
 }
+
+// Preemptions tells how often the engine preempted a request.
+func (s *Server) Preemptions() int {
+	s.prepare()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.engine.reports.preemptions
+}
--- a/internal/role/runner/standalone.go
+++ b/internal/role/runner/standalone.go
@@ -60,6 +60,15 @@
 		Entries, Engines, Services int
 		// Parameters are those of each engine.
 		Parameters engineemulator.Parameters
+		// EntryPlaces and ServerPlaces name the entries and, engines first, the backend
+		// servers and say where they are; those left out get names by number.
+		EntryPlaces, ServerPlaces []Place
+		// Models are those of each engine, ServiceName is that of the services; the demo
+		// contract's when left out.
+		Models      []engineemulator.Model
+		ServiceName string
+		// LoseReply tells whether the reply of a booking is lost after it ran; nil loses none.
+		LoseReply func(server, reference string) bool
 		// Contract is put at the start; the demo contract when its workspace is empty.
 		Contract registrar.Contract
 		// Log returns the logger of the role with a name.
@@ -72,6 +81,14 @@
 		control  *controller.Controller
 		// started is closed once the control host takes commands.
 		started chan struct{}
+		// entryStops end the entries one by one.
+		entryStops []context.CancelFunc
+	}
+
+	// Place is a process's name and where it is.
+	Place struct {
+		Name          string
+		FailureDomain string
 	}
 )
 
@@ -132,6 +149,11 @@
 	}
 	entryGroup := &errgroup.Group{}
 	for i := range s.Entries {
+		ctx, stop := context.WithCancel(ctx)
+		defer stop()
+		s.mu.Lock()
+		s.entryStops = append(s.entryStops, stop)
+		s.mu.Unlock()
 		entryGroup.Go(func() error { return s.run(ctx, s.entrySettings(i)) })
 	}
 	controlGroup.Go(func() error { return s.putContract(control) })
@@ -151,6 +173,15 @@
 	return s.services[i]
 }
 
+// StopEntry begins the planned stop of the i-th entry.
+func (s *Standalone) StopEntry(i int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if i < len(s.entryStops) {
+		s.entryStops[i]()
+	}
+}
+
 // Prepare makes the parts that Run runs, so that a caller may reach them before.
 func (s *Standalone) Prepare() {
 	s.mu.Lock()
@@ -159,17 +190,24 @@
 	settings.Control = s.controlSettings()
 	s.control = &controller.Controller{Name: settings.Name, Settings: *settings.Control, Log: s.log(settings)}
 	s.started = make(chan struct{})
+	models, service := s.Models, s.ServiceName
+	if len(models) == 0 {
+		models = []engineemulator.Model{{Model: DemoModel}}
+	}
+	if service == "" {
+		service = DemoService
+	}
 	s.control.Started = sync.OnceFunc(func() { close(s.started) })
 	for i := range s.Engines {
 		s.engines = append(s.engines, &engineemulator.Server{
 			Listen: net.JoinHostPort(s.Host, "0"), Announce: s.address(announceOffset + i),
-			Models: []engineemulator.Model{{Model: DemoModel}}, Parameters: s.Parameters, ChecksFences: true,
+			Models: models, Parameters: s.Parameters, ChecksFences: true,
 			LoadTime: time.Second, Logger: s.log(s.settings(fmt.Sprintf("standin-engine-%d", i+1), "standin")),
 		})
 	}
 	for i := range s.Services {
 		s.services = append(s.services, &serviceemulator.Service{
-			Name: DemoService, AnnounceTo: s.address(announceOffset + s.Engines + i),
+			Name: service, BeforeReply: s.beforeReply(s.agentSettings(s.Engines + i).Name), AnnounceTo: s.address(announceOffset + s.Engines + i),
 			Log: s.log(s.settings(fmt.Sprintf("standin-service-%d", i+1), "standin")),
 		})
 	}
@@ -184,13 +222,23 @@
 	if i >= s.Engines {
 		name = fmt.Sprintf("service-%d", i-s.Engines+1)
 	}
-	settings := s.settings(name, "agent")
+	settings := placed(s.settings(name, "agent"), s.ServerPlaces, i)
 	settings.Agent = &parser.Agent{
 		Listen: s.address(agentOffset + i), AnnounceListen: s.address(announceOffset + i), Control: []string{s.address(controlOffset)},
 	}
 	return settings
 }
 
+// beforeReply loses those replies of a service that LoseReply says.
+func (s *Standalone) beforeReply(server string) func(reference string) error {
+	return func(reference string) error {
+		if s.LoseReply != nil && s.LoseReply(server, reference) {
+			return eris.New("the reply is lost")
+		}
+		return nil
+	}
+}
+
 func (s *Standalone) check() error {
 	if s.Entries < 1 || s.Engines < 1 || s.Services < 0 || s.Entries > maxStandaloneServers || s.Engines+s.Services > maxStandaloneServers {
 		return eris.Errorf("a standalone system has 1 to %d entries and up to %d backend servers", maxStandaloneServers, maxStandaloneServers)
@@ -210,7 +258,7 @@
 }
 
 func (s *Standalone) entrySettings(i int) parser.Settings {
-	settings := s.settings(fmt.Sprintf("entry-%d", i+1), "entry")
+	settings := placed(s.settings(fmt.Sprintf("entry-%d", i+1), "entry"), s.EntryPlaces, i)
 	settings.Entry = &parser.Entry{
 		Listen: s.EntryAddress(i), PeerListen: s.address(peerOffset + i), Control: []string{s.address(controlOffset)},
 	}
@@ -286,6 +334,14 @@
 	return parser.Settings{Role: role, Name: name, FailureDomain: "local", Region: "local", LogLevel: "info"}
 }
 
+// placed returns settings with the name and failure domain of the i-th place, if there is one.
+func placed(settings parser.Settings, places []Place, i int) parser.Settings {
+	if i < len(places) {
+		settings.Name, settings.FailureDomain = places[i].Name, places[i].FailureDomain
+	}
+	return settings
+}
+
 func firstError(errs ...error) error {
 	for _, err := range errs {
 		if err != nil {
