--- a/internal/engine/connector/connector.go
+++ b/internal/engine/connector/connector.go
@@ -14,6 +14,7 @@
 	"strconv"
 
 	"github.com/rotisserie/eris"
+	"github.com/valyala/fastjson"
 
 	"verbenareach/internal/wire/messenger"
 )
@@ -45,6 +46,8 @@
 
 		body   io.ReadCloser
 		reader *bufio.Reader
+		// parser is used again for each event.
+		parser fastjson.Parser
 	}
 
 	// Token is the next piece of a generation; the last one has a finish reason and
@@ -90,19 +93,6 @@
 		Version string `json:"version,omitempty"`
 		Role    string `json:"role,omitempty"`
 	}
-
-	chunk struct {
-		Choices []choice `json:"choices"`
-	}
-
-	choice struct {
-		Text  string `json:"text"`
-		Delta struct {
-			Content string `json:"content"`
-		} `json:"delta"`
-		FinishReason string `json:"finish_reason"`
-		TokenIndex   *int64 `json:"token_index"`
-	}
 )
 
 var (
@@ -216,19 +206,15 @@
 		if bytes.Equal(data, doneData) {
 			return Token{}, &BrokenError{Err: errors.New("done without a finish reason")}
 		}
-		var c chunk
-		if err := json.Unmarshal(data, &c); err != nil {
+		event, err := s.parser.ParseBytes(data)
+		if err != nil {
 			return Token{}, &BrokenError{Err: err}
 		}
-		if len(c.Choices) == 0 {
+		choice := event.Get("choices", "0")
+		if choice == nil {
 			continue
 		}
-		first := c.Choices[0]
-		token := Token{Text: first.Text + first.Delta.Content, FinishReason: first.FinishReason, Index: index}
-		if first.TokenIndex != nil {
-			token.Index = *first.TokenIndex
-		}
-		return token, nil
+		return tokenOf(choice, index), nil
 	}
 }
 
@@ -241,6 +227,18 @@
 	return index
 }
 
+// tokenOf reads one choice of an event; what is missing stays empty.
+func tokenOf(choice *fastjson.Value, index int64) Token {
+	if told := choice.Get("token_index"); told != nil && told.Type() == fastjson.TypeNumber {
+		index = told.GetInt64()
+	}
+	return Token{
+		Text:         string(choice.GetStringBytes("text")) + string(choice.GetStringBytes("delta", "content")),
+		FinishReason: string(choice.GetStringBytes("finish_reason")),
+		Index:        index,
+	}
+}
+
 // requestBody adds to the caller's body what the engine needs besides.
 func requestBody(start *messenger.GenerateStart) ([]byte, error) {
 	fields := make(map[string]json.RawMessage)
