--- a/internal/engine/connector/connector_test.go
+++ b/internal/engine/connector/connector_test.go
@@ -45,7 +45,7 @@
 
 func FuzzNext(f *testing.F) {
 	f.Add("data: {\"choices\":[{\"delta\":{\"content\":\"a\"},\"finish_reason\":null}]}\n\n")
-	f.Fuzz(func(t *testing.T, text string) {
+	f.Fuzz(func(_ *testing.T, text string) {
 		s := streamOf(text)
 		for {
 			if _, err := s.Next(); err != nil {
