--- a/internal/cmd/commander/process_test.go
+++ b/internal/cmd/commander/process_test.go
@@ -38,7 +38,7 @@
 
 // fleet is a system of processes, with engines in the test's own.
 type fleet struct {
-	t         *testing.T
+	t         testing.TB
 	folder    string
 	processes map[string]*exec.Cmd
 	logs      map[string]*bytes.Buffer
@@ -129,7 +129,7 @@
 	}
 }
 
-func startFleet(t *testing.T) *fleet {
+func startFleet(t testing.TB, step time.Duration) *fleet {
 	f := &fleet{t: t, folder: t.TempDir(), processes: make(map[string]*exec.Cmd), logs: make(map[string]*bytes.Buffer)}
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(func() {
@@ -147,7 +147,8 @@
 	})
 	f.startControl()
 	parameters := emulator.DefaultParameters()
-	parameters.StepBase = 2 * time.Millisecond
+	parameters.StepBase = step
+	parameters.MemoryTokens = 1 << 24
 	for i := range 3 {
 		engine := &emulator.Server{
 			Listen: f.address(0), Announce: f.address(22070 + i),
@@ -209,6 +210,7 @@
 	texts   []string
 	last    string
 	whole   bool
+	count   int
 	longest time.Duration
 }
 
@@ -287,7 +289,7 @@
 // TestProcessesUnderFailure kills, freezes and stops processes in mid-stream; the
 // caller gets the whole answer each time.
 func TestProcessesUnderFailure(t *testing.T) {
-	f := startFleet(t)
+	f := startFleet(t, 2*time.Millisecond)
 	want := f.open(0)
 	want.read(-1)
 	if !want.whole || len(want.texts) != streamSize {
