feat: notice an engine that announces itself but makes no tokens

The agent now takes 5 s without a token for any decoding stream as a hang, ends the attempts so that they go on elsewhere, and pauses the engine.

--- a/internal/agent/server/agent.go
+++ b/internal/agent/server/agent.go
@@ -14,6 +14,7 @@
 
 	"verbenareach/internal/agent/dispatcher"
 	"verbenareach/internal/agent/gatekeeper"
+	"verbenareach/internal/agent/hangdetector"
 	"verbenareach/internal/control/registrar"
 	engineconnector "verbenareach/internal/engine/connector"
 	"verbenareach/internal/event/logger"
@@ -70,6 +71,8 @@
 		gate       *gatekeeper.Gate
 		dispatcher *dispatcher.Dispatcher
 		load       atomic.Pointer[messenger.Load]
+		// hangs notices an engine that makes no tokens.
+		hangs hangdetector.Detector
 		// calls counts the calls that reached the gate.
 		calls atomic.Uint64
 
--- a/internal/agent/server/backend.go
+++ b/internal/agent/server/backend.go
@@ -145,15 +145,9 @@
 	a.backend = nil
 	a.Self.Backend = registrar.Backend{}
 	self := a.Self
-	running := make([]*session, 0, len(a.sessions))
-	for _, s := range a.sessions {
-		running = append(running, s)
-	}
 	a.mu.Unlock()
 	a.gate.SetReady(false)
-	for _, s := range running {
-		s.end(bufferer.Result{Cause: "the engine is gone", Resumable: true})
-	}
+	a.endSessions(bufferer.Result{Cause: "the engine is gone", Resumable: true})
 	a.Announce(self)
 	a.Log.Emit(now, logger.BackendLost, a.Self.Name)
 }
@@ -176,6 +170,9 @@
 		switch {
 		case lost:
 			a.dropBackend(now)
+		case a.hangs.Hung(now):
+			a.Log.Emit(now, logger.EngineHung, a.Self.Name)
+			a.endSessions(bufferer.Result{Cause: "the engine makes no tokens", Resumable: true})
 		case b != nil && b.engine != nil:
 			a.pollLoad(ctx, b.engine)
 		}
--- a/internal/agent/server/session.go
+++ b/internal/agent/server/session.go
@@ -76,6 +76,9 @@
 	if b == nil || b.engine == nil {
 		return &gatekeeper.DeclinedError{Reason: messenger.DeclineReason_DECLINE_REASON_BACKEND_DOWN}
 	}
+	if !a.hangs.Open(now) {
+		return &gatekeeper.DeclinedError{Reason: messenger.DeclineReason_DECLINE_REASON_BACKEND_DOWN, Detail: "the engine makes no tokens"}
+	}
 	if start.GetAdmitDeadline() != 0 && now.UnixNano() > start.GetAdmitDeadline() {
 		return &gatekeeper.DeclinedError{Reason: messenger.DeclineReason_DECLINE_REASON_DEADLINE}
 	}
@@ -121,6 +124,9 @@
 		return bufferer.Result{Cause: err.Error(), Resumable: true}
 	}
 	defer stream.Close()
+	work := workID(s.start)
+	a.hangs.Begin(time.Now(), work)
+	defer a.hangs.End(work)
 	g := sequencer.Generation{ID: s.start.GetGenerationId(), Epoch: s.start.GetEpoch(), Next: s.buffer.First}
 	for {
 		token, err := stream.Next()
@@ -128,6 +134,7 @@
 			return bufferer.Result{Cause: err.Error(), Resumable: true}
 		}
 		if token.Text != "" {
+			a.hangs.Token(time.Now(), work)
 			after, skip, err := accept(g, token)
 			if err != nil {
 				return bufferer.Result{Cause: err.Error(), Resumable: true}
@@ -168,17 +175,18 @@
 		case <-ticker.C:
 			a.sweep(time.Now())
 		case <-ctx.Done():
-			a.endAll()
+			a.endSessions(bufferer.Result{Cause: "the agent stopped", Resumable: true})
 			return
 		}
 	}
 }
 
-func (a *Agent) endAll() {
+// endSessions ends all attempts that have not ended yet.
+func (a *Agent) endSessions(result bufferer.Result) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, s := range a.sessions {
-		s.end(bufferer.Result{Cause: "the agent stopped", Resumable: true})
+		s.end(result)
 	}
 }
 
--- a/internal/event/logger/agentevents.go
+++ b/internal/event/logger/agentevents.go
@@ -9,6 +9,7 @@
 	AgentStopped       = Event{3003, log.InfoLevel, "agent stopped"}
 	BackendAnnounced   = Event{3101, log.InfoLevel, "backend server announced itself"}
 	BackendLost        = Event{3102, log.WarnLevel, "backend server stopped announcing itself"}
+	EngineHung         = Event{3104, log.ErrorLevel, "engine makes no tokens, its generations go on elsewhere"}
 	MarkTaken          = Event{3103, log.InfoLevel, "leave or return mark taken"}
 	WorkAdmitted       = Event{3201, log.DebugLevel, "generation admitted at the backend server"}
 	WorkDeclined       = Event{3202, log.DebugLevel, "work declined at the backend server"}
@@ -22,7 +23,7 @@
 	ClaimOutcome       = Event{3303, log.InfoLevel, "claimed call answered"}
 
 	agentEvents = []Event{
-		AgentStarted, AgentStopping, AgentStopped, BackendAnnounced, BackendLost, MarkTaken, WorkAdmitted,
+		AgentStarted, AgentStopping, AgentStopped, BackendAnnounced, BackendLost, EngineHung, MarkTaken, WorkAdmitted,
 		WorkDeclined, AttemptEnded, AttemptFailed, AttemptAbandoned, ClaimDispatched, ClaimRefusedAtGate, ClaimOutcome,
 		OrderTaken, OrderRefused,
 	}
--- a/internal/role/runner/standalone_test.go
+++ b/internal/role/runner/standalone_test.go
@@ -338,6 +338,27 @@
 	s.equal(append(got, rest...), want)
 }
 
+// TestHungEngine has an engine that announces itself and makes no more tokens.
+func TestHungEngine(t *testing.T) {
+	s := startSystem(t, testHost(4), 1, 2, 0)
+	want := s.expected(300)
+	resp := s.open(len(want))
+	defer resp.Body.Close()
+	events := newEventReader(resp.Body)
+	got, last, _ := readTokens(t, events, 50)
+	victim := 0
+	if strings.Contains(last, "@engine-2/") {
+		victim = 1
+	}
+	s.Engine(victim).Stall(true)
+	rest, last, whole := readTokens(t, events, 0)
+	s.Engine(victim).Stall(false)
+	if !whole || !strings.Contains(last, fmt.Sprintf("@engine-%d/", 2-victim)) {
+		t.Errorf("whole %v, last id %s", whole, last)
+	}
+	s.equal(append(got, rest...), want)
+}
+
 func TestPlannedStopFinishesWork(t *testing.T) {
 	s := startSystem(t, testHost(2), 1, 1, 0)
 	want := s.expected(500)
