--- a/internal/agent/hangdetector/detector_test.go
+++ b/internal/agent/hangdetector/detector_test.go
@@ -66,13 +66,14 @@
 	now := time.Unix(1000, 0)
 	d.Begin(now, "a")
 	d.Token(now, "a")
-	for _, want := range []time.Duration{5, 10, 20, 40, 80, 80} {
+	for _, seconds := range []int{5, 10, 20, 40, 80, 80} {
+		want := time.Duration(seconds) * time.Second
 		now = now.Add(maxPause * 2)
 		if !d.Hung(now) {
 			t.Fatal("not hung")
 		}
-		if d.Open(now.Add(want*time.Second-1)) || !d.Open(now.Add(want*time.Second)) {
-			t.Errorf("the pause is not %d s", want)
+		if d.Open(now.Add(want-1)) || !d.Open(now.Add(want)) {
+			t.Errorf("the pause is not %v", want)
 		}
 	}
 }
--- a/internal/agent/server/call.go
+++ b/internal/agent/server/call.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"verbenareach/internal/agent/bufferer"
 	"verbenareach/internal/agent/gatekeeper"
 	"verbenareach/internal/event/logger"
 	"verbenareach/internal/wire/messenger"
@@ -17,6 +18,20 @@
 	recordTimeout      = 30 * time.Second
 )
 
+// Abandon ends an attempt that goes on elsewhere.
+func (p *peerService) Abandon(_ context.Context, req *messenger.AbandonRequest) (*messenger.AbandonReply, error) {
+	a := p.agent
+	s := a.session(req.GetGenerationId())
+	if s == nil || s.start.GetWorkspace() != req.GetWorkspace() || s.start.GetEpoch() > req.GetEpoch() {
+		return &messenger.AbandonReply{}, nil
+	}
+	// Its tokens are of no use any more, also if it has ended meanwhile.
+	s.buffer.ConfirmEnd()
+	s.end(bufferer.Result{Cause: "it goes on elsewhere"})
+	a.Log.Emit(time.Now(), logger.AttemptAbandoned, req.GetGenerationId(), logger.F("epoch", s.start.GetEpoch()), logger.F("cause", "it goes on elsewhere"))
+	return &messenger.AbandonReply{}, nil
+}
+
 // Call runs one call to the plain service, a claimed one at most once.
 func (p *peerService) Call(ctx context.Context, req *messenger.CallRequest) (*messenger.CallReply, error) {
 	a := p.agent
--- /dev/null
+++ b/internal/entry/relayer/abandon.go
@@ -0,0 +1,32 @@
+package relayer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"verbenareach/internal/wire/messenger"
+)
+
+// abandon tells the agent at target that an attempt goes on elsewhere, so that it
+// frees the engine's memory. An agent that was cut off or frozen is tried again.
+func (r *Relayer) abandon(ctx context.Context, target Target, req *messenger.AbandonRequest) {
+	pause := abandonPause
+	for range abandonTries {
+		err := r.abandonOnce(ctx, target, req)
+		if err == nil || errors.Is(err, net.ErrClosed) {
+			return
+		}
+		time.Sleep(pause)
+		pause *= 2
+	}
+}
+
+func (r *Relayer) abandonOnce(ctx context.Context, target Target, req *messenger.AbandonRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, abandonTimeout)
+	defer cancel()
+	conn := r.Pool.Conn(ctx, target.Address)
+	_, err := messenger.NewDRPCAgentClient(conn).Abandon(ctx, req)
+	return errors.Join(err, conn.Close())
+}
--- a/internal/entry/relayer/course.go
+++ b/internal/entry/relayer/course.go
@@ -84,6 +84,11 @@
 			return true, c.incomplete(result.cause)
 		}
 	}
+	if lost.linkLost {
+		go c.relayer.abandon(context.WithoutCancel(ctx), target, &messenger.AbandonRequest{
+			GenerationId: c.generation.ID, Workspace: c.start.GetWorkspace(), Epoch: c.generation.Epoch,
+		})
+	}
 	c.generation = c.generation.WithNextEpoch()
 	log.Emit(time.Now(), logger.GenerationResumed, c.generation.ID, logger.F("epoch", c.generation.Epoch),
 		logger.F("next", c.generation.Next), logger.F("left", target.Server), logger.F("cause", lost.cause))
--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -28,6 +28,12 @@
 	// lives answers within a few milliseconds.
 	reattachTimeout = 300 * time.Millisecond
 
+	// abandonTries and abandonPause bound the tries to reach an agent whose
+	// attempt was left; the pause doubles. After that, the agent's own grace ends it.
+	abandonTries   = 5
+	abandonPause   = 500 * time.Millisecond
+	abandonTimeout = 2 * time.Second
+
 	ackEvery = time.Second
 )
 
--- a/internal/entry/relayer/relayer_test.go
+++ b/internal/entry/relayer/relayer_test.go
@@ -47,6 +47,15 @@
 	// starts are the attempts begun, attaches how often one was attached.
 	starts   []*messenger.GenerateStart
 	attaches int
+	// abandoned are the attempts that the entry said it left.
+	abandoned []*messenger.AbandonRequest
+}
+
+func (f *fakeAgent) Abandon(_ context.Context, req *messenger.AbandonRequest) (*messenger.AbandonReply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.abandoned = append(f.abandoned, req)
+	return &messenger.AbandonReply{}, nil
 }
 
 func (f *fakeAgent) Generate(stream messenger.DRPCAgent_GenerateStream) error {
@@ -392,3 +401,26 @@
 		t.Errorf("the agent heard of %d tokens", next)
 	}
 }
+
+// TestLeftAttemptIsAbandoned checks that an agent behind a stalled link is told
+// that its attempt goes on elsewhere.
+func TestLeftAttemptIsAbandoned(t *testing.T) {
+	b := newBench(t, [][]step{{admit, tokens(5), hang}}, [][]step{{admit, rest}})
+	if err := b.relay(); err != nil || !b.whole() {
+		t.Fatalf("%v, got %q", err, b.got)
+	}
+	left := b.agents[0]
+	for deadline := time.Now().Add(testDeadline); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		left.mu.Lock()
+		n := len(left.abandoned)
+		left.mu.Unlock()
+		if n > 0 {
+			break
+		}
+	}
+	left.mu.Lock()
+	defer left.mu.Unlock()
+	if len(left.abandoned) != 1 || left.abandoned[0].GetEpoch() != 1 || left.abandoned[0].GetGenerationId() != "g" {
+		t.Errorf("abandoned %v", left.abandoned)
+	}
+}
--- a/internal/event/logger/agentevents.go
+++ b/internal/event/logger/agentevents.go
@@ -15,7 +15,7 @@
 	WorkDeclined       = Event{3202, log.DebugLevel, "work declined at the backend server"}
 	AttemptEnded       = Event{3203, log.DebugLevel, "attempt ended"}
 	AttemptFailed      = Event{3204, log.WarnLevel, "attempt failed"}
-	AttemptAbandoned   = Event{3205, log.InfoLevel, "attempt cancelled, no caller came back"}
+	AttemptAbandoned   = Event{3205, log.InfoLevel, "attempt abandoned, nobody reads it"}
 	ClaimDispatched    = Event{3301, log.InfoLevel, "claimed call dispatched"}
 	ClaimRefusedAtGate = Event{3302, log.WarnLevel, "claimed call refused"}
 	OrderTaken         = Event{3401, log.InfoLevel, "order passed on to the engine"}
