fix: notice that an engine skipped its last token

Where the engine numbers its tokens, the agent now compares them with the total that the engine tells with the end, and goes on elsewhere if one is missing.

--- a/internal/agent/server/session.go
+++ b/internal/agent/server/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -128,6 +129,7 @@
 	a.hangs.Begin(time.Now(), work)
 	defer a.hangs.End(work)
 	g := sequencer.Generation{ID: s.start.GetGenerationId(), Epoch: s.start.GetEpoch(), Next: s.buffer.First}
+	indexed := false
 	for {
 		token, err := stream.Next()
 		if err != nil {
@@ -143,13 +145,24 @@
 				s.buffer.Append(token.Text)
 			}
 			g = after
+			indexed = indexed || token.Index >= 0
 		}
 		if token.FinishReason != "" {
-			return bufferer.Result{FinishReason: token.FinishReason}
+			return finished(token, g.Next, s.buffer.First, indexed)
 		}
 	}
 }
 
+// finished checks that no token is missing at the end, where the engine numbers
+// its tokens and says how many it made: in all, or in this attempt alone.
+func finished(last engineconnector.Token, next, first uint64, indexed bool) bufferer.Result {
+	total := uint64(last.Total)
+	if indexed && last.Total >= 0 && total != next && total != next-first {
+		return bufferer.Result{Cause: fmt.Sprintf("the engine ended after %d tokens of %d", next, total), Resumable: true}
+	}
+	return bufferer.Result{FinishReason: last.FinishReason}
+}
+
 // accept checks a token's index where the engine tells it.
 func accept(g sequencer.Generation, token engineconnector.Token) (after sequencer.Generation, skip int, err error) {
 	first := g.Next
--- /dev/null
+++ b/internal/agent/server/session_test.go
@@ -0,0 +1,55 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"verbenareach/internal/agent/bufferer"
+	engineconnector "verbenareach/internal/engine/connector"
+	"verbenareach/internal/wire/messenger"
+)
+
+// TestGenerateOverFaultyEngines has engines that skip, repeat and cut tokens.
+func TestGenerateOverFaultyEngines(t *testing.T) {
+	token := func(index int) string {
+		return fmt.Sprintf("id: %d\ndata: {\"choices\":[{\"text\":\"t%d\"}]}\n\n", index, index)
+	}
+	end := func(total int) string {
+		return fmt.Sprintf("data: {\"choices\":[{\"text\":\"\",\"finish_reason\":\"stop\"}],\"usage\":{\"completion_tokens\":%d}}\n\ndata: [DONE]\n\n", total)
+	}
+	plain := "data: {\"choices\":[{\"text\":\"t2\"}]}\n\n"
+	tests := []struct {
+		name   string
+		events []string
+		texts  string
+		whole  bool
+	}{
+		{name: "whole", events: []string{token(2), token(3), end(4)}, texts: "t0t1t2t3", whole: true},
+		{name: "new tokens counted only", events: []string{token(2), token(3), end(2)}, texts: "t0t1t2t3", whole: true},
+		{name: "repeated", events: []string{token(2), token(2), token(3), end(4)}, texts: "t0t1t2t3", whole: true},
+		{name: "skipped", events: []string{token(2), token(4), end(5)}, texts: "t0t1t2"},
+		{name: "last skipped", events: []string{token(2), token(3), end(5)}, texts: "t0t1t2t3"},
+		{name: "cut", events: []string{token(2)}, texts: "t0t1t2"},
+		{name: "without numbers", events: []string{plain, end(9)}, texts: "t0t1t2", whole: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = w.Write([]byte(strings.Join(tt.events, "")))
+			}))
+			defer server.Close()
+			address := strings.TrimPrefix(server.URL, "http://")
+			a := &Agent{backend: &backend{engine: &engineconnector.Engine{Address: address, Client: server.Client()}}}
+			start := &messenger.GenerateStart{GenerationId: "g", Epoch: 1, Path: "/v1/completions", Request: []byte("{}"), Delivered: []string{"t0", "t1"}}
+			s := &session{start: start, buffer: bufferer.NewBuffer(start.GetDelivered())}
+			result := a.generate(context.Background(), s)
+			if got := strings.Join(s.buffer.Texts(), ""); got != tt.texts || (result.Cause == "") != tt.whole || !tt.whole && !result.Resumable {
+				t.Errorf("got %s, %+v", got, result)
+			}
+		})
+	}
+}
--- a/internal/engine/connector/connector.go
+++ b/internal/engine/connector/connector.go
@@ -58,6 +58,8 @@
 		// Index is the token's place in the generation, which engines tell as the
 		// event's id or in the choice; -1 from an engine that doesn't tell.
 		Index int64
+		// Total is how many tokens the engine says it made; -1 where it doesn't tell.
+		Total int64
 	}
 
 	// RefusedError reports that the engine refused a request before it ran.
@@ -214,7 +216,12 @@
 		if choice == nil {
 			continue
 		}
-		return tokenOf(choice, index), nil
+		token := tokenOf(choice, index)
+		token.Total = -1
+		if total := event.Get("usage", "completion_tokens"); total != nil && total.Type() == fastjson.TypeNumber {
+			token.Total = total.GetInt64()
+		}
+		return token, nil
 	}
 }
 
--- a/internal/engine/connector/connector_test.go
+++ b/internal/engine/connector/connector_test.go
@@ -22,6 +22,7 @@
 		{name: "completion", text: `data:{"choices":[{"text":"b"}]}`, want: Token{Text: "b", Index: -1}},
 		{name: "index", text: `data: {"choices":[{"text":"b","token_index":7}]}`, want: Token{Text: "b", Index: 7}},
 		{name: "finish", text: `data: {"choices":[{"delta":{},"finish_reason":"stop"}]}`, want: Token{FinishReason: "stop", Index: -1}},
+		{name: "finish with usage", text: `data: {"choices":[{"text":"","finish_reason":"stop"}],"usage":{"completion_tokens":9}}`, want: Token{FinishReason: "stop", Index: -1, Total: 9}},
 		{name: "usage and comments are passed over", text: ": hello\n\ndata: {\"choices\":[],\"usage\":{}}\n\nevent: x\ndata: {\"choices\":[{\"text\":\"c\"}]}", want: Token{Text: "c", Index: -1}},
 		{name: "done without a finish reason", text: "data: [DONE]", broken: true},
 		{name: "malformed", text: `data: {"choices":[`, broken: true},
@@ -36,6 +37,9 @@
 			}
 			got, err := streamOf(text + "\n").Next()
 			var broken *BrokenError
+			if !tt.broken && tt.want.Total == 0 {
+				tt.want.Total = -1
+			}
 			if errors.As(err, &broken) != tt.broken || got != tt.want {
 				t.Errorf("got %+v, %v", got, err)
 			}
