--- a/internal/config/parser/parser_test.go
+++ b/internal/config/parser/parser_test.go
@@ -37,6 +37,7 @@
 		Entry: &Entry{
 			Listen: "127.0.0.1:7001", PeerListen: "127.0.0.1:7002", Control: []string{"127.0.0.1:7101"},
 			MaxBodyBytes: 4 << 20, RequestTimeout: Duration(30 * time.Second),
+			StallTimeout: Duration(1800 * time.Millisecond), ResumeTimeout: Duration(20 * time.Second),
 		},
 	}
 	if diff := cmp.Diff(want, s); diff != "" {
--- a/internal/config/parser/settings.go
+++ b/internal/config/parser/settings.go
@@ -37,6 +37,12 @@
 		MaxBodyBytes int64 `json:"maxBodyBytes,omitempty"`
 		// RequestTimeout is the deadline of a request to be admitted.
 		RequestTimeout Duration `json:"requestTimeout,omitempty"`
+		// StallTimeout is after how long without a word a link to an agent is stalled.
+		StallTimeout Duration `json:"stallTimeout,omitempty"`
+		// ResumeTimeout bounds the search for a backend server that goes on.
+		ResumeTimeout Duration `json:"resumeTimeout,omitempty"`
+		// StopNotice is how long the health check fails before a planned stop.
+		StopNotice Duration `json:"stopNotice,omitempty"`
 	}
 
 	// Agent are the settings of an agent.
@@ -46,6 +52,10 @@
 		// AnnounceListen is the IP number and port at which the backend server announces itself.
 		AnnounceListen string   `json:"announceListen"`
 		Control        []string `json:"control"`
+		// ResumeGrace is how long a generation goes on without a reader.
+		ResumeGrace Duration `json:"resumeGrace,omitempty"`
+		// KeepEnded is how long an ended generation waits for its caller.
+		KeepEnded Duration `json:"keepEnded,omitempty"`
 	}
 
 	// Control are the settings of a control host.
--- a/internal/role/runner/agent.go
+++ b/internal/role/runner/agent.go
@@ -32,6 +32,7 @@
 	a := &agentserver.Agent{
 		Self: f.Member(), Listener: listener, AnnounceListener: announceListener, RegisterPeer: in.register, Log: l,
 		View: f.View, Changed: f.Changed, Fresh: usable(f), Announce: f.SetSelf, RecordOutcome: f.RecordOutcome,
+		ResumeGrace: time.Duration(s.Agent.ResumeGrace), KeepEnded: time.Duration(s.Agent.KeepEnded),
 		Report: func(status agentserver.Status) { f.SetReport(reportOf(status)) },
 	}
 	return runFollowed(ctx, f, a.Run)
--- a/internal/role/runner/entry.go
+++ b/internal/role/runner/entry.go
@@ -52,7 +52,11 @@
 		},
 		Acquire: acquirer(limits), Reporter: in.reporter,
 		MaxBodyBytes: s.Entry.MaxBodyBytes, RequestTimeout: time.Duration(s.Entry.RequestTimeout),
-		Relayer: &relayer.Relayer{Pool: pool, Choose: picker.ChooseEngine, Report: picker.ReportGeneration, Log: l},
+		StopNotice: time.Duration(s.Entry.StopNotice),
+		Relayer: &relayer.Relayer{
+			Pool: pool, Choose: picker.ChooseEngine, Report: picker.ReportGeneration, Log: l,
+			StallTimeout: time.Duration(s.Entry.StallTimeout), ResumeTimeout: time.Duration(s.Entry.ResumeTimeout),
+		},
 		Booker: &booker.Booker{
 			Pool: pool, Choose: picker.ChooseService, Report: picker.ReportCall, Log: l,
 			Budget: &retrier.Budget{},
--- a/internal/role/runner/standalone.go
+++ b/internal/role/runner/standalone.go
@@ -71,6 +71,9 @@
 		LoseReply func(server, reference string) bool
 		// Contract is put at the start; the demo contract when its workspace is empty.
 		Contract registrar.Contract
+		// ResumeGrace is how long agents hold generations without a reader, running or
+		// ended; 0 for the agents' defaults.
+		ResumeGrace time.Duration
 		// Log returns the logger of the role with a name.
 		Log func(s parser.Settings) *logger.Logger
 
@@ -225,6 +228,7 @@
 	settings := placed(s.settings(name, "agent"), s.ServerPlaces, i)
 	settings.Agent = &parser.Agent{
 		Listen: s.address(agentOffset + i), AnnounceListen: s.address(announceOffset + i), Control: []string{s.address(controlOffset)},
+		ResumeGrace: parser.Duration(s.ResumeGrace), KeepEnded: parser.Duration(s.ResumeGrace),
 	}
 	return settings
 }
--- a/internal/role/runner/standalone_test.go
+++ b/internal/role/runner/standalone_test.go
@@ -6,15 +6,19 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"go.uber.org/goleak"
 
+	"verbenareach/internal/config/parser"
 	"verbenareach/internal/engine/emulator"
+	"verbenareach/internal/event/logger"
 )
 
 const (
@@ -29,6 +33,26 @@
 	t    *testing.T
 	stop context.CancelFunc
 	done chan error
+	// logged is what all parts wrote, from debug level on.
+	logged *lockedBuffer
+}
+
+// lockedBuffer is a buffer that several loggers write to.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
 }
 
 // tokenEvent is one event of a stream.
@@ -52,8 +76,13 @@
 		Standalone: &Standalone{
 			Host: host, BasePort: testBasePort, DataFolder: t.TempDir(),
 			Entries: entries, Engines: engines, Services: services, Parameters: parameters,
+			ResumeGrace: time.Second,
 		},
-		t: t, done: make(chan error, 1),
+		t: t, done: make(chan error, 1), logged: &lockedBuffer{},
+	}
+	s.Log = func(settings parser.Settings) *logger.Logger {
+		settings.LogLevel = "debug"
+		return NewLogger(settings, s.logged)
 	}
 	s.Prepare()
 	ctx, stop := context.WithCancel(context.Background())
@@ -221,9 +250,18 @@
 	t.Run("bookings", func(t *testing.T) { testBookings(t, s) })
 	t.Run("bad input", func(t *testing.T) { testBadInput(t, s) })
 	t.Run("canceled", func(t *testing.T) { testCancel(t, s) })
+	t.Run("vanishing callers", func(t *testing.T) { testVanishingCallers(t, s) })
 	t.Run("engine killed", func(t *testing.T) { testEngineKilled(t, s, want) })
 	s.end()
 	s.done <- nil
+	for _, secret := range []string{DemoKey, DemoOperatorKey} {
+		if strings.Contains(s.logged.String(), secret) {
+			t.Errorf("the log holds %q", secret)
+		}
+	}
+	if !strings.Contains(s.logged.String(), "VR2203") {
+		t.Error("the log holds no admitted generation")
+	}
 }
 
 func testResume(t *testing.T, s *testSystem, want []string) {
@@ -321,6 +359,26 @@
 	}
 }
 
+// testVanishingCallers has callers that leave in mid-stream, in mid-body and
+// before they sent anything; goleak checks what stays behind.
+func testVanishingCallers(t *testing.T, s *testSystem) {
+	for range 5 {
+		resp := s.open(2000)
+		readTokens(t, newEventReader(resp.Body), 3)
+		resp.Body.Close()
+	}
+	for _, text := range []string{"", "POST /v1/chat/completions HTTP/1.1\r\n", "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + DemoKey + "\r\nContent-Length: 100\r\n\r\n{"} {
+		conn, err := net.Dial("tcp", s.EntryAddress(0))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := conn.Write([]byte(text)); err != nil {
+			t.Error(err)
+		}
+		conn.Close()
+	}
+}
+
 func testEngineKilled(t *testing.T, s *testSystem, want []string) {
 	resp := s.open(len(want))
 	defer resp.Body.Close()
