--- a/internal/control/distributor/distributor.go
+++ b/internal/control/distributor/distributor.go
@@ -33,7 +33,7 @@
 		Silence time.Duration
 		// ConfirmEvery is the least time between two reads of the quorum; 0 for 500 ms.
 		ConfirmEvery time.Duration
-		// LoadsEvery is the time between two batches of loads; 0 for 2 s.
+		// LoadsEvery is the time between two batches of loads; 0 for 500 ms.
 		LoadsEvery time.Duration
 
 		mu sync.Mutex
@@ -77,7 +77,7 @@
 const (
 	defaultSilence      = 5 * time.Second
 	defaultConfirmEvery = 500 * time.Millisecond
-	defaultLoadsEvery   = 2 * time.Second
+	defaultLoadsEvery   = 500 * time.Millisecond
 	proposeTimeout      = 5 * time.Second
 	// maxChanges bounds the changes kept for followers that come back; one that
 	// is further behind gets a snapshot.
--- a/internal/control/distributor/session.go
+++ b/internal/control/distributor/session.go
@@ -250,15 +250,19 @@
 
 // write sends what the follower lacks, until ctx ends.
 func (s *session) write(ctx context.Context, done sent) error {
-	ticker := time.NewTicker(s.d.loadsEvery())
-	defer ticker.Stop()
+	var loads <-chan time.Time
+	if s.member.Role == registrar.RoleEntry {
+		ticker := time.NewTicker(s.d.loadsEvery())
+		defer ticker.Stop()
+		loads = ticker.C
+	}
 	s.wake()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-s.woken:
-		case <-ticker.C:
+		case <-loads:
 		}
 		next := s.next(&done, time.Now())
 		if next.closed {
--- a/internal/control/follower/calls.go
+++ b/internal/control/follower/calls.go
@@ -104,7 +104,7 @@
 	wait := firstRetry
 	for {
 		for _, address := range f.order() {
-			conn := f.pool.Get(ctx, address, dialPooled)
+			conn := f.pool.Get(ctx, address, f.dialPooled)
 			attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
 			err := do(attempt, messenger.NewDRPCControlClient(conn))
 			cancel()
@@ -155,13 +155,13 @@
 }
 
 func (f *Follower) relayDirect(ctx context.Context, address string, m *messenger.MarkRequest) (*messenger.MarkReply, error) {
-	conn := f.pool.Get(ctx, address, dialPooled)
+	conn := f.pool.Get(ctx, address, f.dialPooled)
 	reply, err := messenger.NewDRPCAgentClient(conn).Mark(ctx, m)
 	return reply, errors.Join(err, closePooled(conn))
 }
 
-func dialPooled(ctx context.Context, address string) (drpcpool.Conn, error) {
-	return dial(ctx, address)
+func (f *Follower) dialPooled(ctx context.Context, address string) (drpcpool.Conn, error) {
+	return f.dial(ctx, address)
 }
 
 // closePooled gives a connection back to its pool.
--- a/internal/control/follower/connection.go
+++ b/internal/control/follower/connection.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -44,9 +45,16 @@
 		For time.Duration
 	}
 
-	// stalledConn is a connection whose writes fail if they stall.
-	stalledConn struct {
+	// countedConn is a connection to a control host. Its writes fail if they
+	// stall, and its bytes are counted.
+	countedConn struct {
 		net.Conn
+		traffic *traffic
+	}
+
+	// traffic counts bytes.
+	traffic struct {
+		sent, received atomic.Uint64
 	}
 )
 
@@ -67,28 +75,37 @@
 	return nil
 }
 
+// Read reads into b.
+func (c countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.traffic.received.Add(uint64(n))
+	return n, err
+}
+
 // Write writes b within stallTimeout.
-func (c stalledConn) Write(b []byte) (int, error) {
+func (c countedConn) Write(b []byte) (int, error) {
 	if err := c.SetWriteDeadline(time.Now().Add(stallTimeout)); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	c.traffic.sent.Add(uint64(n))
+	return n, err
 }
 
 // dial connects to a process of the system.
-func dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
+func (f *Follower) dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout}
 	tr, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, eris.Wrap(err, "dial")
 	}
-	return drpcconn.New(stalledConn{tr}), nil
+	return drpcconn.New(countedConn{tr, &f.traffic}), nil
 }
 
 // follow follows the control host at address until its stream ends, or it is
 // silent or stale for too long.
 func (f *Follower) follow(ctx context.Context, address string) (err error) {
-	conn, err := dial(ctx, address)
+	conn, err := f.dial(ctx, address)
 	if err != nil {
 		return err
 	}
--- a/internal/control/follower/follower.go
+++ b/internal/control/follower/follower.go
@@ -51,6 +51,8 @@
 		// loads by member ordinal.
 		loads atomic.Pointer[map[uint32]uint32]
 		pool  *drpcpool.Pool[string, drpcpool.Conn]
+		// traffic counts the bytes between this process and control.
+		traffic traffic
 
 		mu sync.Mutex
 		// changed is closed and replaced when the view has changed.
@@ -192,6 +194,11 @@
 	return f.superseded
 }
 
+// Traffic returns the bytes sent to and received from control hosts so far.
+func (f *Follower) Traffic() (sent, received uint64) {
+	return f.traffic.sent.Load(), f.traffic.received.Load()
+}
+
 // View returns what is known of the agreed state. Its index never falls.
 func (f *Follower) View() registrar.View {
 	f.init()
--- /dev/null
+++ b/internal/control/registrar/bench_test.go
@@ -0,0 +1,123 @@
+package registrar
+
+import (
+	"fmt"
+	"testing"
+)
+
+// sampleContract is as large as the users' samples: two keys, two models, a
+// service with two routes, and all limits.
+func sampleContract(i int) Contract {
+	workspace := fmt.Sprintf("workspace-%d", i)
+	return Contract{
+		Workspace: workspace,
+		Keys: []APIKey{
+			{Name: "clerks", SHA256: HashKey(workspace + "/clerks")}, {Name: "mechanics", SHA256: HashKey(workspace + "/mechanics")},
+		},
+		Models: []ModelRight{
+			{Name: "fill-report", Model: "ballast-8b", Version: "7"}, {Name: "mix-check", Model: "ballast-8b", Adapter: "yes-no", Version: "7"},
+		},
+		Services: []ServiceRight{{Name: "bookings", Routes: []Route{
+			{Method: "POST", PathPrefix: "/fills/search", Repeatable: true}, {Method: "POST", PathPrefix: "/bookings"},
+		}}},
+		Limits:   Limits{RequestsPerSecond: 60, ConcurrentGenerations: 80, TokensPerSecond: 5000, TokensInFlight: 400000},
+		Priority: 5, Share: 4, Weights: Weights{Preemptions: 1, StallTime: 8, TailLatency: 8},
+		Targets:   Targets{FirstToken: Duration(5e8), BetweenTokens: Duration(4e7), Objective: 0.97},
+		Retention: Duration(72 * 3600e9),
+	}
+}
+
+// fleet returns a state with contracts and members.
+func fleet(contracts, members int) *ledger {
+	l := newLedger()
+	for i := range contracts {
+		l.do(Command{PutContract: &PutContract{Contract: sampleContract(i), By: "ieva", At: 1}})
+	}
+	for i := range members {
+		m := Member{
+			Name: fmt.Sprintf("engine-%d", i), Role: RoleAgent, Address: "10.20.30.40:18300", FailureDomain: "kingston",
+			Region: "jm-south", Incarnation: uint64(i + 1),
+			Backend: Backend{Kind: BackendEngine, MemoryTokens: 60000, Models: []LoadedModel{{Model: "ballast-8b", Version: "7"}}},
+		}
+		l.do(Command{Announce: &Announce{Member: m, Host: "c-1", At: 1}})
+	}
+	return l
+}
+
+func BenchmarkApplyContract(b *testing.B) {
+	for _, n := range []int{100, 1000, 4900} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			l := fleet(n, 1110)
+			c := sampleContract(0)
+			i := uint64(0)
+			for b.Loop() {
+				i++
+				c.Priority = int32(i % 1000)
+				l.do(Command{PutContract: &PutContract{Replaces: i, Contract: c}})
+			}
+			if got, _ := l.state.View().Contract(c.Workspace); got.Number != i+1 {
+				b.Fatalf("number %d after %d changes", got.Number, i)
+			}
+		})
+	}
+}
+
+func BenchmarkApplyClaim(b *testing.B) {
+	l := fleet(10, 10)
+	digest := make([]byte, 32)
+	i := 0
+	for b.Loop() {
+		i++
+		c := Claim{Workspace: fmt.Sprintf("workspace-%d", i%10), Key: fmt.Sprintf("k-%d", i), Digest: digest, Server: "engine-1", Incarnation: 2}
+		granted := l.do(Command{Claim: &MakeClaim{Claim: c, Claimant: "entry-1/1"}}).Claim
+		l.do(Command{Outcome: &EndClaim{Claim: granted.Claim, Reply: make([]byte, 400)}})
+	}
+	b.ReportMetric(float64(l.state.claims.bytes)/float64(i), "bytes/claim")
+}
+
+func BenchmarkAnnounce(b *testing.B) {
+	for _, n := range []int{100, 1110} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			l := fleet(10, n)
+			incarnation := uint64(1 << 20)
+			for b.Loop() {
+				incarnation++
+				l.do(Command{Announce: &Announce{Member: Member{Name: "engine-0", Role: RoleAgent, Incarnation: incarnation}, Host: "c-1"}})
+			}
+		})
+	}
+}
+
+func BenchmarkSnapshot(b *testing.B) {
+	for _, n := range []int{100, 1000, 4900} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			l := fleet(n, 1110)
+			size := 0
+			for b.Loop() {
+				data, err := l.state.Snapshot()
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(data)
+			}
+			b.ReportMetric(float64(size), "bytes")
+		})
+	}
+}
+
+func BenchmarkRestore(b *testing.B) {
+	for _, n := range []int{100, 1000, 4900} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			data, err := fleet(n, 1110).state.Snapshot()
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ResetTimer()
+			for b.Loop() {
+				if _, err := Restore(data); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/internal/control/registrar/contractbook.go
+++ b/internal/control/registrar/contractbook.go
@@ -57,6 +57,8 @@
 		order []string
 		// owners has the workspace of each key hash.
 		owners map[string]string
+		// lines has the snapshot's lines of contracts that have not changed since.
+		lines map[string][]byte
 		// most bounds the records.
 		most int
 	}
@@ -91,6 +93,7 @@
 	b.contracts = make(map[string]Contract)
 	b.records = make(map[string][]Record)
 	b.owners = make(map[string]string)
+	b.lines = make(map[string][]byte)
 	b.most = maxRecords
 }
 
@@ -140,6 +143,7 @@
 	}
 	b.contracts[c.Workspace] = c
 	b.records[c.Workspace] = append(b.records[c.Workspace], r)
+	delete(b.lines, c.Workspace)
 	b.order = append(b.order, c.Workspace)
 	b.trim()
 }
@@ -179,5 +183,6 @@
 			continue
 		}
 		b.records[workspace] = b.records[workspace][1:]
+		delete(b.lines, workspace)
 	}
 }
--- a/internal/control/registrar/state_test.go
+++ b/internal/control/registrar/state_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 	"github.com/leanovate/gopter/prop"
 )
 
@@ -185,13 +186,9 @@
 }
 
 func sameView(a, b View) bool {
-	return a.Index == b.Index && sameMap(a.contracts, b.contracts) && sameMap(a.marks, b.marks) &&
-		sameMap(a.members, b.members) && sameMap(a.workspaces, b.workspaces)
-}
-
-// sameMap compares two maps; a nil one equals an empty one.
-func sameMap(a, b any) bool {
-	return fmt.Sprint(a) == fmt.Sprint(b)
+	return a.Index == b.Index && cmp.Equal(a.contracts, b.contracts, cmpopts.EquateEmpty()) &&
+		cmp.Equal(a.marks, b.marks, cmpopts.EquateEmpty()) && cmp.Equal(a.members, b.members, cmpopts.EquateEmpty()) &&
+		cmp.Equal(a.workspaces, b.workspaces, cmpopts.EquateEmpty())
 }
 
 func TestResendsAfterManyChanges(t *testing.T) {
--- a/internal/control/registrar/view.go
+++ b/internal/control/registrar/view.go
@@ -65,9 +65,10 @@
 		// Index is the log index up to which the view holds all changes.
 		Index uint64
 		// contracts by workspace, members by name, marks by server.
-		contracts map[string]Contract
-		members   map[string]Member
-		marks     map[string]Mark
+		// What they point to never changes.
+		contracts map[string]*Contract
+		members   map[string]*Member
+		marks     map[string]*Mark
 		// workspaces by key hash, derived from contracts.
 		workspaces map[string]string
 	}
@@ -86,7 +87,10 @@
 // Contract returns a workspace's contract.
 func (v View) Contract(workspace string) (Contract, bool) {
 	c, ok := v.contracts[workspace]
-	return c, ok
+	if !ok {
+		return Contract{}, false
+	}
+	return *c, true
 }
 
 // ContractByKey returns the contract that an API key belongs to.
@@ -101,33 +105,39 @@
 // EachContract calls f for each contract, in no order.
 func (v View) EachContract(f func(Contract)) {
 	for _, c := range v.contracts {
-		f(c)
+		f(*c)
 	}
 }
 
 // EachMember calls f for each member, in no order.
 func (v View) EachMember(f func(Member)) {
 	for _, m := range v.members {
-		f(m)
+		f(*m)
 	}
 }
 
 // EachMark calls f for the newest mark of each backend server, in no order.
 func (v View) EachMark(f func(Mark)) {
 	for _, m := range v.marks {
-		f(m)
+		f(*m)
 	}
 }
 
 // Mark returns the newest mark of a backend server; the zero Mark if it has none.
 func (v View) Mark(server string) Mark {
-	return v.marks[server]
+	if m, ok := v.marks[server]; ok {
+		return *m
+	}
+	return Mark{}
 }
 
 // Member returns a member by name.
 func (v View) Member(name string) (Member, bool) {
 	m, ok := v.members[name]
-	return m, ok
+	if !ok {
+		return Member{}, false
+	}
+	return *m, true
 }
 
 // WithChanges returns a view that holds changes up to index, copying each map
@@ -179,27 +189,35 @@
 func (v View) put(c Change) {
 	switch {
 	case c.Contract != nil:
-		for _, k := range v.contracts[c.Contract.Workspace].Keys {
-			if v.workspaces[k.SHA256] == c.Contract.Workspace {
-				delete(v.workspaces, k.SHA256)
-			}
+		if old, ok := v.contracts[c.Contract.Workspace]; ok {
+			v.forgetKeys(*old)
 		}
 		for _, k := range c.Contract.Keys {
 			v.workspaces[k.SHA256] = c.Contract.Workspace
 		}
-		v.contracts[c.Contract.Workspace] = *c.Contract
+		v.contracts[c.Contract.Workspace] = c.Contract
 	case c.Mark != nil:
-		v.marks[c.Mark.Server] = *c.Mark
+		v.marks[c.Mark.Server] = c.Mark
 	case c.Member != nil:
-		v.members[c.Member.Name] = *c.Member
+		v.members[c.Member.Name] = c.Member
 	case c.Removed != "":
 		delete(v.members, c.Removed)
 	}
 }
 
-func cloned(contracts map[string]Contract) map[string]Contract {
+// forgetKeys drops the keys of a contract that is being replaced, but for those
+// that have moved to another workspace.
+func (v View) forgetKeys(c Contract) {
+	for _, k := range c.Keys {
+		if v.workspaces[k.SHA256] == c.Workspace {
+			delete(v.workspaces, k.SHA256)
+		}
+	}
+}
+
+func cloned(contracts map[string]*Contract) map[string]*Contract {
 	if contracts == nil {
-		return make(map[string]Contract)
+		return make(map[string]*Contract)
 	}
 	return maps.Clone(contracts)
 }
@@ -215,16 +233,16 @@
 	return false
 }
 
-func clonedMarks(marks map[string]Mark) map[string]Mark {
+func clonedMarks(marks map[string]*Mark) map[string]*Mark {
 	if marks == nil {
-		return make(map[string]Mark)
+		return make(map[string]*Mark)
 	}
 	return maps.Clone(marks)
 }
 
-func clonedMembers(members map[string]Member) map[string]Member {
+func clonedMembers(members map[string]*Member) map[string]*Member {
 	if members == nil {
-		return make(map[string]Member)
+		return make(map[string]*Member)
 	}
 	return maps.Clone(members)
 }
