--- a/internal/entry/relayer/attempt.go
+++ b/internal/entry/relayer/attempt.go
@@ -39,14 +39,22 @@
 		refusedStatus int
 		load          *messenger.Load
 		tokens        uint64
+		// firstToken is the time to the first token.
+		firstToken time.Duration
+		// callerGone is true when the attempt was left because of the caller.
+		callerGone bool
 	}
 
 	// link is the stream of one attempt with its watch against stalls.
 	link struct {
 		stream messenger.DRPCAgent_GenerateClient
 		cancel context.CancelCauseFunc
+		// forgetCaller keeps the stream from ending with the caller's request.
+		forgetCaller func() bool
 		// watch cancels the stream unless it is reset in time.
-		watch        *time.Timer
+		watch *time.Timer
+		// stallTimeout is how long the link may be silent; before the answer it may
+		// be shorter than after.
 		stallTimeout time.Duration
 		// mu guards sending, as acknowledgements come from their own goroutine.
 		mu sync.Mutex
@@ -58,7 +66,9 @@
 	start := c.startMessage(target)
 	c.relayer.Log.Emit(time.Now(), logger.GenerationRouted, c.generation.ID, logger.F("server", target.Server),
 		logger.F("epoch", c.generation.Epoch), logger.F("from", c.generation.Next))
-	result, err := c.follow(ctx, target, &messenger.GenerateUp{Body: &messenger.GenerateUp_Start{Start: start}})
+	up := &messenger.GenerateUp{Body: &messenger.GenerateUp_Start{Start: start}}
+	result, err := c.follow(ctx, target, up, c.relayer.stallTimeout())
+	result.callerGone = err != nil
 	c.relayer.report(target, result)
 	return result, err
 }
@@ -69,14 +79,16 @@
 		GenerationId: c.generation.ID, NextIndex: c.generation.Next,
 		Incarnation: target.Incarnation, Workspace: c.start.GetWorkspace(),
 	}
-	return c.follow(ctx, target, &messenger.GenerateUp{Body: &messenger.GenerateUp_Attach{Attach: attach}})
+	up := &messenger.GenerateUp{Body: &messenger.GenerateUp_Attach{Attach: attach}}
+	return c.follow(ctx, target, up, min(reattachTimeout, c.relayer.stallTimeout()))
 }
 
 // follow sends the first message of an attempt and takes all that comes back.
+// The answer must come within the answer timeout.
 // The error is a CallerError; all else is in the result.
-func (c *course) follow(ctx context.Context, target Target, first *messenger.GenerateUp) (attemptResult, error) {
+func (c *course) follow(ctx context.Context, target Target, first *messenger.GenerateUp, answerTimeout time.Duration) (attemptResult, error) {
 	var result attemptResult
-	l, err := c.relayer.open(ctx, target)
+	l, err := c.relayer.open(ctx, target, answerTimeout)
 	if err == nil {
 		defer l.close()
 		if c.ran == messenger.Ran_RAN_NO {
@@ -100,9 +112,11 @@
 
 // open dials target's agent. Until something is sent, a failure proves that the
 // agent did nothing.
-func (r *Relayer) open(ctx context.Context, target Target) (*link, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	l := &link{cancel: cancel, stallTimeout: r.stallTimeout()}
+func (r *Relayer) open(ctx context.Context, target Target, answerTimeout time.Duration) (*link, error) {
+	caller := ctx
+	ctx, cancel := context.WithCancelCause(context.WithoutCancel(caller))
+	l := &link{cancel: cancel, stallTimeout: answerTimeout}
+	l.forgetCaller = context.AfterFunc(caller, func() { cancel(caller.Err()) })
 	l.watch = time.AfterFunc(l.stallTimeout, func() { cancel(errStalled) })
 	conn := r.Pool.Conn(ctx, target.Address)
 	stream, err := messenger.NewDRPCAgentClient(conn).Generate(ctx)
@@ -117,6 +131,7 @@
 // receive takes the agent's messages until the attempt ends.
 func (c *course) receive(ctx context.Context, l *link, target Target) (attemptResult, error) {
 	var result attemptResult
+	began := time.Now()
 	stopAcks := func() {}
 	defer func() { stopAcks() }()
 	for {
@@ -138,11 +153,15 @@
 			if err := c.admitted(target, body.Admitted, &result); err != nil {
 				return result, err
 			}
+			l.stallTimeout = c.relayer.stallTimeout()
 			stopAcks = l.acknowledge(ctx)
 		case *messenger.GenerateDown_Declined:
 			c.declined(target, body.Declined, &result)
 			return result, nil
 		case *messenger.GenerateDown_Tokens:
+			if result.firstToken == 0 {
+				result.firstToken = time.Since(began)
+			}
 			var caller *CallerError
 			if err := c.take(body.Tokens); errors.As(err, &caller) {
 				return result, err
@@ -201,6 +220,8 @@
 		result.kind, result.cause = attemptLost, "the end came at another index than the last token's"
 		return result, nil
 	}
+	// A caller may hang up as soon as it has the end; the agent must hear of it.
+	l.forgetCaller()
 	if err := c.sink.End(end.GetFinishReason()); err != nil {
 		return result, &CallerError{Err: err}
 	}
@@ -231,6 +252,7 @@
 // close leaves the attempt; the agent keeps it for a caller's return.
 func (l *link) close() {
 	l.watch.Stop()
+	l.forgetCaller()
 	if l.stream != nil {
 		_ = l.stream.Close()
 	}
--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -24,6 +24,10 @@
 	// with a generation.
 	DefaultResumeTimeout = 20 * time.Second
 
+	// reattachTimeout bounds the wait for an agent whose link was lost: one that
+	// lives answers within a few milliseconds.
+	reattachTimeout = 300 * time.Millisecond
+
 	ackEvery = time.Second
 )
 
@@ -34,6 +38,8 @@
 		// Address is its agent's IP number and port.
 		Address     string
 		Incarnation uint64
+		// Reserved is what Choose counted for the generation there, in tokens.
+		Reserved int
 	}
 
 	// Request is a generation to be made. It is not changed once it runs.
@@ -78,6 +84,10 @@
 		Admitted bool
 		// Lost is true when the attempt broke off.
 		Lost bool
+		// CallerGone is true when the attempt was left because of the caller.
+		CallerGone bool
+		// FirstToken is the time to the first token; 0 if none came.
+		FirstToken time.Duration
 		// Reason is set when the backend server declined.
 		Reason messenger.DeclineReason
 		// Load is what the backend server last told; nil if nothing.
@@ -190,7 +200,7 @@
 	}
 	r.Report(time.Now(), target, Outcome{
 		Admitted: result.admitted, Lost: result.kind == attemptLost, Reason: result.reason,
-		Load: result.load, Tokens: result.tokens,
+		Load: result.load, Tokens: result.tokens, CallerGone: result.callerGone, FirstToken: result.firstToken,
 	})
 }
 
@@ -219,7 +229,7 @@
 
 // Cancel ends a generation at the agent that holds it.
 func (r *Relayer) Cancel(ctx context.Context, workspace, generation string, target Target) error {
-	l, err := r.open(ctx, target)
+	l, err := r.open(ctx, target, r.stallTimeout())
 	if err != nil {
 		return eris.Wrap(err, "cancel")
 	}
--- a/internal/entry/server/call.go
+++ b/internal/entry/server/call.go
@@ -7,7 +7,9 @@
 
 	"verbenareach/internal/control/registrar"
 	"verbenareach/internal/entry/booker"
+	"verbenareach/internal/entry/limiter"
 	"verbenareach/internal/event/logger"
+	"verbenareach/internal/report/reporter"
 	"verbenareach/internal/wire/messenger"
 )
 
@@ -46,13 +48,15 @@
 	if req.Key == "" {
 		req.Key = "entry:" + id
 	}
-	permit, err := e.acquire(r.Context(), now, contract, false)
+	permit, err := e.acquire(r.Context(), now, contract, limiter.Demand{})
 	if err != nil {
+		e.countRefusal(time.Now(), reporter.ServiceKey(contract.Workspace, req.Service), asRefusal(err))
 		e.refuseRequest(w, id, contract.Workspace, asRefusal(err))
 		return
 	}
 	defer permit.release()
 	reply, err := e.Booker.Call(r.Context(), req)
+	e.countCall(now, time.Now(), contract, req.Service, err)
 	if err != nil {
 		e.refuseRequest(w, id, contract.Workspace, asRefusal(err))
 		return
--- a/internal/entry/server/entry.go
+++ b/internal/entry/server/entry.go
@@ -16,8 +16,10 @@
 
 	"verbenareach/internal/control/registrar"
 	"verbenareach/internal/entry/booker"
+	"verbenareach/internal/entry/limiter"
 	"verbenareach/internal/entry/relayer"
 	"verbenareach/internal/event/logger"
+	"verbenareach/internal/report/reporter"
 	"verbenareach/internal/wire/acceptor"
 )
 
@@ -56,9 +58,9 @@
 		View func() registrar.View
 		// Ready tells whether the entry knows enough to serve.
 		Ready func(now time.Time) bool
-		// Acquire takes a permit from the contract's limits or fails with a RefusalError;
-		// nil takes none.
-		Acquire func(ctx context.Context, now time.Time, contract registrar.Contract, generation bool) (Permit, error)
+		// Acquire takes a permit from the contract's limits or fails with a
+		// limiter.RefusedError; nil takes none.
+		Acquire func(ctx context.Context, now time.Time, contract registrar.Contract, demand limiter.Demand) (Permit, error)
 		// Relayer makes generations, Booker calls.
 		Relayer *relayer.Relayer
 		Booker  *booker.Booker
@@ -70,6 +72,8 @@
 		// MaxBodyBytes and RequestTimeout are 0 for the defaults.
 		MaxBodyBytes   int64
 		RequestTimeout time.Duration
+		// Reporter counts service levels; nil counts none.
+		Reporter *reporter.Reporter
 		// Log receives events; nil drops them.
 		Log *logger.Logger
 
