perf: send changes in batches when many come at once

With 1,000 followers joining at once, each took 1,000 batches of one change and copied its members for each; the benchmark of followers at 1,000 did not get past its start within 10 minutes.

--- a/internal/control/distributor/session.go
+++ b/internal/control/distributor/session.go
@@ -59,6 +59,9 @@
 const (
 	// partBytes bounds the contracts in one part of a snapshot or of changes.
 	partBytes = 256 << 10
+	// changesEvery is the least time between two batches of changes: when many
+	// members come at once, each follower takes them in few batches.
+	changesEvery = 50 * time.Millisecond
 	// announceRetry is the wait after a failed announcement.
 	announceRetry = 500 * time.Millisecond
 )
@@ -271,6 +274,9 @@
 		if err := s.send(next, &done); err != nil {
 			return err
 		}
+		if len(next.changes) > 0 && !sleep(ctx, changesEvery) {
+			return nil
+		}
 	}
 }
 
