feat: run control hosts on the replicated log, and list, add and remove them

Cause: the control role kept its commands in memory of one host.

Change: with a data folder in its settings a control host takes part in the agreement; it hands the leadership over before a planned stop.

A removal right after another host died was let through, because the dead host counted as alive for the election timeout; then no quorum was left (TestThreeControlHosts hung, and showed a member entry that nobody could commit). Now the voters after the change are asked, and a quorum of them has to answer.

--- a/internal/cmd/commander/commander.go
+++ b/internal/cmd/commander/commander.go
@@ -24,7 +24,7 @@
 	run := make(map[string]func() error)
 	addRole(app, run, stderr, "entry", "Run an entry, which serves callers.")
 	addRole(app, run, stderr, "agent", "Run an agent, the only way to the backend server beside it.")
-	addRole(app, run, stderr, "control", "Run a control host, which keeps contracts, marks and claims.")
+	addControl(app, run, stdout, stderr)
 	addStandalone(app, run, stdout, stderr)
 	addSettings(app, run, stdout)
 	addVersion(app, run, stdout)
--- a/internal/cmd/commander/rolecmd.go
+++ b/internal/cmd/commander/rolecmd.go
@@ -16,7 +16,11 @@
 
 // addRole adds the command that runs one role as a process of its own.
 func addRole(app *kingpin.Application, run map[string]func() error, stderr io.Writer, role, help string) {
-	cmd := app.Command(role, help)
+	addRoleTo(app.Command(role, help), run, stderr, role)
+}
+
+// addRoleTo makes cmd the command that runs a role.
+func addRoleTo(cmd *kingpin.CmdClause, run map[string]func() error, stderr io.Writer, role string) {
 	path := cmd.Flag("settings", "Settings file in JSON.").Required().PlaceHolder("FILE").String()
 	run[cmd.FullCommand()] = func() error {
 		s, err := parser.ParseFile(*path)
--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -18,6 +18,7 @@
 	"verbenareach/internal/config/parser"
 	"verbenareach/internal/control/distributor"
 	"verbenareach/internal/control/registrar"
+	"verbenareach/internal/control/replicator"
 	"verbenareach/internal/event/logger"
 	"verbenareach/internal/operator/responder"
 )
@@ -45,7 +46,11 @@
 		confirm     func(ctx context.Context) (index uint64, err error)
 		distributor *distributor.Distributor
 		peers       *peers
-		marker      *marker
+		// replicator is the agreement with the other control hosts; nil for a host
+		// without a data folder.
+		replicator *replicator.Replicator
+		transport  *replicator.Transport
+		marker     *marker
 		// background are the goroutines that outlast a request.
 		background sync.WaitGroup
 	}
@@ -63,8 +68,7 @@
 // Run serves until ctx ends.
 func (c *Controller) Run(ctx context.Context) (err error) {
 	c.state = registrar.NewState()
-	log := &localLog{apply: c.apply}
-	c.propose, c.confirm = log.propose, log.confirm
+	c.chooseLog()
 	c.distributor = &distributor.Distributor{
 		Host: c.Name, Propose: c.Propose, ConfirmRead: c.confirmRead, Log: c.Log,
 	}
@@ -84,11 +88,21 @@
 		c.Started()
 	}
 	g, ctx := errgroup.WithContext(ctx)
+	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopServing()
 	if err := c.serveOperators(ctx, g); err != nil {
 		return errors.Join(err, lis.Close())
 	}
 	c.Log.Emit(time.Now(), logger.ControlStarted, "", logger.F("listen", lis.Addr().String()))
-	g.Go(func() error { return eris.Wrap(drpcserver.New(mux).Serve(ctx, lis), "serve followers") })
+	server := drpcserver.NewWithOptions(mux, replicator.ServerOptions())
+	g.Go(func() error { return eris.Wrap(server.Serve(serving, lis), "serve followers") })
+	g.Go(func() error { return c.replicate(serving) })
+	g.Go(func() error {
+		<-ctx.Done()
+		c.handOver(serving)
+		stopServing()
+		return nil
+	})
 	g.Go(func() error { return c.distributor.Run(ctx) })
 	g.Go(func() error { return c.tick(ctx) })
 	for _, peer := range c.peers.others {
@@ -117,7 +131,7 @@
 		KeySHA256: c.Settings.OperatorKeySHA256, Propose: c.Propose, Confirm: c.confirmed,
 		View: func() registrar.View { return c.distributor.View() }, History: c.history,
 		Servers: c.servers, InForce: c.inForce,
-		Marked: func(m registrar.Mark) { c.marker.start(ctx, m) }, Routes: c.insight().Routes, Log: c.Log,
+		Marked: func(m registrar.Mark) { c.marker.start(ctx, m) }, Routes: c.routes, Log: c.Log,
 	}
 	server := &http.Server{
 		Handler: s.Handler(), ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
--- a/internal/control/controller/insight.go
+++ b/internal/control/controller/insight.go
@@ -7,6 +7,7 @@
 	"storj.io/drpc/drpcmux"
 
 	"verbenareach/internal/control/registrar"
+	"verbenareach/internal/control/replicator"
 	"verbenareach/internal/insight/gatherer"
 	"verbenareach/internal/insight/presenter"
 	"verbenareach/internal/wire/messenger"
@@ -37,6 +38,11 @@
 	if err := messenger.DRPCRegisterControl(mux, &service{c}); err != nil {
 		return err
 	}
+	if c.replicator != nil {
+		if err := messenger.DRPCRegisterPeers(mux, &replicator.Service{Replicator: c.replicator}); err != nil {
+			return err
+		}
+	}
 	if c.RegisterPeer == nil {
 		return nil
 	}
--- /dev/null
+++ b/internal/control/controller/replication_test.go
@@ -0,0 +1,119 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"verbenareach/internal/config/parser"
+	"verbenareach/internal/control/registrar"
+	"verbenareach/internal/control/replicator"
+)
+
+// running is a control host that can be stopped and started again.
+type running struct {
+	*Controller
+	cancel context.CancelFunc
+	done   chan error
+}
+
+func startHost(name string, settings parser.Control) *running {
+	h := &running{Controller: &Controller{Name: name, Settings: settings}, done: make(chan error, 1)}
+	started := make(chan struct{})
+	h.Started = func() { close(started) }
+	var ctx context.Context
+	ctx, h.cancel = context.WithCancel(context.Background())
+	go func() { h.done <- h.Run(ctx) }()
+	<-started
+	return h
+}
+
+func (h *running) stop(t *testing.T) {
+	t.Helper()
+	h.cancel()
+	if err := <-h.done; err != nil {
+		t.Errorf("%s: %v", h.Name, err)
+	}
+}
+
+// putUntil puts a contract through a host until it is accepted.
+func putUntil(t *testing.T, h *running, workspace string) {
+	t.Helper()
+	eventually(t, "contract of "+workspace, func() bool {
+		put := registrar.PutContract{Contract: registrar.Contract{Workspace: workspace}, By: "op"}
+		r, err := h.Propose(context.Background(), registrar.Command{PutContract: &put})
+		return err == nil && r.Contract.Outcome != registrar.OutcomeConflict
+	})
+}
+
+func TestThreeControlHosts(t *testing.T) {
+	folder := t.TempDir()
+	var settings []parser.Control
+	var peers []parser.Peer
+	for i := range 3 {
+		peers = append(peers, parser.Peer{Name: fmt.Sprint("control-", i), Address: freeAddress(t)})
+	}
+	hosts := make([]*running, 3)
+	for i, p := range peers {
+		settings = append(settings, parser.Control{
+			Listen: p.Address, DataFolder: filepath.Join(folder, p.Name), Peers: peers,
+		})
+		hosts[i] = startHost(p.Name, settings[i])
+	}
+	put := 0
+	// more puts contracts through all running hosts and expects all contracts at each.
+	more := func() {
+		t.Helper()
+		for _, h := range hosts {
+			if h != nil {
+				put++
+				putUntil(t, h, fmt.Sprint("workspace-", put))
+			}
+		}
+		for _, h := range hosts {
+			if h == nil {
+				continue
+			}
+			eventually(t, "all contracts at "+h.Name, func() bool {
+				for n := 1; n <= put; n++ {
+					if _, ok := h.distributor.View().Contract(fmt.Sprint("workspace-", n)); !ok {
+						return false
+					}
+				}
+				return true
+			})
+		}
+	}
+	more()
+	for i := range hosts {
+		hosts[i].stop(t)
+		hosts[i] = nil
+		more()
+		hosts[i] = startHost(peers[i].Name, settings[i])
+		more()
+	}
+	// A disk is lost and the host replaced; then another host is lost at once.
+	hosts[0].stop(t)
+	if err := os.RemoveAll(settings[0].DataFolder); err != nil {
+		t.Fatal(err)
+	}
+	hosts[0] = startHost(peers[0].Name, settings[0])
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	eventually(t, "replacement", func() bool {
+		return hosts[1].replicator.AddFrom(ctx, replicator.Peer{Name: peers[0].Name, Address: peers[0].Address}) == nil
+	})
+	hosts[1].stop(t)
+	hosts[1] = nil
+	more()
+	refused := new(replicator.RefusedError)
+	if err := hosts[2].replicator.RemoveFrom(ctx, peers[0].Name); !errors.As(err, &refused) {
+		t.Errorf("removal that leaves no quorum: %v", err)
+	}
+	hosts[0].stop(t)
+	hosts[2].stop(t)
+}
--- a/internal/control/replicator/ask.go
+++ b/internal/control/replicator/ask.go
@@ -43,6 +43,14 @@
 		return &messenger.PeerReply{
 			Error: encodeError(err), Body: &messenger.PeerReply_Join{Join: &messenger.JoinReply{}},
 		}
+	case *messenger.PeerRequest_Add:
+		err := r.Add(ctx, Peer{Name: body.Add.Name, Address: body.Add.Address})
+		return &messenger.PeerReply{Error: encodeError(err), Body: &messenger.PeerReply_Add{Add: &messenger.AddReply{}}}
+	case *messenger.PeerRequest_Remove:
+		err := r.Remove(ctx, body.Remove.Id)
+		return &messenger.PeerReply{
+			Error: encodeError(err), Body: &messenger.PeerReply_Remove{Remove: &messenger.RemoveReply{}},
+		}
 	}
 	return &messenger.PeerReply{Error: encodeError(&RefusedError{Reason: "unknown question"})}
 }
--- a/internal/control/replicator/membership.go
+++ b/internal/control/replicator/membership.go
@@ -32,6 +32,32 @@
 	return r.Promote(ctx, id)
 }
 
+// AddFrom is Add on any host: it asks the leader.
+func (r *Replicator) AddFrom(ctx context.Context, host Peer) error {
+	return r.atLeader(ctx, func(address string) error {
+		if address == "" {
+			return r.Add(ctx, host)
+		}
+		_, err := r.ask(ctx, address, &messenger.PeerRequest{
+			Body: &messenger.PeerRequest_Add{Add: &messenger.AddRequest{Name: host.Name, Address: host.Address}},
+		})
+		return err
+	})
+}
+
+// RemoveFrom is Remove on any host: it asks the leader.
+func (r *Replicator) RemoveFrom(ctx context.Context, id string) error {
+	return r.atLeader(ctx, func(address string) error {
+		if address == "" {
+			return r.Remove(ctx, id)
+		}
+		_, err := r.ask(ctx, address, &messenger.PeerRequest{
+			Body: &messenger.PeerRequest_Remove{Remove: &messenger.RemoveRequest{Id: id}},
+		})
+		return err
+	})
+}
+
 // AddLearner adds a host that follows the log and does not vote, and returns its id.
 func (r *Replicator) AddLearner(ctx context.Context, host Peer) (id string, err error) {
 	reply, err := r.Ask(ctx, host.Address, &messenger.PeerRequest{
@@ -41,7 +67,10 @@
 		return "", &RefusedError{Reason: fmt.Sprintf("%s does not answer at %s: %v", host.Name, host.Address, err)}
 	}
 	hello := reply.GetHello()
-	if hello.GetName() != host.Name || hello.GetId() == "" {
+	if hello.GetName() == host.Name && hello.GetId() == "" {
+		return "", &RefusedError{Reason: host.Name + " is still starting: try again"}
+	}
+	if hello.GetName() != host.Name {
 		return "", &RefusedError{Reason: fmt.Sprintf("host at %s calls itself %q", host.Address, hello.GetName())}
 	}
 	err = r.change(ctx, func(members []*messenger.LogMember) ([]*messenger.LogMember, error) {
@@ -209,9 +238,12 @@
 	if err != nil || slices.Equal(members, old) {
 		return err
 	}
-	if err := r.checkQuorum(members); err != nil {
+	if err := r.checkQuorum(ctx, members); err != nil {
 		return err
 	}
+	if !leads() || r.transferTo != "" || !slices.Equal(r.members(), old) {
+		return r.notLeader()
+	}
 	data, err := proto.Marshal(&messenger.LogMembers{Members: members})
 	if err != nil {
 		return err
@@ -233,20 +265,32 @@
 	return nil
 }
 
-// checkQuorum refuses a membership of which no quorum answers now.
-func (r *Replicator) checkQuorum(members []*messenger.LogMember) error {
-	voters, alive := 0, 0
-	for _, m := range members {
-		if !m.Voter {
-			continue
-		}
-		voters++
-		if p := r.peers[m.Id]; m.Id == r.rec.ID() || p != nil && r.alive(p) {
-			alive++
-		}
+// checkQuorum refuses a membership of which no quorum answers when asked now: its
+// entry could not be committed, nor could any other.
+func (r *Replicator) checkQuorum(ctx context.Context, members []*messenger.LogMember) error {
+	ctx, cancel := context.WithTimeout(ctx, 2*r.ElectionTimeout)
+	defer cancel()
+	r.round++
+	round := r.round
+	for _, p := range r.peers {
+		p.poke()
 	}
-	if alive <= voters/2 {
-		return &RefusedError{Reason: fmt.Sprintf("only %d of the %d voters after the change answer", alive, voters)}
+	voters, answered := 0, 0
+	err := r.await(ctx, func() bool {
+		voters, answered = 0, 0
+		for _, m := range members {
+			if !m.Voter {
+				continue
+			}
+			voters++
+			if p := r.peers[m.Id]; m.Id == r.rec.ID() || p != nil && p.ackedRound >= round {
+				answered++
+			}
+		}
+		return answered > voters/2 || r.role != leader
+	})
+	if err != nil {
+		return &RefusedError{Reason: fmt.Sprintf("only %d of the %d voters after the change answer", answered, voters)}
 	}
 	return nil
 }
--- a/internal/control/replicator/propose.go
+++ b/internal/control/replicator/propose.go
@@ -136,9 +136,9 @@
 func (r *Replicator) atLeader(ctx context.Context, f func(address string) error) error {
 	for {
 		r.mu.Lock()
-		leads, known, running := r.role == leader, r.leader, r.running
+		leads, known, stopped := r.role == leader, r.leader, r.stopped
 		r.mu.Unlock()
-		if !running {
+		if stopped {
 			return ErrStopped
 		}
 		var err error = &NotLeaderError{}
--- a/internal/control/replicator/replicator.go
+++ b/internal/control/replicator/replicator.go
@@ -64,7 +64,9 @@
 		wg      sync.WaitGroup
 		rec     *recorder.Recorder
 		rnd     *rand.Rand
-		running bool
+		// running is set from when the log is read until the host stops; stopped
+		// from then on.
+		running, stopped bool
 		// failure ends Run.
 		failure error
 
@@ -298,6 +300,7 @@
 		return
 	}
 	r.failure = err
+	r.stopped = true
 	r.emit(logger.ControlDiskFailed, logger.F("error", err))
 	r.running = false
 	r.work.Broadcast()
@@ -447,6 +450,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.running = false
+	r.stopped = true
 	r.dropWaiters(math.MaxUint64, ErrStopped)
 	r.work.Broadcast()
 	r.bump()
--- a/internal/operator/requester/requester.go
+++ b/internal/operator/requester/requester.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"verbenareach/internal/control/registrar"
+	"verbenareach/internal/control/replicator"
 	"verbenareach/internal/event/explainer"
 	"verbenareach/internal/operator/responder"
 	"verbenareach/internal/report/assessor"
@@ -71,6 +72,45 @@
 	return errors.Join(e.Causes...)
 }
 
+// AddControlHost takes a control host into the membership.
+func (c *Requester) AddControlHost(ctx context.Context, host replicator.Peer) (replicator.Status, error) {
+	var s replicator.Status
+	data, err := json.Marshal(host)
+	if err != nil {
+		return s, eris.Wrap(err, "control host")
+	}
+	err = c.do(ctx, http.MethodPost, "/v1/controlHosts", data, &s)
+	return s, err
+}
+
+// ControlHosts returns the membership as a control host knows it, the leader if one answers.
+func (c *Requester) ControlHosts(ctx context.Context) (replicator.Status, error) {
+	var first replicator.Status
+	var errs []error
+	for _, address := range c.Addresses {
+		var s replicator.Status
+		err := c.once(ctx, address, http.MethodGet, "/v1/controlHosts", nil, &s)
+		var refused *responder.RefusalError
+		if errors.As(err, &refused) {
+			return s, err
+		}
+		if err != nil {
+			errs = append(errs, eris.Wrap(err, address))
+			continue
+		}
+		if s.Role == "leader" {
+			return s, nil
+		}
+		if first.Name == "" || s.Applied > first.Applied {
+			first = s
+		}
+	}
+	if first.Name == "" {
+		return first, &UnreachableError{Ran: "no", Causes: errs}
+	}
+	return first, nil
+}
+
 // Contract returns a workspace's contract.
 func (c *Requester) Contract(ctx context.Context, workspace string) (registrar.Contract, error) {
 	var contract registrar.Contract
@@ -117,6 +157,13 @@
 	return story, err
 }
 
+// RemoveControlHost takes control hosts out of the membership, by id or name.
+func (c *Requester) RemoveControlHost(ctx context.Context, id string) (replicator.Status, error) {
+	var s replicator.Status
+	err := c.do(ctx, http.MethodDelete, "/v1/controlHosts/"+url.PathEscape(id), nil, &s)
+	return s, err
+}
+
 // Report returns the service-level burn of a workspace and model; empty names stand for all.
 func (c *Requester) Report(ctx context.Context, workspace, model string) (assessor.Report, error) {
 	var report assessor.Report
--- a/internal/operator/responder/messages.go
+++ b/internal/operator/responder/messages.go
@@ -110,6 +110,7 @@
 	CodeBadRequest  = "badRequest"
 	CodeInvalid     = "invalid"
 	CodeNotFound    = "notFound"
+	CodeRefused     = "refused"
 	CodeTooLarge    = "tooLarge"
 	CodeUnavailable = "unavailable"
 )
