--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -72,7 +72,7 @@
 	c.distributor = &distributor.Distributor{
 		Host: c.Name, Propose: c.Propose, ConfirmRead: c.confirmRead, Log: c.Log,
 	}
-	c.peers = newPeers(c.Name, c.Settings.Peers)
+	c.peers = newPeers(c.otherHosts)
 	c.marker = &marker{c: c}
 	defer func() { err = errors.Join(err, c.peers.pool.Close()) }()
 	mux := drpcmux.New()
@@ -105,12 +105,10 @@
 	})
 	g.Go(func() error { return c.distributor.Run(ctx) })
 	g.Go(func() error { return c.tick(ctx) })
-	for _, peer := range c.peers.others {
-		g.Go(func() error {
-			c.peers.exchange(ctx, peer, c.distributor.SendLoads)
-			return nil
-		})
-	}
+	g.Go(func() error {
+		c.peers.exchange(ctx, c.distributor.SendLoads)
+		return nil
+	})
 	err = g.Wait()
 	c.background.Wait()
 	c.Log.Emit(time.Now(), logger.ControlStopped, "")
--- a/internal/control/controller/peers.go
+++ b/internal/control/controller/peers.go
@@ -18,7 +18,8 @@
 
 // peers are the other control hosts.
 type peers struct {
-	others []parser.Peer
+	// others returns them as they are now.
+	others func() []parser.Peer
 	pool   *drpcpool.Pool[string, drpcpool.Conn]
 }
 
@@ -31,16 +32,10 @@
 	exchangeRetry = 2 * time.Second
 )
 
-func newPeers(self string, all []parser.Peer) *peers {
-	p := &peers{pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
+func newPeers(others func() []parser.Peer) *peers {
+	return &peers{others: others, pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
 		Expiration: poolExpiration, Capacity: poolCapacity, KeyCapacity: 4,
 	})}
-	for _, peer := range all {
-		if peer.Name != self {
-			p.others = append(p.others, peer)
-		}
-	}
-	return p
 }
 
 // agent calls the agent at address.
@@ -62,7 +57,7 @@
 		failed []string
 		wg     sync.WaitGroup
 	)
-	for _, peer := range p.others {
+	for _, peer := range p.others() {
 		wg.Go(func() {
 			conn := p.pool.Get(ctx, peer.Address, dial)
 			err := errors.Join(call(ctx, peer, messenger.NewDRPCControlClient(conn)), conn.Close())
@@ -95,37 +90,71 @@
 }
 
 // pushMark has the other control hosts tell an agent of its mark, and returns
-// the first answer.
+// an answer.
 func (p *peers) pushMark(ctx context.Context, r *messenger.PushMarkRequest) (*messenger.PushMarkReply, error) {
-	answers := make(chan *messenger.PushMarkReply, len(p.others))
+	var (
+		mu     sync.Mutex
+		answer *messenger.PushMarkReply
+	)
 	p.each(ctx, func(ctx context.Context, _ parser.Peer, client messenger.DRPCControlClient) error {
 		reply, err := client.PushMark(ctx, r)
-		if err == nil {
-			answers <- reply
+		if err != nil {
+			return err
 		}
-		return err
+		mu.Lock()
+		defer mu.Unlock()
+		answer = reply
+		return nil
 	})
-	select {
-	case reply := <-answers:
-		return reply, nil
-	default:
+	if answer == nil {
 		return nil, eris.New("no control host reached the agent")
 	}
+	return answer, nil
 }
 
-// exchange passes loads on to one other control host until ctx ends.
-func (p *peers) exchange(ctx context.Context, peer parser.Peer, send func(context.Context, messenger.DRPCControl_ExchangeClient) error) {
-	for ctx.Err() == nil {
-		if err := p.exchangeOnce(ctx, peer, send); err == nil {
-			return
+// exchange passes loads on to all other control hosts until ctx ends, also to
+// those that come later.
+func (p *peers) exchange(ctx context.Context, send func(context.Context, messenger.DRPCControl_ExchangeClient) error) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	// open has the addresses with a stream; each goroutine takes its own out.
+	var mu sync.Mutex
+	open := make(map[string]bool)
+	for {
+		for _, peer := range p.others() {
+			mu.Lock()
+			busy := open[peer.Address]
+			open[peer.Address] = true
+			mu.Unlock()
+			if busy {
+				continue
+			}
+			wg.Go(func() {
+				if err := p.exchangeOnce(ctx, peer, send); err != nil && ctx.Err() == nil {
+					pause(ctx, exchangeRetry)
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				delete(open, peer.Address)
+			})
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(exchangeRetry):
+		pause(ctx, exchangeRetry)
+		if ctx.Err() != nil {
+			return
 		}
 	}
 }
 
+// pause waits for t or until ctx ends.
+func pause(ctx context.Context, t time.Duration) {
+	timer := time.NewTimer(t)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 func (p *peers) exchangeOnce(
 	ctx context.Context, peer parser.Peer, send func(context.Context, messenger.DRPCControl_ExchangeClient) error,
 ) (err error) {
--- a/internal/control/controller/replication.go
+++ b/internal/control/controller/replication.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"verbenareach/internal/config/parser"
 	"verbenareach/internal/control/replicator"
 )
 
@@ -68,3 +69,25 @@
 		(&hosts{replicator: c.replicator}).routes(mux)
 	}
 }
+
+// otherHosts are the control hosts but this one, as agreed on by now or, before
+// anything is known, as in the settings.
+func (c *Controller) otherHosts() []parser.Peer {
+	var others []parser.Peer
+	if c.replicator != nil {
+		for _, m := range c.replicator.Status().Members {
+			if m.Name != c.Name {
+				others = append(others, parser.Peer{Name: m.Name, Address: m.Address})
+			}
+		}
+	}
+	if len(others) > 0 {
+		return others
+	}
+	for _, p := range c.Settings.Peers {
+		if p.Name != c.Name {
+			others = append(others, p)
+		}
+	}
+	return others
+}
