--- /dev/null
+++ b/internal/control/replicator/history_test.go
@@ -0,0 +1,229 @@
+package replicator
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"verbenareach/internal/control/recorder"
+)
+
+// TestHistories runs random histories of cuts, rough links, restarts, damaged logs and
+// leadership transfers, and checks that no acknowledged command is lost or
+// applied twice. The network checks that a term has one leader, and each host that its
+// applied index never falls.
+func TestHistories(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(20261204)
+	parameters.MinSuccessfulTests = 12
+	parameters.Workers = 4
+	properties := gopter.NewProperties(parameters)
+	properties.Property("acknowledged commands survive in order", prop.ForAll(
+		func(seed int64) bool {
+			return t.Run(fmt.Sprint(seed), func(t *testing.T) { history(t, rand.New(rand.NewSource(seed))) })
+		},
+		gen.Int64(),
+	))
+	properties.TestingRun(t)
+}
+
+func history(t *testing.T, rnd *rand.Rand) {
+	n := newNetwork(t, rnd.Int63())
+	peers := []Peer{{"a", "a"}, {"b", "b"}, {"c", "c"}}
+	folder := t.TempDir()
+	for _, p := range peers {
+		n.start(&Replicator{
+			Name: p.Name, Peers: peers, Folder: filepath.Join(folder, p.Name), SnapshotEntries: 15, TrailingEntries: 3,
+		})
+	}
+	n.leader()
+	var acked []string
+	for step := range 40 {
+		switch name := peers[rnd.Intn(3)].Name; rnd.Intn(12) {
+		case 0:
+			n.isolate(name, true)
+		case 1, 2:
+			n.heal()
+		case 3:
+			n.restart(name)
+		case 4:
+			n.mu.Lock()
+			n.rough = !n.rough
+			n.mu.Unlock()
+		case 5:
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			_ = n.host(name).TransferLeadership(ctx)
+			cancel()
+		case 6:
+			n.heal()
+			n.repaired()
+			old := n.host(name)
+			n.stop(name)
+			damage(t, old.Folder)
+			n.start(&Replicator{
+				Name: name, Peers: peers, Folder: old.Folder, SnapshotEntries: 15, TrailingEntries: 3,
+			})
+			n.repaired()
+		default:
+			command := fmt.Sprint("step", step)
+			ctx, cancel := context.WithTimeout(context.Background(), 150*time.Millisecond)
+			if _, _, err := n.host(name).Submit(ctx, []byte(command)); err == nil {
+				acked = append(acked, command)
+			}
+			cancel()
+		}
+	}
+	n.heal()
+	n.propose("last")
+	n.converged(append(acked, "last")...)
+	seen := make(map[string]bool)
+	for _, c := range n.all()[0].commands() {
+		if seen[c] {
+			t.Errorf("%s was applied twice", c)
+		}
+		seen[c] = true
+	}
+}
+
+// heal joins all hosts and makes the links smooth.
+func (n *network) heal() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	clear(n.cut)
+	n.rough = false
+}
+
+// repaired waits until all three hosts vote and answer.
+func (n *network) repaired() {
+	n.t.Helper()
+	n.eventually("three voters", func() bool {
+		alive := 0
+		for _, m := range n.leader().Status().Members {
+			h := n.host(m.Name)
+			if m.Voter && m.Alive && h != nil && h.Status().ID == m.ID {
+				alive++
+			}
+		}
+		return alive == 3
+	})
+}
+
+// TestFullDisk fills the leader's disk: it refuses changes and hands over, and
+// goes on once there is room again. A single host refuses and stays readable.
+func TestFullDisk(t *testing.T) {
+	for _, names := range [][]string{{"a"}, {"a", "b", "c"}} {
+		t.Run(fmt.Sprint(len(names)), func(t *testing.T) {
+			n := newNetwork(t, 12)
+			var peers []Peer
+			for _, name := range names {
+				peers = append(peers, Peer{name, name})
+			}
+			full := make(map[string]*atomic.Bool)
+			folder := t.TempDir()
+			for _, name := range names {
+				full[name] = new(atomic.Bool)
+				n.start(&Replicator{
+					Name: name, Peers: peers, Folder: filepath.Join(folder, name), Files: limited(full[name]),
+				})
+			}
+			lead := n.leader()
+			n.proposeMany(1, 10)
+			lead = n.leader()
+			full[lead.Name].Store(true)
+			ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+			_, _, _ = lead.Propose(ctx, []byte("c11"))
+			cancel()
+			n.eventually("leader knows", func() bool { return lead.Status().DiskFull })
+			if len(names) > 1 {
+				n.eventually("another leader", func() bool { return n.leader() != lead })
+				n.proposeMany(12, 15)
+			}
+			if n.leader() == nil || len(lead.commands()) < 10 {
+				t.Error("not readable")
+			}
+			if len(names) == 1 {
+				if _, _, err := lead.Propose(context.Background(), []byte("refused")); err == nil {
+					t.Error("a full disk accepted a command")
+				}
+			}
+			full[lead.Name].Store(false)
+			n.proposeMany(16, 20)
+			n.converged(commands(16, 20)...)
+			if slices.Contains(lead.commands(), "refused") {
+				t.Error("a refused command was applied")
+			}
+		})
+	}
+}
+
+// limited is the disk, with no room while full is set.
+func limited(full *atomic.Bool) recorder.Files {
+	files := recorder.Disk()
+	wrap := func(f *recorder.File, err error) (*recorder.File, error) {
+		if err != nil {
+			return nil, err
+		}
+		write := f.Write
+		f.Write = func(data []byte) (int, error) {
+			if full.Load() {
+				return 0, syscall.ENOSPC
+			}
+			return write(data)
+		}
+		return f, nil
+	}
+	create, open := files.Create, files.Append
+	files.Create = func(path string) (*recorder.File, error) { return wrap(create(path)) }
+	files.Append = func(path string, size int64) (*recorder.File, error) { return wrap(open(path, size)) }
+	return files
+}
+
+// TestFailedDiskStopsTheHost has a sync fail: the host must not go on.
+func TestFailedDiskStopsTheHost(t *testing.T) {
+	n := newNetwork(t, 13)
+	peers := []Peer{{"a", "a"}, {"b", "b"}, {"c", "c"}}
+	folder := t.TempDir()
+	var broken atomic.Bool
+	files := recorder.Disk()
+	open := files.Create
+	files.Create = func(path string) (*recorder.File, error) {
+		f, err := open(path)
+		if err == nil {
+			sync := f.Sync
+			f.Sync = func() error {
+				if broken.Load() {
+					return os.ErrDeadlineExceeded
+				}
+				return sync()
+			}
+		}
+		return f, err
+	}
+	for _, p := range peers {
+		r := &Replicator{Name: p.Name, Peers: peers, Folder: filepath.Join(folder, p.Name)}
+		if p.Name == "b" {
+			r.Files = files
+		}
+		n.start(r)
+	}
+	n.leader()
+	broken.Store(true)
+	n.proposeMany(1, 5)
+	failed := n.host("b")
+	n.eventually("b stops", func() bool { return failed.Status().ID == "" })
+	if err := n.stop("b"); err == nil {
+		t.Error("Run returned no error")
+	}
+	n.proposeMany(6, 10)
+	n.converged(commands(1, 10)...)
+}
--- a/internal/control/replicator/replicator_test.go
+++ b/internal/control/replicator/replicator_test.go
@@ -319,3 +319,32 @@
 	n.proposeMany(21, 25)
 	n.converged(commands(1, 25)...)
 }
+
+// TestHostThatLacksEntriesIsNotElected has a host miss commands and then stand for
+// election against the only other host that holds them.
+func TestHostThatLacksEntriesIsNotElected(t *testing.T) {
+	n := newNetwork(t, 14)
+	n.cluster("a", "b", "c")
+	for round := range 6 {
+		n.proposeMany(10*round, 10*round+4)
+		lead := n.leader()
+		var behind string
+		for _, h := range n.all() {
+			if h != lead {
+				behind = h.Name
+			}
+		}
+		n.isolate(behind, true)
+		n.proposeMany(10*round+5, 10*round+9)
+		lead = n.leader()
+		if err := n.stop(lead.Name); err != nil {
+			t.Fatal(err)
+		}
+		n.isolate(behind, false)
+		if n.leader().Name == behind {
+			t.Errorf("round %d: %s leads without the newest commands", round, behind)
+		}
+		n.start(&Replicator{Name: lead.Name, Peers: lead.Peers, Folder: lead.Folder})
+		n.converged(commands(0, 10*round+9)...)
+	}
+}
