--- a/internal/control/replicator/election.go
+++ b/internal/control/replicator/election.go
@@ -6,6 +6,16 @@
 	"verbenareach/internal/wire/messenger"
 )
 
+// aloneVotes tells whether this host is the only voter.
+func (r *Replicator) aloneVotes() bool {
+	for _, m := range r.members() {
+		if m.Voter && m.Id != r.rec.ID() {
+			return false
+		}
+	}
+	return len(r.members()) > 0
+}
+
 // becomeFollower follows a term and its leader, if known.
 func (r *Replicator) becomeFollower(term uint64, leads Peer) {
 	if term > r.term {
--- a/internal/control/replicator/history_test.go
+++ b/internal/control/replicator/history_test.go
@@ -136,9 +136,9 @@
 					Name: name, Peers: peers, Folder: filepath.Join(folder, name), Files: limited(full[name]),
 				})
 			}
-			lead := n.leader()
+			n.leader()
 			n.proposeMany(1, 10)
-			lead = n.leader()
+			lead := n.leader()
 			full[lead.Name].Store(true)
 			ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
 			_, _, _ = lead.Propose(ctx, []byte("c11"))
--- a/internal/control/replicator/replicator.go
+++ b/internal/control/replicator/replicator.go
@@ -440,6 +440,9 @@
 	r.commit = max(r.rec.Commit(), r.applied)
 	r.rec.SetCommit(r.commit)
 	r.resetPatience()
+	if r.aloneVotes() {
+		r.patience = 0 // There is no leader to wait for.
+	}
 	r.running = true
 	r.linkMembers()
 	return nil
