--- a/internal/event/logger/agentevents.go
+++ b/internal/event/logger/agentevents.go
@@ -9,12 +9,13 @@
 	AgentStopped       = Event{3003, log.InfoLevel, "agent stopped"}
 	BackendAnnounced   = Event{3101, log.InfoLevel, "backend server announced itself"}
 	BackendLost        = Event{3102, log.WarnLevel, "backend server stopped announcing itself"}
+	EngineHung         = Event{3104, log.ErrorLevel, "engine makes no tokens, its generations go on elsewhere"}
 	MarkTaken          = Event{3103, log.InfoLevel, "leave or return mark taken"}
 	WorkAdmitted       = Event{3201, log.DebugLevel, "generation admitted at the backend server"}
 	WorkDeclined       = Event{3202, log.DebugLevel, "work declined at the backend server"}
 	AttemptEnded       = Event{3203, log.DebugLevel, "attempt ended"}
 	AttemptFailed      = Event{3204, log.WarnLevel, "attempt failed"}
-	AttemptAbandoned   = Event{3205, log.InfoLevel, "attempt cancelled, no caller came back"}
+	AttemptAbandoned   = Event{3205, log.InfoLevel, "attempt abandoned, nobody reads it"}
 	ClaimDispatched    = Event{3301, log.InfoLevel, "claimed call dispatched"}
 	ClaimRefusedAtGate = Event{3302, log.WarnLevel, "claimed call refused"}
 	OrderTaken         = Event{3401, log.InfoLevel, "order passed on to the engine"}
@@ -22,7 +23,7 @@
 	ClaimOutcome       = Event{3303, log.InfoLevel, "claimed call answered"}
 
 	agentEvents = []Event{
-		AgentStarted, AgentStopping, AgentStopped, BackendAnnounced, BackendLost, MarkTaken, WorkAdmitted,
+		AgentStarted, AgentStopping, AgentStopped, BackendAnnounced, BackendLost, EngineHung, MarkTaken, WorkAdmitted,
 		WorkDeclined, AttemptEnded, AttemptFailed, AttemptAbandoned, ClaimDispatched, ClaimRefusedAtGate, ClaimOutcome,
 		OrderTaken, OrderRefused,
 	}
