perf: judge a work by the risk while it runs; let interrupted ones return first

Cause: with heavy tails, admission by the quantile of the total declined short requests because long ones might outgrow memory after those are over; victims waited 5 to 10 s each to come back; large prompts starved behind small ones. Change: a work answers only for a shortage while it still runs itself; an interrupted work goes first and under a higher risk; a declined prompt keeps its place too. Weights map to a risk and to a bound on prompts computed at once.

--- a/internal/agent/admitter/admitter.go
+++ b/internal/agent/admitter/admitter.go
@@ -28,6 +28,10 @@
 	TooLarge Reason = "tooLarge"
 )
 
+// resumeExponent raises the accepted risk for a work that was interrupted: to
+// wait costs its caller more than it does others.
+const resumeExponent = 0.25
+
 // refreshAfter bounds the age of the forecast that admissions rest on.
 const refreshAfter = 50 * time.Millisecond
 
@@ -56,7 +60,7 @@
 		Admit  bool
 		Reason Reason
 		// Expected is the memory that is expected to be used at the peak, in
-		// tokens, this work included.
+		// tokens, with this work if it is admitted.
 		Expected int
 		// RetryAfter is when another try may have a better chance.
 		RetryAfter time.Duration
@@ -97,6 +101,7 @@
 	// head is the declined work that others must not overtake for ever.
 	head struct {
 		work      Work
+		reason    Reason
 		seen      time.Time
 		overtaken int
 	}
@@ -127,13 +132,13 @@
 		return Verdict{Reason: TooLarge}
 	}
 	a.refresh(now)
-	reason, expected := a.judge(now, w)
+	reason := a.judge(now, w)
 	a.remember(now, w, reason)
 	if reason != Admitted {
-		return Verdict{Reason: reason, Expected: expected, RetryAfter: refreshAfter}
+		return Verdict{Reason: reason, Expected: a.peak(), RetryAfter: refreshAfter}
 	}
 	a.start(now, w)
-	return Verdict{Admit: true, Expected: expected}
+	return Verdict{Admit: true, Expected: a.peak()}
 }
 
 // Abandon drops a work that came to no end here: it was cancelled or its
@@ -152,7 +157,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.refresh(now)
-	return a.peak(&a.running)
+	return a.peak()
 }
 
 // Finish tells that a work came to its own end with so many output tokens.
@@ -214,41 +219,51 @@
 	a.computed = time.Time{}
 }
 
-// fits tells whether the works in f need no more than the memory.
-func (a *Admitter) fits(f *forecast) bool {
-	return a.peak(f) <= a.settings.MemoryTokens
-}
-
 // include adds a work that is not admitted to a forecast.
 func (a *Admitter) include(f *forecast, w Work) {
-	curve := a.lengths.Curve(estimator.Key{Workspace: w.Workspace, Kind: w.Kind})
 	var alive [len(horizons)]float64
-	curve.Chances(w.Resumed, horizons[:], alive[:])
+	a.chances(w, &alive)
 	f.add(a.candidate(w), atMost(w, w.Resumed), &alive)
 }
 
+func (a *Admitter) chances(w Work, alive *[len(horizons)]float64) {
+	curve := a.lengths.Curve(estimator.Key{Workspace: w.Workspace, Kind: w.Kind})
+	curve.Chances(w.Resumed, horizons[:], alive[:])
+}
+
 // judge decides on a work without changing anything.
-func (a *Admitter) judge(now time.Time, w Work) (Reason, int) {
-	with := a.running
-	a.include(&with, w)
-	expected := a.peak(&with)
+func (a *Admitter) judge(now time.Time, w Work) Reason {
+	var alive [len(horizons)]float64
+	a.chances(w, &alive)
 	prompt := a.candidate(w)
+	bound := float64(a.settings.MemoryTokens - a.prefixes.tokens())
+	risk := a.settings.Risk
+	if w.Resumed > 0 {
+		risk = math.Pow(risk, resumeExponent)
+	}
+	fits := func(f *forecast) bool {
+		return f.fits(prompt, atMost(w, w.Resumed), &alive, risk, bound)
+	}
 	switch {
 	case len(a.order) >= a.settings.MaxBatch:
-		return Batch, expected
+		return Batch
 	case len(a.order) == 0:
-		return Admitted, expected
+		return Admitted
 	case a.settings.MaxPrefill > 0 && a.prefill > 0 && a.prefill+prompt > a.settings.MaxPrefill:
-		return Prefill, expected
-	case a.short(prompt) || !a.fits(&with):
-		return Memory, expected
+		return Prefill
+	case a.short(prompt) || !fits(&a.running):
+		return Memory
 	case a.headWaits(now, w):
+		if a.head.reason == Prefill {
+			return Overtaking
+		}
+		with := a.running
 		a.include(&with, a.head.work)
-		if !a.fits(&with) {
-			return Overtaking, expected
+		if !fits(&with) {
+			return Overtaking
 		}
 	}
-	return Admitted, expected
+	return Admitted
 }
 
 // headWaits tells whether another work has been overtaken often enough.
@@ -260,8 +275,10 @@
 		now.Sub(h.seen) < a.settings.HeadTimeout
 }
 
-func (a *Admitter) peak(f *forecast) int {
-	return int(math.Ceil(f.peak(a.settings.Caution))) + a.prefixes.tokens()
+// peak returns the quantile of the memory at its peak.
+func (a *Admitter) peak() int {
+	z := probit(1 - a.settings.Risk)
+	return int(math.Ceil(a.running.peak(z))) + a.prefixes.tokens()
 }
 
 // refresh computes the forecast anew when it is too old.
@@ -279,16 +296,23 @@
 }
 
 // remember keeps the place of a work that was declined for its size, and
-// counts those that overtake it.
+// counts those that overtake it. One that was running before goes first, and
+// nothing overtakes it.
 func (a *Admitter) remember(now time.Time, w Work, reason Reason) {
 	h := &a.head
 	if now.Sub(h.seen) >= a.settings.HeadTimeout {
 		*h = head{}
 	}
+	declined := reason == Memory || reason == Prefill
+	resumes := w.Resumed > 0 && h.work.Resumed == 0
 	switch {
-	case reason == Memory && (h.work.ID == "" || h.work.ID == w.ID):
+	case declined && (h.work.ID == "" || h.work.ID == w.ID || resumes):
 		h.work = w
+		h.reason = reason
 		h.seen = now
+		if w.Resumed > 0 {
+			h.overtaken = a.settings.MaxOvertaken
+		}
 	case reason != Admitted || h.work.ID == "":
 	case h.work.ID == w.ID:
 		*h = head{}
--- a/internal/agent/admitter/admitter_test.go
+++ b/internal/agent/admitter/admitter_test.go
@@ -252,6 +252,37 @@
 	}
 }
 
+func TestAdmitResumedFirst(t *testing.T) {
+	s := NewSettings(10_000, ChoirsWeights())
+	s.MaxPrefill = 0
+	a := trained(s, 50)
+	a.Admit(epoch, work("long", 6000))
+	a.Admit(epoch, work("large", 5000))
+	resumed := work("resumed", 4000)
+	resumed.Resumed = 1000
+	if got := a.Admit(epoch, resumed).Reason; got != Memory {
+		t.Fatalf("resumed work: reason %q", got)
+	}
+	if got := a.Admit(epoch, work("small", 50)).Reason; got != Overtaking {
+		t.Errorf("small work overtakes a resumed one: reason %q", got)
+	}
+	a.Finish(epoch, "long", 50)
+	if v := a.Admit(epoch, resumed); !v.Admit {
+		t.Errorf("resumed work declined with memory free: %+v", v)
+	}
+}
+
+func TestNewSettings(t *testing.T) {
+	choirs := NewSettings(60_000, ChoirsWeights())
+	association := NewSettings(60_000, AssociationWeights())
+	if association.Risk >= choirs.Risk || association.MaxPrefill >= choirs.MaxPrefill {
+		t.Errorf("choirs %+v, Association %+v", choirs, association)
+	}
+	if got := NewSettings(60_000, Weights{}); got.Risk <= 0 || got.Risk >= 1 || got.Weights == (Weights{}) {
+		t.Errorf("no weights: %+v", got)
+	}
+}
+
 func TestFinishAtMaximumIsNotALength(t *testing.T) {
 	a := New(NewSettings(100_000, ChoirsWeights()))
 	for i := range 200 {
--- a/internal/agent/admitter/forecast.go
+++ b/internal/agent/admitter/forecast.go
@@ -40,19 +40,44 @@
 	}
 }
 
-// peak returns the highest quantile over all horizons. The quantile is that of
-// a normal distribution at z standard deviations, corrected for skewness
-// (Cornish and Fisher).
+// fits tells whether a work may join the generations of the forecast: at no
+// horizon is the chance that it still runs, and that memory is over bound then,
+// higher than risk. A work that is over soon does not answer for a shortage
+// that others may bring later.
+func (f *forecast) fits(memory, atMost int, alive *[len(horizons)]float64, risk, bound float64) bool {
+	for i, ahead := range horizons {
+		if ahead > atMost || alive[i] <= risk {
+			return true
+		}
+		z := probit(1 - risk/alive[i])
+		if f[i].quantile(z)+float64(memory+ahead) > bound {
+			return false
+		}
+	}
+	return true
+}
+
+// peak returns the highest quantile over all horizons.
 func (f *forecast) peak(z float64) float64 {
 	highest := 0.0
-	for _, m := range f {
-		if m.var2 <= 0 {
-			highest = max(highest, m.mean)
-			continue
-		}
-		sd := math.Sqrt(m.var2)
-		skew := min(max(m.third/(sd*m.var2), -maxSkew), maxSkew)
-		highest = max(highest, m.mean+sd*(z+(z*z-1)*skew/6))
+	for i := range f {
+		highest = max(highest, f[i].quantile(z))
 	}
 	return highest
 }
+
+// quantile returns that of a normal distribution at z standard deviations,
+// corrected for skewness (Cornish and Fisher).
+func (m *moments) quantile(z float64) float64 {
+	if m.var2 <= 0 {
+		return m.mean
+	}
+	sd := math.Sqrt(m.var2)
+	skew := min(max(m.third/(sd*m.var2), -maxSkew), maxSkew)
+	return m.mean + sd*(z+(z*z-1)*skew/6)
+}
+
+// probit returns the quantile of the standard normal distribution.
+func probit(q float64) float64 {
+	return math.Sqrt2 * math.Erfinv(2*q-1)
+}
--- a/internal/agent/admitter/settings.go
+++ b/internal/agent/admitter/settings.go
@@ -24,9 +24,9 @@
 		// MaxBatch is how many generations the engine runs at once; further ones
 		// wait at the entries.
 		MaxBatch int
-		// Caution is the quantile of memory that has to fit, in standard
-		// deviations over the mean.
-		Caution float64
+		// Risk is the highest chance, for each work, that memory runs short
+		// while it is running.
+		Risk float64
 		// MaxPrefill bounds the prompt tokens that are computed at once, since
 		// running generations wait meanwhile; 0 sets no bound. One prompt
 		// alone is always let in.
@@ -52,10 +52,14 @@
 	DefaultMaxOvertaken = 32
 	DefaultHeadTimeout  = 2 * time.Second
 
-	leastCaution = 1.0
-	mostCaution  = 3.0
-	leastPrefill = 512
-	mostPrefill  = 4096
+	// Risk without any weight, and the powers of ten by which a weight on
+	// preemptions, or on stalls and tail latency, lowers it at the most.
+	baseRisk       = 0.15
+	preemptionStep = 1.0
+	latencyStep    = 2.0
+	// mostPrefill is the bound without a weight on the tail of the latency; with
+	// nothing but that weight, one prompt is computed at a time.
+	mostPrefill = 4096
 )
 
 // ChoirsWeights are sample weights where a preemption hurts most.
@@ -70,21 +74,24 @@
 }
 
 // NewSettings returns the settings for an engine's memory that follow from
-// weights: both preemptions and stalls ask for caution, and the tail of the
-// latency between tokens for small portions of prompts.
+// weights. Each weight lowers the risk that is taken: preemptions by one power
+// of ten at the most, stalls and tail latency by two, since these also grow
+// with the memory in use. The weight on the tail asks for small portions of
+// prompts besides.
 func NewSettings(memoryTokens int, w Weights) Settings {
 	sum := w.Preemptions + w.StallTime + w.TailLatency
 	if sum <= 0 {
 		w = Weights{Preemptions: 1, StallTime: 1, TailLatency: 1}
 		sum = 3
 	}
-	memory := (w.Preemptions + w.StallTime) / sum
+	preemptions := w.Preemptions / sum
 	tail := w.TailLatency / sum
+	lower := preemptionStep*preemptions + latencyStep*(1-preemptions)
 	return Settings{
 		MemoryTokens: memoryTokens,
 		MaxBatch:     DefaultMaxBatch,
-		Caution:      leastCaution + (mostCaution-leastCaution)*memory,
-		MaxPrefill:   int(mostPrefill * math.Pow(float64(leastPrefill)/mostPrefill, tail)),
+		Risk:         baseRisk * math.Pow(10, -lower),
+		MaxPrefill:   int(math.Pow(mostPrefill, 1-tail)),
 		Slack:        DefaultSlack,
 		MaxOvertaken: DefaultMaxOvertaken,
 		HeadTimeout:  DefaultHeadTimeout,
--- a/internal/agent/admitter/victims.go
+++ b/internal/agent/admitter/victims.go
@@ -14,6 +14,8 @@
 	// workUnit is the lost work, in tokens, that costs as much as the
 	// preemption itself under equal weights.
 	workUnit = 1000.0
+	// spareRelief is what memory beyond the missing is worth.
+	spareRelief = 0.5
 )
 
 // Victims returns the works that have to give way at now, so that the engine
@@ -77,6 +79,6 @@
 	freed := float64(g.memory())
 	// Memory far beyond what is missing is worth less, but keeps the next
 	// victim away.
-	useful := min(freed, float64(missing)) + 0.5*max(freed-float64(missing), 0)
+	useful := min(freed, float64(missing)) + spareRelief*max(freed-float64(missing), 0)
 	return max(stays*useful, 1e-9)
 }
