feat: admit and preempt by the admitter in the agent

Cause: agents admitted all work and left preemption to the engine. Change: the agent keeps the account of its engine's memory: it declines what would not fit with the wanted probability, by the workspace's weights, lets generations give way (VR3206) where memory runs short, and tells its own, newer load. The end of a generation carries the cached tokens, a failure the reason.

--- a/internal/agent/admitter/admitter.go
+++ b/internal/agent/admitter/admitter.go
@@ -53,6 +53,16 @@
 		Priority  int32
 		// Weights of the workspace; the zero value stands for those of the settings.
 		Weights Weights
+
+		risk float64
+	}
+
+	// Account is the memory of an engine as its admitter keeps it, in tokens.
+	Account struct {
+		Running  int
+		Total    int
+		Used     int
+		Expected int
 	}
 
 	// Verdict is the answer to Admit.
@@ -95,7 +105,6 @@
 		shared int
 		// prefilling is the part of the prompt that counts as being computed.
 		prefilling int
-		since      time.Time
 	}
 
 	// head is the declined work that others must not overtake for ever.
@@ -125,9 +134,7 @@
 	if a.works[w.ID] != nil {
 		return Verdict{Admit: true}
 	}
-	if w.Weights == (Weights{}) {
-		w.Weights = a.settings.Weights
-	}
+	w = a.weighed(w)
 	if w.PromptTokens+w.Resumed >= a.settings.MemoryTokens {
 		return Verdict{Reason: TooLarge}
 	}
@@ -137,13 +144,13 @@
 	if reason != Admitted {
 		return Verdict{Reason: reason, Expected: a.peak(), RetryAfter: refreshAfter}
 	}
-	a.start(now, w)
+	a.start(w)
 	return Verdict{Admit: true, Expected: a.peak()}
 }
 
 // Abandon drops a work that came to no end here: it was cancelled or its
 // engine was lost. Its length so far has been learned from.
-func (a *Admitter) Abandon(_ time.Time, id string) {
+func (a *Admitter) Abandon(id string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if g := a.works[id]; g != nil {
@@ -151,17 +158,21 @@
 	}
 }
 
-// Expected returns the memory that is expected to be used at the peak, in
-// tokens.
-func (a *Admitter) Expected(now time.Time) int {
+// Account returns how the memory stands at now.
+func (a *Admitter) Account(now time.Time) Account {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.refresh(now)
-	return a.peak()
+	return Account{
+		Running:  len(a.order),
+		Total:    a.settings.MemoryTokens,
+		Used:     a.used + a.prefixes.tokens(),
+		Expected: a.peak(),
+	}
 }
 
 // Finish tells that a work came to its own end with so many output tokens.
-func (a *Admitter) Finish(_ time.Time, id string, length int) {
+func (a *Admitter) Finish(id string, length int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	g := a.works[id]
@@ -176,13 +187,14 @@
 	a.drop(g)
 }
 
-// Progress tells that a work has n output tokens.
-func (a *Admitter) Progress(_ time.Time, id string, n int) {
+// Progress tells that a work has n output tokens. If it returns true, memory
+// runs short: then Victims should be called.
+func (a *Admitter) Progress(id string, n int) (short bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	g := a.works[id]
 	if g == nil || n <= g.tokens {
-		return
+		return false
 	}
 	a.used -= g.memory()
 	g.tokens = n
@@ -190,13 +202,23 @@
 	a.used += g.memory()
 	a.prefill -= g.prefilling
 	g.prefilling = 0
+	return a.short(0)
 }
 
-// Used returns the memory that the admitted works hold, in tokens.
-func (a *Admitter) Used() int {
+// SetMemory takes the memory that the engine tells of, in tokens.
+func (a *Admitter) SetMemory(tokens int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.used + a.prefixes.tokens()
+	a.settings.MemoryTokens = tokens
+}
+
+// SetWeights takes new weights, from which risk and the bound of prompts follow.
+func (a *Admitter) SetWeights(w Weights) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.settings.Weights = w
+	a.settings.Risk = w.risk()
+	a.settings.MaxPrefill = w.maxPrefill()
 }
 
 // candidate returns the memory that a work would take now.
@@ -237,7 +259,7 @@
 	a.chances(w, &alive)
 	prompt := a.candidate(w)
 	bound := float64(a.settings.MemoryTokens - a.prefixes.tokens())
-	risk := a.settings.Risk
+	risk := w.risk
 	if w.Resumed > 0 {
 		risk = math.Pow(risk, resumeExponent)
 	}
@@ -327,13 +349,12 @@
 	return a.used+a.prefixes.tokens()+slack+more > a.settings.MemoryTokens
 }
 
-func (a *Admitter) start(now time.Time, w Work) {
+func (a *Admitter) start(w Work) {
 	g := &generation{
 		Work:       w,
 		tracker:    a.lengths.Track(estimator.Key{Workspace: w.Workspace, Kind: w.Kind}, w.Resumed),
 		tokens:     w.Resumed,
 		prefilling: a.candidate(w),
-		since:      now,
 	}
 	a.include(&a.running, w)
 	g.shared = a.prefixes.add(w.Blocks)
@@ -343,6 +364,16 @@
 	a.order = append(a.order, g)
 }
 
+// weighed fills in what the work's weights decide.
+func (a *Admitter) weighed(w Work) Work {
+	if w.Weights == (Weights{}) {
+		w.Weights, w.risk = a.settings.Weights, a.settings.Risk
+		return w
+	}
+	w.risk = w.Weights.risk()
+	return w
+}
+
 // memory returns the tokens of memory that the generation holds alone.
 func (g *generation) memory() int {
 	return blocksOf(g.PromptTokens+g.tokens) - g.shared*hasher.BlockTokens
--- a/internal/agent/admitter/admitter_test.go
+++ b/internal/agent/admitter/admitter_test.go
@@ -27,7 +27,7 @@
 	for i := range 300 {
 		id := fmt.Sprint("past-", i)
 		a.Admit(epoch, work(id, 1))
-		a.Finish(epoch, id, length)
+		a.Finish(id, length)
 	}
 	return a
 }
@@ -75,20 +75,20 @@
 						break
 					}
 					tokens[id] = 0
-					if a.Used() > s.MemoryTokens {
+					if a.Account(now).Used > s.MemoryTokens {
 						return false
 					}
 				case op == 0:
-					a.Finish(now, id, tokens[id])
+					a.Finish(id, tokens[id])
 				case op == 1:
-					a.Abandon(now, id)
+					a.Abandon(id)
 				default:
 					tokens[id] += r.IntN(50)
-					a.Progress(now, id, tokens[id])
+					a.Progress(id, tokens[id])
 				}
 				used, prefill := recount(a)
-				if used != a.Used() || prefill != a.prefill || len(a.order) != len(a.works) {
-					t.Logf("step %d: used %d, want %d; prefill %d, want %d", i, a.Used(), used, a.prefill, prefill)
+				if used != a.Account(now).Used || prefill != a.prefill || len(a.order) != len(a.works) {
+					t.Logf("step %d: used %d, want %d; prefill %d, want %d", i, a.Account(now).Used, used, a.prefill, prefill)
 					return false
 				}
 			}
@@ -161,7 +161,7 @@
 	if v := a.Admit(epoch, urgent); !v.Admit {
 		t.Errorf("urgent work was held back: %+v", v)
 	}
-	a.Finish(epoch, "long", 50)
+	a.Finish("long", 50)
 	if v := a.Admit(epoch, large); !v.Admit {
 		t.Errorf("large work declined with memory free: %+v", v)
 	}
@@ -208,7 +208,7 @@
 			"low",
 		},
 		{
-			"a light workspace first",
+			"a workspace that minds least first",
 			[]Work{
 				{ID: "heavy", Workspace: "w", Kind: "chat", PromptTokens: 2500, Weights: Weights{Preemptions: 100}},
 				{ID: "light", Workspace: "w", Kind: "chat", PromptTokens: 1400, Weights: Weights{Preemptions: 1}},
@@ -226,25 +226,22 @@
 				w := work(id, 1)
 				w.Kind = "rota"
 				a.Admit(epoch, w)
-				a.Finish(epoch, id, 4000)
+				a.Finish(id, 4000)
 			}
 			rota := work("rota", 100)
 			rota.Kind = "rota"
-			rota.Weights = s.Weights
-			a.start(epoch, rota)
-			a.Progress(epoch, "rota", 3900)
+			a.start(a.weighed(rota))
+			a.Progress("rota", 3900)
 			for i, w := range tt.rest {
-				w.Weights = orDefault(w.Weights, s.Weights)
-				a.start(epoch, w)
-				a.Progress(epoch, w.ID, tt.grow[i])
+				a.start(a.weighed(w))
+				a.Progress(w.ID, tt.grow[i])
 			}
 			if got := a.Victims(epoch); len(got) != 0 {
 				t.Fatalf("victims %v while memory suffices", got)
 			}
-			filler := work("filler", 10_000-a.Used()-8)
+			filler := work("filler", 10_000-a.Account(epoch).Used-8)
 			filler.Priority = 30
-			filler.Weights = s.Weights
-			a.start(epoch, filler)
+			a.start(a.weighed(filler))
 			if got := a.Victims(epoch.Add(time.Second)); len(got) != 1 || got[0] != tt.want {
 				t.Errorf("victims %v, want %s", got, tt.want)
 			}
@@ -266,7 +263,7 @@
 	if got := a.Admit(epoch, work("small", 50)).Reason; got != Overtaking {
 		t.Errorf("small work overtakes a resumed one: reason %q", got)
 	}
-	a.Finish(epoch, "long", 50)
+	a.Finish("long", 50)
 	if v := a.Admit(epoch, resumed); !v.Admit {
 		t.Errorf("resumed work declined with memory free: %+v", v)
 	}
@@ -278,7 +275,7 @@
 	if association.Risk >= choirs.Risk || association.MaxPrefill >= choirs.MaxPrefill {
 		t.Errorf("choirs %+v, Association %+v", choirs, association)
 	}
-	if got := NewSettings(60_000, Weights{}); got.Risk <= 0 || got.Risk >= 1 || got.Weights == (Weights{}) {
+	if got := NewSettings(60_000, Weights{}); got.Risk <= association.Risk || got.Risk >= choirs.Risk {
 		t.Errorf("no weights: %+v", got)
 	}
 }
@@ -289,7 +286,7 @@
 		w := work(strconv.Itoa(i), 1)
 		w.MaxTokens = 100
 		a.Admit(epoch, w)
-		a.Finish(epoch, w.ID, 100)
+		a.Finish(w.ID, 100)
 	}
 	w := work("x", 1)
 	a.Admit(epoch, w)
@@ -298,18 +295,11 @@
 	}
 }
 
-func orDefault(w, settings Weights) Weights {
-	if w == (Weights{}) {
-		return settings
-	}
-	return w
-}
-
 func BenchmarkAdmit(b *testing.B) {
 	a := New(NewSettings(60_000, ChoirsWeights()))
 	for i := range 60 {
-		a.start(epoch, work(strconv.Itoa(i), 500))
-		a.Progress(epoch, strconv.Itoa(i), i*7)
+		a.start(work(strconv.Itoa(i), 500))
+		a.Progress(strconv.Itoa(i), i*7)
 	}
 	blocks := make([]uint64, 30)
 	for i := range blocks {
@@ -322,7 +312,7 @@
 	for b.Loop() {
 		now = now.Add(5 * time.Millisecond)
 		if a.Admit(now, w).Admit {
-			a.Abandon(now, "x")
+			a.Abandon("x")
 		}
 	}
 }
@@ -332,7 +322,7 @@
 	a.Admit(epoch, work("x", 500))
 	b.ReportAllocs()
 	for n := 1; b.Loop(); n++ {
-		a.Progress(epoch, "x", n)
+		a.Progress("x", n)
 	}
 }
 
--- a/internal/agent/admitter/settings.go
+++ b/internal/agent/admitter/settings.go
@@ -9,8 +9,8 @@
 )
 
 type (
-	// Weights are the relative costs of what hurts callers, 0 or more; only
-	// their proportions count.
+	// Weights are the relative costs of what hurts callers, 0 or more. Their
+	// proportions decide what is risked, their size who gives way to whom.
 	Weights struct {
 		Preemptions float64
 		StallTime   float64
@@ -24,8 +24,8 @@
 		// MaxBatch is how many generations the engine runs at once; further ones
 		// wait at the entries.
 		MaxBatch int
-		// Risk is the highest chance, for each work, that memory runs short
-		// while it is running.
+		// Risk is the highest chance that memory runs short while a work runs,
+		// for works without weights of their own.
 		Risk float64
 		// MaxPrefill bounds the prompt tokens that are computed at once, since
 		// running generations wait meanwhile; 0 sets no bound. One prompt
@@ -40,7 +40,7 @@
 		// HeadTimeout is how long a declined generation keeps its place without
 		// being offered again.
 		HeadTimeout time.Duration
-		// Weights apply to generations without their own.
+		// Weights apply to works without their own.
 		Weights Weights
 	}
 )
@@ -79,22 +79,36 @@
 // with the memory in use. The weight on the tail asks for small portions of
 // prompts besides.
 func NewSettings(memoryTokens int, w Weights) Settings {
-	sum := w.Preemptions + w.StallTime + w.TailLatency
-	if sum <= 0 {
-		w = Weights{Preemptions: 1, StallTime: 1, TailLatency: 1}
-		sum = 3
-	}
-	preemptions := w.Preemptions / sum
-	tail := w.TailLatency / sum
-	lower := preemptionStep*preemptions + latencyStep*(1-preemptions)
 	return Settings{
 		MemoryTokens: memoryTokens,
 		MaxBatch:     DefaultMaxBatch,
-		Risk:         baseRisk * math.Pow(10, -lower),
-		MaxPrefill:   int(math.Pow(mostPrefill, 1-tail)),
+		Risk:         w.risk(),
+		MaxPrefill:   w.maxPrefill(),
 		Slack:        DefaultSlack,
 		MaxOvertaken: DefaultMaxOvertaken,
 		HeadTimeout:  DefaultHeadTimeout,
 		Weights:      w,
 	}
 }
+
+// maxPrefill returns the bound of prompt tokens computed at once that follows
+// from the weights.
+func (w Weights) maxPrefill() int {
+	w = w.normal()
+	return int(math.Pow(mostPrefill, 1-w.TailLatency))
+}
+
+// normal returns weights of the same proportions whose sum is 1.
+func (w Weights) normal() Weights {
+	sum := w.Preemptions + w.StallTime + w.TailLatency
+	if sum <= 0 {
+		return Weights{Preemptions: 1. / 3, StallTime: 1. / 3, TailLatency: 1. / 3}
+	}
+	return Weights{Preemptions: w.Preemptions / sum, StallTime: w.StallTime / sum, TailLatency: w.TailLatency / sum}
+}
+
+// risk returns the accepted risk that follows from the weights.
+func (w Weights) risk() float64 {
+	w = w.normal()
+	return baseRisk * math.Pow(10, -preemptionStep*w.Preemptions-latencyStep*(w.StallTime+w.TailLatency))
+}
--- a/internal/agent/admitter/victims.go
+++ b/internal/agent/admitter/victims.go
@@ -18,9 +18,9 @@
 	spareRelief = 0.5
 )
 
-// Victims returns the works that have to give way at now, so that the engine
-// does not run out of memory; it is empty in most cases. The caller cancels
-// them and calls Abandon; they go on later with their tokens.
+// Victims drops the works that have to give way at now, so that the engine does
+// not run out of memory, and returns their ids; none in most cases. The caller
+// cancels them; they go on later with their tokens.
 func (a *Admitter) Victims(now time.Time) []string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -29,25 +29,23 @@
 	}
 	a.refresh(now)
 	var ids []string
-	chosen := make(map[*generation]bool)
-	missing := a.used + a.prefixes.tokens() + len(a.order)*a.settings.Slack - a.settings.MemoryTokens
-	for missing > 0 && len(chosen) < len(a.order)-1 {
-		g := a.cheapest(missing, chosen)
-		chosen[g] = true
+	for len(a.order) > 1 {
+		missing := a.used + a.prefixes.tokens() + len(a.order)*a.settings.Slack - a.settings.MemoryTokens
+		if missing <= 0 {
+			break
+		}
+		g := a.cheapest(missing)
 		ids = append(ids, g.ID)
-		missing -= g.memory() + a.settings.Slack
+		a.drop(g)
 	}
 	return ids
 }
 
 // cheapest returns the work whose loss costs least for the memory that it frees.
-func (a *Admitter) cheapest(missing int, chosen map[*generation]bool) *generation {
+func (a *Admitter) cheapest(missing int) *generation {
 	var best *generation
 	lowest := math.Inf(1)
 	for _, g := range a.order {
-		if chosen[g] {
-			continue
-		}
 		if cost := g.cost() / g.relief(missing); cost < lowest {
 			best, lowest = g, cost
 		}
--- a/internal/agent/bufferer/buffer.go
+++ b/internal/agent/bufferer/buffer.go
@@ -20,6 +20,10 @@
 		// RefusedStatus is the HTTP status with which the engine refused the request
 		// before it ran; 0 if it did not.
 		RefusedStatus int
+		// Preempted tells that the attempt gave way to others for memory.
+		Preempted bool
+		// CachedTokens is the part of the prompt that the engine had in its cache.
+		CachedTokens uint32
 	}
 
 	// Buffer holds the tokens of one attempt from index First on. One goroutine
--- a/internal/agent/server/agent.go
+++ b/internal/agent/server/agent.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 	"storj.io/drpc/drpcmux"
 
+	"verbenareach/internal/agent/admitter"
 	"verbenareach/internal/agent/dispatcher"
 	"verbenareach/internal/agent/gatekeeper"
 	"verbenareach/internal/control/registrar"
@@ -55,9 +56,6 @@
 		RecordOutcome func(ctx context.Context, claim *messenger.Claim, reply *messenger.CallReply) (*messenger.ClaimReply, error)
 		// Report tells control of the work behind this agent.
 		Report func(r Status)
-		// AdmitMemory returns a DeclinedError when a generation would not fit; nil
-		// admits all.
-		AdmitMemory func(now time.Time, start *messenger.GenerateStart) error
 		// ResumeGrace and KeepEnded bound how long unread generations are held; 0
 		// for the defaults.
 		ResumeGrace time.Duration
@@ -69,7 +67,10 @@
 
 		gate       *gatekeeper.Gate
 		dispatcher *dispatcher.Dispatcher
-		load       atomic.Pointer[messenger.Load]
+		// load is the engine's last report.
+		load atomic.Pointer[messenger.Load]
+		// memory keeps the account of the engine's memory; nil while it is unknown.
+		memory atomic.Pointer[admitter.Admitter]
 		// calls counts the calls that reached the gate.
 		calls atomic.Uint64
 
@@ -174,7 +175,7 @@
 
 // report tells control how things stand.
 func (a *Agent) report(now time.Time) {
-	status := Status{MarkNumber: a.gate.Mark().Number, Load: a.load.Load()}
+	status := Status{MarkNumber: a.gate.Mark().Number, Load: a.currentLoad(now)}
 	for _, w := range a.gate.InProgress() {
 		status.InProgress++
 		status.Oldest = max(status.Oldest, now.Sub(w.StartedAt))
@@ -197,6 +198,7 @@
 		changed := a.Changed()
 		mark := a.View().Mark(a.Self.Name)
 		a.takeMark(time.Now(), mark.Number, mark.Leaving)
+		a.weighMemory()
 		select {
 		case <-changed:
 		case <-ctx.Done():
--- a/internal/agent/server/backend.go
+++ b/internal/agent/server/backend.go
@@ -121,6 +121,7 @@
 	a.Self.Backend = said.backend()
 	self := a.Self
 	a.mu.Unlock()
+	a.sizeMemory(int(said.MemoryTokens))
 	a.gate.SetReady(true)
 	a.Announce(self)
 	a.Log.Emit(now, logger.BackendAnnounced, a.Self.Name, logger.F("kind", said.Kind), logger.F("address", said.Address))
--- a/internal/agent/server/generate.go
+++ b/internal/agent/server/generate.go
@@ -40,9 +40,9 @@
 func (a *Agent) serveStart(stream messenger.DRPCAgent_GenerateStream, start *messenger.GenerateStart) error {
 	s, err := a.open(time.Now(), start)
 	if err != nil {
-		return sendDeclined(stream, a.load.Load(), err)
+		return sendDeclined(stream, a.currentLoad(time.Now()), err)
 	}
-	admitted := &messenger.Admitted{Load: a.load.Load(), Incarnation: a.Self.Incarnation}
+	admitted := &messenger.Admitted{Load: a.currentLoad(time.Now()), Incarnation: a.Self.Incarnation}
 	return a.serve(stream, s, s.buffer.First, admitted)
 }
 
@@ -50,9 +50,9 @@
 	s := a.session(attach.GetGenerationId())
 	wrongPlace := attach.GetIncarnation() != 0 && attach.GetIncarnation() != a.Self.Incarnation
 	if s == nil || wrongPlace || s.start.GetWorkspace() != attach.GetWorkspace() {
-		return sendDeclined(stream, a.load.Load(), &gatekeeper.DeclinedError{Reason: messenger.DeclineReason_DECLINE_REASON_NOT_FOUND})
+		return sendDeclined(stream, a.currentLoad(time.Now()), &gatekeeper.DeclinedError{Reason: messenger.DeclineReason_DECLINE_REASON_NOT_FOUND})
 	}
-	admitted := &messenger.Admitted{Load: a.load.Load(), Incarnation: a.Self.Incarnation, Start: s.start}
+	admitted := &messenger.Admitted{Load: a.currentLoad(time.Now()), Incarnation: a.Self.Incarnation, Start: s.start}
 	return a.serve(stream, s, attach.GetNextIndex(), admitted)
 }
 
@@ -96,7 +96,7 @@
 			return sendResult(ctx, stream, epoch, next, result)
 		default:
 			down = &messenger.GenerateDown{Body: &messenger.GenerateDown_Progress{
-				Progress: &messenger.Progress{Load: a.load.Load(), NextIndex: next},
+				Progress: &messenger.Progress{Load: a.currentLoad(time.Now()), NextIndex: next},
 			}}
 		}
 		if err := stream.Send(down); err != nil {
@@ -134,7 +134,7 @@
 	down := failedDown(epoch, result)
 	if result.Cause == "" {
 		down = &messenger.GenerateDown{Body: &messenger.GenerateDown_End{
-			End: &messenger.GenerateEnd{Epoch: epoch, NextIndex: next, FinishReason: result.FinishReason},
+			End: &messenger.GenerateEnd{Epoch: epoch, NextIndex: next, FinishReason: result.FinishReason, CachedTokens: result.CachedTokens},
 		}}
 	}
 	if err := stream.Send(down); err != nil {
@@ -145,9 +145,13 @@
 }
 
 func failedDown(epoch uint32, result *bufferer.Result) *messenger.GenerateDown {
-	return &messenger.GenerateDown{Body: &messenger.GenerateDown_Failed{Failed: &messenger.GenerateFailed{
+	failed := &messenger.GenerateFailed{
 		Epoch: epoch, Cause: result.Cause, Resumable: result.Resumable, RefusedStatus: uint32(result.RefusedStatus),
-	}}}
+	}
+	if result.Preempted {
+		failed.Reason = messenger.DeclineReason_DECLINE_REASON_MEMORY
+	}
+	return &messenger.GenerateDown{Body: &messenger.GenerateDown_Failed{Failed: failed}}
 }
 
 func sendDeclined(stream messenger.DRPCAgent_GenerateStream, load *messenger.Load, err error) error {
--- a/internal/agent/server/session.go
+++ b/internal/agent/server/session.go
@@ -58,6 +58,7 @@
 	if newer := a.sessions[start.GetGenerationId()]; newer != nil && newer.start.GetEpoch() >= start.GetEpoch() {
 		a.mu.Unlock()
 		cancel()
+		a.finishMemory(work.ID, nil, 0)
 		a.gate.Finish(work.ID)
 		return nil, &gatekeeper.DeclinedError{Reason: messenger.DeclineReason_DECLINE_REASON_OLD_EPOCH}
 	}
@@ -82,10 +83,7 @@
 	if !b.announced.backend().Serves(start.GetModel(), start.GetAdapter(), start.GetVersion()) {
 		return &gatekeeper.DeclinedError{Reason: messenger.DeclineReason_DECLINE_REASON_UNKNOWN_MODEL}
 	}
-	if a.AdmitMemory == nil {
-		return nil
-	}
-	return a.AdmitMemory(now, start)
+	return a.admitMemory(now, start)
 }
 
 // run carries one attempt from the engine to its buffer.
@@ -98,6 +96,7 @@
 	result := a.generate(ctx, s)
 	s.buffer.Finish(result)
 	next, final := s.buffer.Next()
+	a.finishMemory(work, final, next)
 	ev := logger.AttemptEnded
 	if final.Cause != "" {
 		ev = logger.AttemptFailed
@@ -121,6 +120,7 @@
 		return bufferer.Result{Cause: err.Error(), Resumable: true}
 	}
 	defer stream.Close()
+	work := workID(s.start)
 	g := sequencer.Generation{ID: s.start.GetGenerationId(), Epoch: s.start.GetEpoch(), Next: s.buffer.First}
 	for {
 		token, err := stream.Next()
@@ -136,9 +136,10 @@
 				s.buffer.Append(token.Text)
 			}
 			g = after
+			a.growMemory(work, g.Next)
 		}
 		if token.FinishReason != "" {
-			return bufferer.Result{FinishReason: token.FinishReason}
+			return bufferer.Result{FinishReason: token.FinishReason, CachedTokens: stream.CachedTokens}
 		}
 	}
 }
--- a/internal/event/logger/agentevents.go
+++ b/internal/event/logger/agentevents.go
@@ -15,6 +15,7 @@
 	AttemptEnded       = Event{3203, log.DebugLevel, "attempt ended"}
 	AttemptFailed      = Event{3204, log.WarnLevel, "attempt failed"}
 	AttemptAbandoned   = Event{3205, log.InfoLevel, "attempt cancelled, no caller came back"}
+	WorkPreempted      = Event{3206, log.WarnLevel, "generation gives way, memory runs short"}
 	ClaimDispatched    = Event{3301, log.InfoLevel, "claimed call dispatched"}
 	ClaimRefusedAtGate = Event{3302, log.WarnLevel, "claimed call refused"}
 	OrderTaken         = Event{3401, log.InfoLevel, "order passed on to the engine"}
@@ -23,7 +24,7 @@
 
 	agentEvents = []Event{
 		AgentStarted, AgentStopping, AgentStopped, BackendAnnounced, BackendLost, MarkTaken, WorkAdmitted,
-		WorkDeclined, AttemptEnded, AttemptFailed, AttemptAbandoned, ClaimDispatched, ClaimRefusedAtGate, ClaimOutcome,
+		WorkDeclined, AttemptEnded, AttemptFailed, AttemptAbandoned, WorkPreempted, ClaimDispatched, ClaimRefusedAtGate, ClaimOutcome,
 		OrderTaken, OrderRefused,
 	}
 )
--- a/internal/experiment/experimenter/policies.go
+++ b/internal/experiment/experimenter/policies.go
@@ -168,18 +168,17 @@
 			}).Admit
 		}).policy()
 		done := p.finished
-		p.progressed = func(now time.Time, n *node, j *job) {
-			admitters[n].Progress(now, j.name, j.generated)
+		p.progressed = func(_ time.Time, n *node, j *job) {
+			admitters[n].Progress(j.name, j.generated)
 		}
 		p.finished = func(now time.Time, n *node, j *job) {
-			admitters[n].Finish(now, j.name, j.generated)
+			admitters[n].Finish(j.name, j.generated)
 			done(now, n, j)
 		}
 		p.victims = func(now time.Time, n *node) []uint64 {
 			var ids []uint64
 			for _, name := range admitters[n].Victims(now) {
 				id, _ := strconv.ParseUint(name, 10, 64)
-				admitters[n].Abandon(now, name)
 				done(now, n, n.jobs[id])
 				ids = append(ids, id)
 			}
