feat: let the entry learn lengths, prefer interrupted generations and see caches' hits

Cause: the router counted a constant for a generation's growth; an attempt after the first one was told the first one's deadline, so an agent declined to go on with a generation older than 30 s; a generation that gave way for memory counted as its backend server's failure and had 20 s to find another.

--- a/internal/agent/admitter/settings.go
+++ b/internal/agent/admitter/settings.go
@@ -48,7 +48,7 @@
 // Default values of Settings.
 const (
 	DefaultMaxBatch     = 128
-	DefaultSlack        = 4
+	DefaultSlack        = 8
 	DefaultMaxOvertaken = 32
 	DefaultHeadTimeout  = 2 * time.Second
 
--- a/internal/entry/placer/engines.go
+++ b/internal/entry/placer/engines.go
@@ -18,12 +18,12 @@
 	p.follow(now)
 	var target relayer.Target
 	contract, _ := p.View().Contract(start.GetWorkspace())
-	req := p.routeRequest(now, start, avoid)
+	req := p.routeRequest(start, avoid)
 	err := p.Queue.Wait(ctx, now, queuer.Request{
 		Class:     class(start),
 		Workspace: start.GetWorkspace(),
 		Share:     contract.Share,
-		Priority:  contract.Priority,
+		Priority:  contract.Priority + resumedFirst(start),
 		Cost:      float64(req.Expected),
 		Deadline:  deadline,
 		Place: func(now time.Time) queuer.Verdict {
@@ -38,6 +38,10 @@
 // ReportGeneration notes how an attempt went.
 func (p *Placer) ReportGeneration(now time.Time, target relayer.Target, outcome relayer.Outcome) {
 	p.Router.Done(now, target.Server, target.Reserved)
+	p.tellRouter(target, outcome)
+	if outcome.Ended && p.Ended != nil {
+		p.Ended(outcome.Start)
+	}
 	p.mu.Lock()
 	s := p.servers[target.Server]
 	if s != nil {
@@ -90,6 +94,7 @@
 		p.Router.Sent(now, c.Name, req, req.Expected)
 		return relayer.Target{
 			Server: c.Name, Address: s.member.Address, Incarnation: s.member.Incarnation, Reserved: req.Expected,
+			Cached: c.CachedTokens,
 		}, queuer.Placed
 	}
 	if p.serves(start) {
@@ -114,14 +119,16 @@
 	return p.Router.Choose(now, &wider, dst)
 }
 
-func (p *Placer) routeRequest(now time.Time, start *messenger.GenerateStart, avoid []relayer.Target) *router.Request {
+func (p *Placer) routeRequest(start *messenger.GenerateStart, avoid []relayer.Target) *router.Request {
+	made := len(start.GetDelivered())
 	grown := defaultExpected
 	if p.Expect != nil {
-		grown = p.Expect(now, start)
+		grown = p.Expect(start)
 	}
 	if most := int(start.GetMaxTokens()); most > 0 {
-		grown = min(grown, most)
+		grown = min(grown, most-made)
 	}
+	grown += made
 	req := &router.Request{
 		Model:        router.Model{Model: start.GetModel(), Adapter: start.GetAdapter(), Version: start.GetVersion()},
 		PromptTokens: int(start.GetPromptTokens()),
@@ -147,3 +154,26 @@
 func class(start *messenger.GenerateStart) string {
 	return start.GetModel() + "/" + start.GetAdapter() + "/" + start.GetVersion()
 }
+
+// tellRouter passes on what an attempt showed of its backend server.
+func (p *Placer) tellRouter(target relayer.Target, outcome relayer.Outcome) {
+	if l := outcome.Load; l != nil && l.GetReportedAt() != 0 {
+		p.Router.Report(target.Server, router.Load{
+			Running: int(l.GetRunning()), Waiting: int(l.GetWaiting()), MemoryTotal: int(l.GetMemoryTokensTotal()),
+			MemoryUsed: int(l.GetMemoryTokensUsed()), MemoryExpected: int(l.GetMemoryTokensExpected()),
+			ReportedAt: time.Unix(0, l.GetReportedAt()), Leaving: l.GetLeaving(),
+		})
+	}
+	if outcome.Ended {
+		p.Router.Confirm(target.Server, target.Cached, outcome.CachedTokens)
+	}
+}
+
+// resumedFirst returns what an interrupted generation's priority is raised by:
+// its caller has begun to read.
+func resumedFirst(start *messenger.GenerateStart) int32 {
+	if len(start.GetDelivered()) == 0 {
+		return 0
+	}
+	return resumedPriority
+}
--- a/internal/entry/placer/placer.go
+++ b/internal/entry/placer/placer.go
@@ -28,6 +28,8 @@
 	// awayPause is how long one is left alone that declined for another reason or
 	// could not be reached.
 	awayPause = 250 * time.Millisecond
+	// resumedPriority is added to the priority of an interrupted generation.
+	resumedPriority = 2
 	// defaultExpected is what a generation is expected to grow to, in tokens, when
 	// nothing is known.
 	defaultExpected = 256
@@ -45,9 +47,11 @@
 		// Load returns what control last passed on of a backend server's load; nil for
 		// nothing.
 		Load func(server string) (follower.Load, bool)
-		// Expect estimates how many tokens a generation will grow to, its prompt not
-		// counted; nil for a constant.
-		Expect func(now time.Time, start *messenger.GenerateStart) int
+		// Expect estimates how many more tokens a generation will make; nil for a
+		// constant.
+		Expect func(start *messenger.GenerateStart) int
+		// Ended hears of a generation that came to its own end; nil for nobody to hear.
+		Ended  func(start *messenger.GenerateStart)
 		Router *router.Router
 		Queue  *queuer.Queue
 		// Ejector's Size is set by the placer.
--- a/internal/entry/relayer/attempt.go
+++ b/internal/entry/relayer/attempt.go
@@ -41,6 +41,8 @@
 		tokens        uint64
 		// firstToken is the time to the first token.
 		firstToken time.Duration
+		// cached is the part of the prompt that the engine had in its cache.
+		cached uint32
 		// callerGone is true when the attempt was left because of the caller.
 		callerGone bool
 	}
@@ -64,7 +66,7 @@
 		logger.F("epoch", c.generation.Epoch), logger.F("from", c.generation.Next))
 	result, err := c.follow(ctx, target, &messenger.GenerateUp{Body: &messenger.GenerateUp_Start{Start: start}})
 	result.callerGone = err != nil
-	c.relayer.report(target, result)
+	c.relayer.report(c.startMessage(target), target, result)
 	return result, err
 }
 
@@ -164,6 +166,7 @@
 		case *messenger.GenerateDown_Failed:
 			result.kind, result.cause = attemptFinal, body.Failed.GetCause()
 			result.refusedStatus = int(body.Failed.GetRefusedStatus())
+			result.reason = body.Failed.GetReason()
 			if body.Failed.GetResumable() {
 				result.kind = attemptLost
 			}
@@ -214,7 +217,7 @@
 		return result, &CallerError{Err: err}
 	}
 	l.send(&messenger.GenerateUp{Body: &messenger.GenerateUp_Ack{Ack: &messenger.GenerateAck{NextIndex: c.generation.Next}}})
-	result.kind = attemptEnded
+	result.kind, result.cached = attemptEnded, end.GetCachedTokens()
 	c.relayer.Log.Emit(time.Now(), logger.GenerationEnded, c.generation.ID, logger.F("tokens", c.generation.Next), logger.F("finish", end.GetFinishReason()))
 	return result, nil
 }
--- a/internal/entry/relayer/course.go
+++ b/internal/entry/relayer/course.go
@@ -28,6 +28,8 @@
 		// maybeElsewhere is true once an attempt broke off without an answer, so that
 		// a later decline proves nothing.
 		maybeElsewhere bool
+		// deadline is until when the current attempt must be admitted.
+		deadline time.Time
 		// avoid are the targets that declined or lost the generation lately.
 		avoid []Target
 	}
@@ -35,11 +37,12 @@
 
 // run makes attempts until the generation is whole or nothing can go on.
 func (c *course) run(ctx context.Context, deadline time.Time) error {
+	c.deadline = deadline
 	for {
-		target, err := c.relayer.Choose(ctx, time.Now(), c.start, c.avoid, deadline)
+		target, err := c.relayer.Choose(ctx, time.Now(), c.startMessage(Target{}), c.avoid, c.deadline)
 		if ctx.Err() != nil {
 			if err == nil {
-				c.relayer.report(target, attemptResult{kind: attemptDeclined, callerGone: true})
+				c.relayer.report(c.startMessage(target), target, attemptResult{kind: attemptDeclined, callerGone: true})
 			}
 			return &CallerError{Err: ctx.Err()}
 		}
@@ -59,7 +62,10 @@
 		case attemptFinal:
 			return c.failed(result)
 		case attemptLost:
-			deadline = time.Now().Add(c.relayer.resumeTimeout())
+			c.deadline = time.Now().Add(c.relayer.resumeTimeout())
+			if result.reason == messenger.DeclineReason_DECLINE_REASON_MEMORY {
+				c.deadline = time.Now().Add(preemptedTimeout)
+			}
 			if ended, err := c.recover(ctx, target, result); ended || err != nil {
 				return err
 			}
@@ -156,6 +162,6 @@
 		Model: from.GetModel(), Adapter: from.GetAdapter(), Version: from.GetVersion(), Path: from.GetPath(),
 		Request: from.GetRequest(), Delivered: c.texts, Seed: from.GetSeed(), MaxTokens: from.GetMaxTokens(),
 		Priority: from.GetPriority(), Kind: from.GetKind(), PromptTokens: from.GetPromptTokens(),
-		PrefixHashes: from.GetPrefixHashes(), AdmitDeadline: from.GetAdmitDeadline(), Incarnation: target.Incarnation,
+		PrefixHashes: from.GetPrefixHashes(), AdmitDeadline: c.deadline.UnixNano(), Incarnation: target.Incarnation,
 	}
 }
--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -23,6 +23,9 @@
 	// DefaultResumeTimeout bounds the search for a backend server that goes on
 	// with a generation.
 	DefaultResumeTimeout = 20 * time.Second
+	// preemptedTimeout bounds that search for a generation that gave way for
+	// memory: its caller has waited for long and waits on.
+	preemptedTimeout = 5 * time.Minute
 
 	ackEvery = time.Second
 )
@@ -36,6 +39,8 @@
 		Incarnation uint64
 		// Reserved is what Choose counted for the generation there, in tokens.
 		Reserved int
+		// Cached is how much of the prompt Choose held it to have, in tokens.
+		Cached int
 	}
 
 	// Request is a generation to be made. It is not changed once it runs.
@@ -84,7 +89,16 @@
 		CallerGone bool
 		// FirstToken is the time to the first token; 0 if none came.
 		FirstToken time.Duration
-		// Reason is set when the backend server declined.
+		// Start is what the backend server was asked for, with all tokens delivered
+		// by now.
+		Start *messenger.GenerateStart
+		// Ended is true when the generation came to its own end.
+		Ended bool
+		// CachedTokens is the part of the prompt that the engine had in its cache,
+		// known when the generation ended.
+		CachedTokens int
+		// Reason is set when the backend server declined, and when an attempt was
+		// lost as it gave way to others.
 		Reason messenger.DeclineReason
 		// Load is what the backend server last told; nil if nothing.
 		Load *messenger.Load
@@ -190,13 +204,13 @@
 	}
 }
 
-func (r *Relayer) report(target Target, result attemptResult) {
+func (r *Relayer) report(start *messenger.GenerateStart, target Target, result attemptResult) {
 	if r.Report == nil {
 		return
 	}
 	r.Report(time.Now(), target, Outcome{
 		Admitted: result.admitted, Lost: result.kind == attemptLost, Reason: result.reason,
-		Load: result.load, Tokens: result.tokens, CallerGone: result.callerGone, FirstToken: result.firstToken,
+		Start: start, Ended: result.kind == attemptEnded, CachedTokens: int(result.cached), Load: result.load, Tokens: result.tokens, CallerGone: result.callerGone, FirstToken: result.firstToken,
 	})
 }
 
--- a/internal/role/runner/entryparts.go
+++ b/internal/role/runner/entryparts.go
@@ -16,6 +16,7 @@
 	"verbenareach/internal/entry/router"
 	entryserver "verbenareach/internal/entry/server"
 	"verbenareach/internal/event/logger"
+	"verbenareach/internal/length/estimator"
 	"verbenareach/internal/wire/dialer"
 	"verbenareach/internal/wire/messenger"
 )
@@ -54,8 +55,14 @@
 // newPlacer returns a placer that follows f.
 func newPlacer(s parser.Settings, f *follower.Follower, l *logger.Logger) *placer.Placer {
 	routing := router.DefaultSettings(s.Region, s.FailureDomain)
+	lengths := estimator.NewPredictor()
+	key := func(start *messenger.GenerateStart) estimator.Key {
+		return estimator.Key{Workspace: start.GetWorkspace(), Kind: start.GetKind()}
+	}
 	return &placer.Placer{
 		View: f.View, Load: f.Load, Log: l, SlowStart: routing.SlowStart,
+		Expect: func(start *messenger.GenerateStart) int { return lengths.Expect(key(start), len(start.GetDelivered())) },
+		Ended:  func(start *messenger.GenerateStart) { lengths.Ended(key(start), len(start.GetDelivered())) },
 		Router: router.New(routing), Queue: &queuer.Queue{}, Ejector: &ejector.Ejector{},
 	}
 }
--- a/internal/role/runner/standalone_test.go
+++ b/internal/role/runner/standalone_test.go
@@ -46,7 +46,12 @@
 // startSystem runs a system on a loopback address of its own and waits until it serves.
 func startSystem(t *testing.T, host string, entries, engines, services int) *testSystem {
 	t.Helper()
-	parameters := emulator.DefaultParameters()
+	return startSystemWith(t, host, emulator.DefaultParameters(), entries, engines, services)
+}
+
+// startSystemWith does so with engines of other parameters.
+func startSystemWith(t *testing.T, host string, parameters emulator.Parameters, entries, engines, services int) *testSystem {
+	t.Helper()
 	parameters.StepBase = 2 * time.Millisecond
 	s := &testSystem{
 		Standalone: &Standalone{
