--- a/internal/agent/server/agent.go
+++ b/internal/agent/server/agent.go
@@ -15,6 +15,7 @@
 	"verbenareach/internal/agent/admitter"
 	"verbenareach/internal/agent/dispatcher"
 	"verbenareach/internal/agent/gatekeeper"
+	"verbenareach/internal/agent/hangdetector"
 	"verbenareach/internal/control/registrar"
 	engineconnector "verbenareach/internal/engine/connector"
 	"verbenareach/internal/event/logger"
@@ -71,6 +72,8 @@
 		load atomic.Pointer[messenger.Load]
 		// memory keeps the account of the engine's memory; nil while it is unknown.
 		memory atomic.Pointer[admitter.Admitter]
+		// hangs notices an engine that makes no tokens.
+		hangs hangdetector.Detector
 		// calls counts the calls that reached the gate.
 		calls atomic.Uint64
 
