--- a/internal/cmd/commander/experimentcmd.go
+++ b/internal/cmd/commander/experimentcmd.go
@@ -17,10 +17,12 @@
 	cmd := app.Command("experiment", "Measure the policies for placing and admitting generations on modelled engines.")
 	e := &experimenter.Experiment{}
 	var asJSON bool
+	var plots string
 	cmd.Flag("seed", "Seed of a load; may be given again.").Default("1", "2", "3").Uint64ListVar(&e.Seeds)
 	cmd.Flag("load", "Load to run; may be given again. All by default.").EnumsVar(&e.Loads, experimenter.LoadNames()...)
 	cmd.Flag("time", "How long requests arrive.").Default(experimenter.DefaultTime.String()).DurationVar(&e.Time)
 	cmd.Flag("json", "Print the rows as JSON.").BoolVar(&asJSON)
+	cmd.Flag("plots", "Folder for plots, as SVG files.").ExistingDirVar(&plots)
 	run[cmd.FullCommand()] = func() error {
 		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 		defer stop()
@@ -33,6 +35,11 @@
 		if err != nil {
 			return err
 		}
+		if plots != "" {
+			if err := experimenter.WritePlots(plots, rows); err != nil {
+				return err
+			}
+		}
 		if asJSON {
 			enc := json.NewEncoder(stdout)
 			enc.SetIndent("", "  ")
--- a/internal/experiment/experimenter/experimenter_test.go
+++ b/internal/experiment/experimenter/experimenter_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -80,6 +82,13 @@
 			t.Errorf("row %+v", s)
 		}
 	}
+	folder := t.TempDir()
+	if err := WritePlots(folder, rows); err != nil {
+		t.Error(err)
+	}
+	if svg, err := os.ReadFile(filepath.Join(folder, "burst-stalls.svg")); err != nil || !bytes.Contains(svg, []byte("admit always")) {
+		t.Errorf("plot of %d bytes, %v", len(svg), err)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	if _, err := e.Run(ctx); err == nil {
--- /dev/null
+++ b/internal/experiment/experimenter/plot.go
@@ -0,0 +1,80 @@
+package experimenter
+
+import (
+	"fmt"
+	"path/filepath"
+	"strings"
+
+	"github.com/rotisserie/eris"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+)
+
+const (
+	plotWidth  = 16 * vg.Centimeter
+	plotHeight = 11 * vg.Centimeter
+	// leastShown stands for 0 on a logarithmic axis.
+	leastShown = 0.1
+)
+
+// metric is what a plot shows against the throughput.
+type metric struct {
+	file  string
+	label string
+	value func(Summary) float64
+}
+
+// WritePlots draws, for each load, preemptions, stall time and the tail of the
+// latency between tokens against throughput, as SVG files in a folder.
+func WritePlots(folder string, rows []Row) error {
+	metrics := []metric{
+		{"preemptions", "preemptions", func(s Summary) float64 { return s.Preemptions }},
+		{"stalls", "stall time, s", func(s Summary) float64 { return s.StallSeconds }},
+		{"between", "99th percentile between tokens, ms", func(s Summary) float64 { return s.BetweenTokens.P99 }},
+	}
+	byLoad := make(map[string][]Summary)
+	for _, s := range Summaries(rows) {
+		byLoad[s.Load] = append(byLoad[s.Load], s)
+	}
+	for load, list := range byLoad {
+		for _, m := range metrics {
+			name := strings.ReplaceAll(load, " ", "-") + "-" + m.file + ".svg"
+			if err := writePlot(filepath.Join(folder, name), load, list, m); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func writePlot(path, load string, list []Summary, m metric) error {
+	p := plot.New()
+	p.Title.Text = "Load: " + load
+	p.X.Label.Text = "tokens a second, 4 engines"
+	p.Y.Label.Text = m.label + fmt.Sprintf(" (%.1f stands for 0)", leastShown)
+	p.Y.Scale = plot.LogScale{}
+	p.Y.Tick.Marker = plot.LogTicks{Prec: -1}
+	points := make(plotter.XYs, len(list))
+	names := make([]string, len(list))
+	for i, s := range list {
+		points[i].X = s.TokensPerSecond
+		points[i].Y = max(m.value(s), leastShown)
+		names[i] = s.Policy
+	}
+	scatter, err := plotter.NewScatter(points)
+	if err != nil {
+		return eris.Wrap(err, "plot")
+	}
+	scatter.Shape = draw.CircleGlyph{}
+	labels, err := plotter.NewLabels(plotter.XYLabels{XYs: points, Labels: names})
+	if err != nil {
+		return eris.Wrap(err, "plot")
+	}
+	labels.Offset = vg.Point{X: vg.Points(4), Y: vg.Points(4)}
+	p.Add(plotter.NewGrid(), scatter, labels)
+	// Room for the labels at the right.
+	p.X.Max += (p.X.Max - p.X.Min) / 3
+	return eris.Wrap(p.Save(plotWidth, plotHeight, path), "plot")
+}
