--- a/internal/experiment/experimenter/plot.go
+++ b/internal/experiment/experimenter/plot.go
@@ -74,7 +74,9 @@
 	}
 	labels.Offset = vg.Point{X: vg.Points(4), Y: vg.Points(4)}
 	p.Add(plotter.NewGrid(), scatter, labels)
+	// A logarithmic axis needs a range above 0, also where all values are equal.
+	p.Y.Min, p.Y.Max = leastShown, max(p.Y.Max, 10*leastShown)
 	// Room for the labels at the right.
-	p.X.Max += (p.X.Max - p.X.Min) / 3
+	p.X.Max += max(p.X.Max-p.X.Min, 1) / 3
 	return eris.Wrap(p.Save(plotWidth, plotHeight, path), "plot")
 }
