--- a/internal/cmd/commander/commander.go
+++ b/internal/cmd/commander/commander.go
@@ -20,7 +20,8 @@
 	app := kingpin.New("verbenareach", "Serves model generations of unknown length on crowded engines.")
 	app.UsageWriter(stdout)
 	app.ErrorWriter(stderr)
-	app.Terminate(nil)
+	helped := false
+	app.Terminate(func(int) { helped = true })
 	run := make(map[string]func() error)
 	addRole(app, run, stderr, "entry", "Run an entry, which serves callers.")
 	addRole(app, run, stderr, "agent", "Run an agent, the only way to the backend server beside it.")
@@ -38,6 +39,10 @@
 	addReplay(app, run, stdout, stderr)
 	addReport(app, run, stdout)
 	selected, err := app.Parse(args)
+	if helped {
+		// The help is printed; nothing else was asked for, whatever else is missing.
+		return exitOK
+	}
 	if err != nil {
 		fmt.Fprintf(stderr, "verbenareach: %v\n", err)
 		return exitUsage
--- a/internal/cmd/commander/versioncmd_test.go
+++ b/internal/cmd/commander/versioncmd_test.go
@@ -5,6 +5,19 @@
 	"testing"
 )
 
+// TestHelpRunsNothing asks for help in several places: it is printed, and no command runs.
+func TestHelpRunsNothing(t *testing.T) {
+	for _, args := range [][]string{{"--help"}, {"help"}, {"version", "--help"}, {"settings", "--help"}, {"explain", "--help"}, {"standin", "service", "--help"}} {
+		var stdout, stderr bytes.Buffer
+		if code := Main(args, &stdout, &stderr); code != exitOK || stderr.Len() > 0 {
+			t.Errorf("%v: exit code %d, stderr %q", args, code, &stderr)
+		}
+		if !bytes.Contains(stdout.Bytes(), []byte("usage: ")) || bytes.Contains(stdout.Bytes(), []byte(Version)) {
+			t.Errorf("%v printed %q", args, &stdout)
+		}
+	}
+}
+
 func TestVersion(t *testing.T) {
 	var stdout, stderr bytes.Buffer
 	if code := Main([]string{"version"}, &stdout, &stderr); code != exitOK {
