fix: let a burn of one or two events wake nobody

A replay against processes showed ACT at a burn of 500 for 2 refused of 4 requests. State now needs 3 events that missed their target in each window; the burns themselves are told as before.

--- a/internal/replay/checker/checker.go
+++ b/internal/replay/checker/checker.go
@@ -134,9 +134,9 @@
 	}
 	switch {
 	case missed > 0:
-		return fmt.Sprintf("%d outcomes missed.", missed)
+		return fmt.Sprintf("Outcomes missed: %d.", missed)
 	case len(v.NotDriven) > 0:
-		return fmt.Sprintf("All outcomes met, but %d steps of the trace were not driven.", len(v.NotDriven))
+		return fmt.Sprintf("All outcomes met, but steps of the trace were not driven: %d.", len(v.NotDriven))
 	}
 	return "All outcomes met."
 }
--- a/internal/report/assessor/assessor.go
+++ b/internal/report/assessor/assessor.go
@@ -22,6 +22,9 @@
 	fastBurn = 14.4
 	// slowBurn spends half of the budget of three days in six hours.
 	slowBurn = 6
+	// fewestMissed is how many events must miss their target before a burn makes
+	// anyone act: below, a single event of a rarely used series would.
+	fewestMissed = 3
 )
 
 // States of a series, by how soon someone should look.
@@ -141,6 +144,14 @@
 	return max(w.FirstToken.Burn, w.BetweenTokens.Burn, w.WholeBurn)
 }
 
+// urgent tells whether enough events miss a target at no less than some burn.
+func (w Window) urgent(burn float64) bool {
+	lost := w.Incomplete + w.RefusedRoom
+	return w.FirstToken.Burn >= burn && w.FirstToken.Late >= fewestMissed ||
+		w.BetweenTokens.Burn >= burn && w.BetweenTokens.Late >= fewestMissed ||
+		w.WholeBurn >= burn && lost >= fewestMissed
+}
+
 func (s Series) worstBurn() float64 {
 	worst := 0.0
 	for _, w := range s.Windows {
@@ -250,9 +261,9 @@
 	switch {
 	case len(w) < known:
 		return StateOK
-	case w[hour].Burn() >= fastBurn && w[minutes].Burn() >= fastBurn:
+	case w[hour].urgent(fastBurn) && w[minutes].urgent(fastBurn):
 		return StateAct
-	case w[hours].Burn() >= slowBurn && w[hour].Burn() >= slowBurn:
+	case w[hours].urgent(slowBurn) && w[hour].urgent(slowBurn):
 		return StateAct
 	case w[days].Burn() >= 1 || w[hours].Burn() >= 1:
 		return StateWatch
