--- a/internal/control/replicator/replicator.go
+++ b/internal/control/replicator/replicator.go
@@ -64,7 +64,9 @@
 		wg      sync.WaitGroup
 		rec     *recorder.Recorder
 		rnd     *rand.Rand
-		running bool
+		// running is set from when the log is read until the host stops; stopped
+		// from then on.
+		running, stopped bool
 		// failure ends Run.
 		failure error
 
@@ -298,6 +300,7 @@
 		return
 	}
 	r.failure = err
+	r.stopped = true
 	r.emit(logger.ControlDiskFailed, logger.F("error", err))
 	r.running = false
 	r.work.Broadcast()
@@ -437,6 +440,9 @@
 	r.commit = max(r.rec.Commit(), r.applied)
 	r.rec.SetCommit(r.commit)
 	r.resetPatience()
+	if r.aloneVotes() {
+		r.patience = 0 // There is no leader to wait for.
+	}
 	r.running = true
 	r.linkMembers()
 	return nil
@@ -447,6 +453,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.running = false
+	r.stopped = true
 	r.dropWaiters(math.MaxUint64, ErrStopped)
 	r.work.Broadcast()
 	r.bump()
