--- a/internal/agent/gatekeeper/gate.go
+++ b/internal/agent/gatekeeper/gate.go
@@ -31,6 +31,9 @@
 		// Fresh tells at now whether what is known of the marks is recent enough to
 		// rely on; a gate without fresh knowledge takes no new work.
 		Fresh func(now time.Time) bool
+		// Newest returns the mark that the newest agreed state known here holds. Work
+		// is judged by it even before TakeMark was told; nil for none.
+		Newest func() Mark
 
 		mu sync.Mutex
 		// mark never goes back to a lower number.
@@ -65,11 +68,19 @@
 	if incarnation != 0 && incarnation != g.Incarnation {
 		return &DeclinedError{Reason: messenger.DeclineReason_DECLINE_REASON_INCARNATION}
 	}
+	// The state is looked at after its freshness, so that a fresh gate knows all marks.
 	fresh := g.Fresh(now)
+	var mark Mark
+	if g.Newest != nil {
+		mark = g.Newest()
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.mark.Number >= mark.Number {
+		mark = g.mark
+	}
 	switch {
-	case g.mark.Leaving:
+	case mark.Leaving:
 		return &DeclinedError{Reason: messenger.DeclineReason_DECLINE_REASON_LEAVING}
 	case g.stopping:
 		return &DeclinedError{Reason: messenger.DeclineReason_DECLINE_REASON_LEAVING, Detail: "the agent stops"}
--- a/internal/agent/gatekeeper/gate_test.go
+++ b/internal/agent/gatekeeper/gate_test.go
@@ -23,6 +23,11 @@
 		{name: "returned", change: func(g *Gate) { g.TakeMark(Mark{1, true}); g.TakeMark(Mark{2, false}) }},
 		{name: "late return", change: func(g *Gate) { g.TakeMark(Mark{3, true}); g.TakeMark(Mark{2, false}) }, want: messenger.DeclineReason_DECLINE_REASON_LEAVING},
 		{name: "announced again while leaving", change: func(g *Gate) { g.TakeMark(Mark{1, true}); g.SetReady(true) }, want: messenger.DeclineReason_DECLINE_REASON_LEAVING},
+		{name: "leaving in the view only", change: func(g *Gate) { g.Newest = func() Mark { return Mark{1, true} } }, want: messenger.DeclineReason_DECLINE_REASON_LEAVING},
+		{name: "leaving, older view", change: func(g *Gate) {
+			g.TakeMark(Mark{2, true})
+			g.Newest = func() Mark { return Mark{1, false} }
+		}, want: messenger.DeclineReason_DECLINE_REASON_LEAVING},
 		{name: "stopping", change: func(g *Gate) { g.Stop() }, want: messenger.DeclineReason_DECLINE_REASON_LEAVING},
 		{name: "stale", change: func(g *Gate) { g.Fresh = func(time.Time) bool { return false } }, want: messenger.DeclineReason_DECLINE_REASON_NOT_READY},
 		{name: "backend server down", change: func(g *Gate) { g.SetReady(false) }, want: messenger.DeclineReason_DECLINE_REASON_BACKEND_DOWN},
--- a/internal/agent/server/agent.go
+++ b/internal/agent/server/agent.go
@@ -149,8 +149,14 @@
 	}
 }
 
+// newestMark returns the mark of this backend server in the newest view.
+func (a *Agent) newestMark() gatekeeper.Mark {
+	mark := a.View().Mark(a.Self.Name)
+	return gatekeeper.Mark{Number: mark.Number, Leaving: mark.Leaving}
+}
+
 func (a *Agent) prepare() {
-	a.gate = &gatekeeper.Gate{Incarnation: a.Self.Incarnation, Fresh: a.Fresh}
+	a.gate = &gatekeeper.Gate{Incarnation: a.Self.Incarnation, Fresh: a.Fresh, Newest: a.newestMark}
 	a.dispatcher = &dispatcher.Dispatcher{Incarnation: a.Self.Incarnation}
 	a.sessions = make(map[string]*session)
 	a.load.Store(&messenger.Load{})
