test: give the replay and insight tests a loopback address for each process

Cause: two checkouts tested at once met on 127.99.1.2:23003 ('address already in use'), and TestShortTraces failed in a landing. The address now comes from the process id, as in the whole-path test.

--- a/internal/cmd/commander/insightcmd_test.go
+++ b/internal/cmd/commander/insightcmd_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"os"
@@ -21,7 +22,7 @@
 func startInsightSystem(t *testing.T) (*runner.Standalone, []string) {
 	t.Helper()
 	s := &runner.Standalone{
-		Host: "127.88.1.1", BasePort: 22000, DataFolder: t.TempDir(), Entries: 2, Engines: 1, Services: 1,
+		Host: fmt.Sprintf("127.%d.%d.1", 64+os.Getpid()>>8&63, os.Getpid()&255), BasePort: 22000, DataFolder: t.TempDir(), Entries: 2, Engines: 1, Services: 1,
 		Parameters: emulator.DefaultParameters(),
 	}
 	s.Prepare()
--- a/internal/replay/driver/driver_test.go
+++ b/internal/replay/driver/driver_test.go
@@ -17,6 +17,13 @@
 
 const samples = "../../../samples"
 
+// testHost returns a loopback address that no other process's tests use: several
+// checkouts may be tested at once on one machine.
+func testHost(n int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid>>8&63, pid&255, n)
+}
+
 // TestShortTraces runs the compressed traces of both users against standalone
 // systems. They state no times, as CI asserts none.
 func TestShortTraces(t *testing.T) {
@@ -26,8 +33,8 @@
 		file string
 		host string
 	}{
-		{"cleaning at the choirs", "choirs/traces/cleaning-short.jsonl", "127.99.1.1"},
-		{"bad day at the Association", "association/traces/badday-short.jsonl", "127.99.1.2"},
+		{"cleaning at the choirs", "choirs/traces/cleaning-short.jsonl", testHost(1)},
+		{"bad day at the Association", "association/traces/badday-short.jsonl", testHost(2)},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
