fix: compare a new backend server with established ones only

Cause: after an entry's start all its backend servers counted as new, and each was held to a tenth of the other's work, so both got almost nothing.

--- a/internal/entry/placer/placer.go
+++ b/internal/entry/placer/placer.go
@@ -190,24 +190,34 @@
 }
 
 // withinSlowStart tells whether s may take one more: one that joined or returned
-// gets a growing share of what its busiest usable peer has. The caller holds mu.
+// gets a growing share of what its busiest established peer has. Without such a peer
+// it gets all. The caller holds mu.
 func (p *Placer) withinSlowStart(now time.Time, s *server, peers func(m registrar.Member) bool) bool {
+	share := p.share(now, s)
+	if share >= 1 {
+		return true
+	}
+	busiest, established := 0, false
+	for _, peer := range p.servers {
+		if peer != s && peers(peer.member) && p.usable(now, peer) && p.share(now, peer) >= 1 {
+			busiest = max(busiest, peer.outstanding)
+			established = true
+		}
+	}
+	return !established || float64(s.outstanding) < 1+share*float64(busiest)
+}
+
+// share is the part of a peer's work that s may have at now. The caller holds mu.
+func (p *Placer) share(now time.Time, s *server) float64 {
 	since := s.since
 	if at := p.Ejector.ReturnedAt(s.member.Name); at.After(since) {
 		since = at
 	}
 	age := now.Sub(since)
 	if since.IsZero() || age >= p.SlowStart {
-		return true
-	}
-	busiest := 0
-	for _, peer := range p.servers {
-		if peer != s && peers(peer.member) && p.usable(now, peer) {
-			busiest = max(busiest, peer.outstanding)
-		}
+		return 1
 	}
-	share := slowStartLeast + (1-slowStartLeast)*max(age.Seconds(), 0)/p.SlowStart.Seconds()
-	return float64(s.outstanding) < 1+share*float64(busiest)
+	return slowStartLeast + (1-slowStartLeast)*max(age.Seconds(), 0)/p.SlowStart.Seconds()
 }
 
 // note passes an ejection on to the log.
--- a/internal/role/runner/standalone.go
+++ b/internal/role/runner/standalone.go
@@ -69,6 +69,9 @@
 		ServiceName string
 		// LoseReply tells whether the reply of a booking is lost after it ran; nil loses none.
 		LoseReply func(server, reference string) bool
+		// RequestTimeout is the entries' deadline for a request to be admitted; 0 for the
+		// default.
+		RequestTimeout time.Duration
 		// Contract is put at the start; the demo contract when its workspace is empty.
 		Contract registrar.Contract
 		// Log returns the logger of the role with a name.
@@ -261,6 +264,7 @@
 	settings := placed(s.settings(fmt.Sprintf("entry-%d", i+1), "entry"), s.EntryPlaces, i)
 	settings.Entry = &parser.Entry{
 		Listen: s.EntryAddress(i), PeerListen: s.address(peerOffset + i), Control: []string{s.address(controlOffset)},
+		RequestTimeout: parser.Duration(s.RequestTimeout),
 	}
 	return settings
 }
