--- a/internal/replay/driver/driver_test.go
+++ b/internal/replay/driver/driver_test.go
@@ -17,8 +17,7 @@
 
 const samples = "../../../samples"
 
-// testHost returns a loopback address that no other process's tests use: several
-// checkouts may be tested at once on one machine.
+// testHost returns a loopback address that no other run of the tests uses.
 func testHost(n int) string {
 	pid := os.Getpid()
 	return fmt.Sprintf("127.%d.%d.%d", 64+pid>>8&63, pid&255, n)
