fix: announce and report only what changed, and remove members lost while their host was down

Cause: SetSelf announced each call anew, one log entry each time a backend server announces itself (every second); a control host kept renewing its hold on members that died while it was down itself.

--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -58,7 +58,10 @@
 
 const (
 	// tickEvery is the time between two ticks of the agreed clock.
-	tickEvery      = 5 * time.Second
+	tickEvery = 5 * time.Second
+	// heldGrace is how long after a start of this host the members that followed
+	// it before may take to come back.
+	heldGrace      = 15 * time.Second
 	headerTimeout  = 5 * time.Second
 	readTimeout    = 30 * time.Second
 	idleTimeout    = 2 * time.Minute
@@ -153,6 +156,7 @@
 // unless another host did so since the last look.
 func (c *Controller) tick(ctx context.Context) error {
 	last, seen := time.Now(), c.ticks()
+	began := last
 	for {
 		select {
 		case <-ctx.Done():
@@ -164,6 +168,9 @@
 			continue
 		}
 		now, number := time.Now(), c.ticks()
+		if now.Sub(began) > heldGrace {
+			c.releaseUnheard(ctx)
+		}
 		if number != seen {
 			last, seen = now, number
 			continue
@@ -174,3 +181,18 @@
 		}
 	}
 }
+
+// releaseUnheard has the members removed that this host holds in the agreed state
+// but doesn't hear: they were lost while it was down.
+func (c *Controller) releaseUnheard(ctx context.Context) {
+	c.mu.Lock()
+	held := c.state.Held(c.Name)
+	c.mu.Unlock()
+	for _, e := range held {
+		if c.distributor.Hears(e.Name, e.Incarnation) {
+			continue
+		}
+		// Without a quorum it is tried again with the next tick.
+		_, _ = c.Propose(ctx, registrar.Command{Expire: &e})
+	}
+}
--- a/internal/control/controller/controller_test.go
+++ b/internal/control/controller/controller_test.go
@@ -173,3 +173,33 @@
 		t.Error("a damaged snapshot was restored")
 	}
 }
+
+func TestMembersLostWhileTheirHostWasDown(t *testing.T) {
+	c := &Controller{Name: "control-1", Settings: parser.Control{Listen: freeAddress(t)}}
+	started := make(chan struct{})
+	c.Started = func() { close(started) }
+	background(t, c.Run)
+	<-started
+	ctx := context.Background()
+	for _, a := range []registrar.Announce{
+		{Member: registrar.Member{Name: "engine-1", Incarnation: 4}, Host: "control-1"},
+		{Member: registrar.Member{Name: "engine-2", Incarnation: 4}, Host: "control-2"},
+	} {
+		if _, err := c.Propose(ctx, registrar.Command{Announce: &a}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	f := &follower.Follower{Addresses: []string{c.Settings.Listen}, Self: registrar.Member{Name: "engine-3", Role: registrar.RoleAgent}}
+	background(t, f.Run)
+	eventually(t, "the third member", func() bool {
+		_, ok := f.View().Member("engine-3")
+		return ok
+	})
+	c.releaseUnheard(ctx)
+	view := c.distributor.View()
+	for name, want := range map[string]bool{"engine-1": false, "engine-2": true, "engine-3": true} {
+		if _, live := view.Member(name); live != want {
+			t.Errorf("%s: live %v, want %v", name, live, want)
+		}
+	}
+}
--- a/internal/control/distributor/distributor.go
+++ b/internal/control/distributor/distributor.go
@@ -120,6 +120,15 @@
 	}
 }
 
+// Hears tells whether an incarnation of a member follows this host, or did until
+// a short while ago.
+func (d *Distributor) Hears(name string, incarnation uint64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	h := d.held[name]
+	return h != nil && h.member.Incarnation >= incarnation
+}
+
 // Reset replaces the state by one from a snapshot: followers that are behind
 // it get it whole.
 func (d *Distributor) Reset(view registrar.View) {
--- a/internal/control/follower/follower.go
+++ b/internal/control/follower/follower.go
@@ -12,10 +12,12 @@
 	"errors"
 	"hash/fnv"
 	"math/rand/v2"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"storj.io/drpc/drpcpool"
 
 	"verbenareach/internal/control/registrar"
@@ -160,13 +162,16 @@
 	return nil
 }
 
-// SetReport tells control of the work behind an agent. It is sent at once if the
-// mark changed, else with the next heartbeat.
+// SetReport tells control of the work behind an agent, if it has changed. It is
+// sent at once if the mark changed, else with the next heartbeat.
 func (f *Follower) SetReport(r *messenger.Report) {
 	f.init()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	old := f.report
+	if proto.Equal(old, r) {
+		return
+	}
 	f.report = r
 	f.reported++
 	if old.GetMarkNumber() != r.GetMarkNumber() {
@@ -174,12 +179,16 @@
 	}
 }
 
-// SetSelf changes the description of this process. Name and incarnation stay.
+// SetSelf changes the description of this process, which is announced if it
+// differs. Name, role and incarnation stay.
 func (f *Follower) SetSelf(m registrar.Member) {
 	f.init()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m.Name, m.Role, m.Incarnation = f.self.Name, f.self.Role, f.self.Incarnation
+	if reflect.DeepEqual(m, f.self) {
+		return
+	}
 	f.self = m
 	f.described++
 	f.poke()
--- a/internal/control/follower/follower_test.go
+++ b/internal/control/follower/follower_test.go
@@ -405,3 +405,16 @@
 	}
 	return &messenger.ClaimReply{Status: messenger.ClaimStatus_CLAIM_STATUS_GRANTED}, nil
 }
+
+func TestOnlyChangesAreTold(t *testing.T) {
+	f := newTestFollower("127.0.0.1:1")
+	self := f.Member()
+	self.Backend.Models = []registrar.LoadedModel{{Model: "rota-large"}}
+	for range 3 {
+		f.SetSelf(self)
+		f.SetReport(&messenger.Report{MarkNumber: 1, InProgress: 2})
+	}
+	if f.described != 1 || f.reported != 1 {
+		t.Errorf("%d descriptions and %d reports to send, want one of each", f.described, f.reported)
+	}
+}
--- a/internal/control/registrar/bench_test.go
+++ b/internal/control/registrar/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 )
 
@@ -88,6 +89,41 @@
 	}
 }
 
+// BenchmarkViewMemory measures what an entry or agent keeps of the state.
+func BenchmarkViewMemory(b *testing.B) {
+	for _, n := range []int{100, 1000, 4900} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			data, err := fleet(n, 1110).state.Snapshot()
+			if err != nil {
+				b.Fatal(err)
+			}
+			for b.Loop() {
+				before := heapInUse()
+				view := restoredView(b, data)
+				b.ReportMetric(float64(heapInUse()-before), "bytes")
+				runtime.KeepAlive(view)
+			}
+		})
+	}
+}
+
+// restoredView returns the view of a snapshot, without the state around it.
+func restoredView(b *testing.B, data []byte) View {
+	b.Helper()
+	s, err := Restore(data)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return s.View()
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
 func BenchmarkSnapshot(b *testing.B) {
 	for _, n := range []int{100, 1000, 4900} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
--- a/internal/control/registrar/roster.go
+++ b/internal/control/registrar/roster.go
@@ -132,6 +132,18 @@
 	return changes
 }
 
+// held returns what would remove each member that a control host holds, by name.
+func (r *roster) held(host string) []Expire {
+	var held []Expire
+	for name, h := range r.holdings {
+		if h.Host == host && !h.Gone {
+			held = append(held, Expire{Name: name, Incarnation: h.Member.Incarnation, Hold: h.Hold})
+		}
+	}
+	slices.SortFunc(held, func(a, b Expire) int { return cmp.Compare(a.Name, b.Name) })
+	return held
+}
+
 // renew notes that a control host lives.
 func (r *roster) renew(elapsed time.Duration, host string) {
 	r.renewed[host] = elapsed
--- a/internal/control/registrar/state.go
+++ b/internal/control/registrar/state.go
@@ -82,6 +82,12 @@
 	return s.elapsed
 }
 
+// Held returns, for each member that a control host holds, the command's part
+// that would remove it.
+func (s *State) Held(host string) []Expire {
+	return s.members.held(host)
+}
+
 // History returns the kept changes of a workspace's contract, oldest first.
 func (s *State) History(workspace string) []Record {
 	return slices.Clone(s.contracts.records[workspace])
