fix: a frozen control host no longer uses up an operator's time, nor the followers' freshness

Cause, seen with three control hosts as processes and the leader stopped by SIGSTOP: the client waited up to 12 s for the first address, so that server return failed after its 20 s; a read of the quorum waited up to 5 s for the lost leader, so that followers of healthy hosts left them as stale. Now 3 s and 1 s, and the client begins with the host that answered last. A first contract's history no longer lists empty fields.

--- a/internal/control/distributor/distributor.go
+++ b/internal/control/distributor/distributor.go
@@ -79,6 +79,9 @@
 	defaultConfirmEvery = 500 * time.Millisecond
 	defaultLoadsEvery   = 500 * time.Millisecond
 	proposeTimeout      = 5 * time.Second
+	// confirmTimeout bounds one read of the quorum. It is short, so that a read
+	// that waits for a lost leader is soon asked of the next.
+	confirmTimeout = time.Second
 	// maxChanges bounds the changes kept for followers that come back; one that
 	// is further behind gets a snapshot.
 	maxChanges = 8192
@@ -207,7 +210,7 @@
 
 // confirm has a quorum confirm the state, for all heartbeats that came before.
 func (d *Distributor) confirm(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	d.mu.Lock()
 	asked := make(map[*session]uint64, len(d.sessions))
--- a/internal/control/registrar/describe.go
+++ b/internal/control/registrar/describe.go
@@ -58,6 +58,8 @@
 
 func flattenInto(leaves map[string]string, at string, tree any) {
 	switch node := tree.(type) {
+	case nil:
+		// An empty list is as good as none.
 	case map[string]any:
 		for key, child := range node {
 			flattenInto(leaves, at+"/"+key, child)
--- a/internal/operator/requester/requester.go
+++ b/internal/operator/requester/requester.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -32,6 +33,10 @@
 		Key string
 		// Operator is the name under which changes are recorded.
 		Operator string
+
+		mu sync.Mutex
+		// first is the position of the control host that answered last.
+		first int
 	}
 
 	// UnreachableError tells that no control host gave an answer.
@@ -43,8 +48,9 @@
 )
 
 const (
-	// requestTimeout bounds one request to one control host.
-	requestTimeout = 12 * time.Second
+	// requestTimeout bounds one request to one control host: one that is frozen or
+	// cut off must not use up the time of the others.
+	requestTimeout = 3 * time.Second
 	// rounds is how often all control hosts are tried.
 	rounds     = 3
 	roundPause = 300 * time.Millisecond
@@ -209,6 +215,20 @@
 	}
 }
 
+// answered has the next request begin with the control host at a position.
+func (c *Requester) answered(at int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.first = at
+}
+
+// start is the position of the control host to ask first.
+func (c *Requester) start() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.first
+}
+
 // do sends one request, to each control host in turn until one answers for good.
 // All requests may be repeated: changes carry the number that they replace.
 func (c *Requester) do(ctx context.Context, method, path string, body []byte, reply any) error {
@@ -222,10 +242,14 @@
 			}
 		}
 		failed.Causes = nil
-		for _, address := range c.Addresses {
+		start := c.start()
+		for i := range c.Addresses {
+			at := (start + i) % len(c.Addresses)
+			address := c.Addresses[at]
 			err := c.once(ctx, address, method, path, body, reply)
 			var refused *responder.RefusalError
 			if err == nil || errors.As(err, &refused) && refused.Code != responder.CodeUnavailable {
+				c.answered(at)
 				return err
 			}
 			if method != http.MethodGet && mayHaveRun(err, refused) {
