fix: an agent whose clock fell back over a restart takes the incarnation that control settled

Cause, found by reading: the follower takes the number after the newest one known, but the agent's gate had copied the former, so that it would have declined every claim for its own incarnation. The agent now starts once control has settled the incarnation, or after 2 s without control.

--- a/internal/control/follower/connection.go
+++ b/internal/control/follower/connection.go
@@ -256,7 +256,10 @@
 	defer f.mu.Unlock()
 	newer := m.GetNewerIncarnation()
 	if newer == 0 || newer == f.self.Incarnation {
-		f.announced = true
+		if !f.announced {
+			f.announced = true
+			close(f.settled)
+		}
 		return nil
 	}
 	if !f.announced {
--- a/internal/control/follower/follower.go
+++ b/internal/control/follower/follower.go
@@ -69,7 +69,9 @@
 		relayed   []*messenger.RelayedMark
 		// freshAt is when the newest heartbeat that a quorum confirmed was sent.
 		freshAt time.Time
-		// announced tells that control has accepted this incarnation.
+		// settled is closed once control has accepted this incarnation, which
+		// announced tells as well.
+		settled    chan struct{}
 		announced  bool
 		superseded bool
 		// current is the address of the control host that is followed.
@@ -194,6 +196,13 @@
 	f.poke()
 }
 
+// Settled returns a channel that is closed once control has accepted this
+// process: from then on the incarnation of Member no longer changes.
+func (f *Follower) Settled() <-chan struct{} {
+	f.init()
+	return f.settled
+}
+
 // Superseded tells whether control knows a newer incarnation of this process:
 // another process took its name, so this one must take no further work.
 func (f *Follower) Superseded() bool {
@@ -218,6 +227,7 @@
 	f.once.Do(func() {
 		f.view.Store(&registrar.View{})
 		f.changed = make(chan struct{})
+		f.settled = make(chan struct{})
 		f.kick = make(chan struct{}, 1)
 		f.self = f.Self
 		if f.self.Incarnation == 0 {
--- a/internal/control/follower/follower_test.go
+++ b/internal/control/follower/follower_test.go
@@ -340,9 +340,17 @@
 	if got := f.Member().Incarnation; got != 21 || f.Superseded() {
 		t.Fatalf("incarnation %d after a clock fell back, want 21", got)
 	}
-	if err := c.takeWelcome(&messenger.Welcome{}); err != nil || f.Superseded() {
-		t.Fatalf("welcome: %v", err)
+	select {
+	case <-f.Settled():
+		t.Fatal("settled before control accepted it")
+	default:
+	}
+	for range 2 {
+		if err := c.takeWelcome(&messenger.Welcome{}); err != nil || f.Superseded() {
+			t.Fatalf("welcome: %v", err)
+		}
 	}
+	<-f.Settled()
 	if err := c.takeWelcome(&messenger.Welcome{NewerIncarnation: 30}); err != nil || !f.Superseded() {
 		t.Errorf("after another process took the name: superseded %v, %v", f.Superseded(), err)
 	}
--- a/internal/role/runner/agent.go
+++ b/internal/role/runner/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	agentserver "verbenareach/internal/agent/server"
@@ -12,6 +13,9 @@
 	"verbenareach/internal/wire/messenger"
 )
 
+// settleWait is how long an agent waits for control to settle its incarnation.
+const settleWait = 2 * time.Second
+
 func runAgent(ctx context.Context, s parser.Settings, in *insight) error {
 	l := in.log
 	listener, err := acceptor.Listen(ctx, s.Agent.Listen)
@@ -29,12 +33,22 @@
 			FailureDomain: s.FailureDomain, Region: s.Region, Incarnation: uint64(time.Now().UnixNano()),
 		},
 	}
-	a := &agentserver.Agent{
-		Self: f.Member(), Listener: listener, AnnounceListener: announceListener, RegisterPeer: in.register, Log: l,
-		View: f.View, Changed: f.Changed, Fresh: usable(f), Announce: f.SetSelf, RecordOutcome: f.RecordOutcome,
-		Report: func(status agentserver.Status) { f.SetReport(reportOf(status)) },
-	}
-	return runFollowed(ctx, f, a.Run)
+	return runFollowed(ctx, f, func(ctx context.Context) error {
+		// Control settles the incarnation, which the gate checks in claims. Without
+		// control the agent starts all the same, and declines new work at once.
+		select {
+		case <-ctx.Done():
+			return errors.Join(listener.Close(), announceListener.Close())
+		case <-f.Settled():
+		case <-time.After(settleWait):
+		}
+		a := &agentserver.Agent{
+			Self: f.Member(), Listener: listener, AnnounceListener: announceListener, RegisterPeer: in.register, Log: l,
+			View: f.View, Changed: f.Changed, Fresh: usable(f), Announce: f.SetSelf, RecordOutcome: f.RecordOutcome,
+			Report: func(status agentserver.Status) { f.SetReport(reportOf(status)) },
+		}
+		return a.Run(ctx)
+	})
 }
 
 // reportOf returns a status as control hears it.
