--- a/internal/agent/admitter/admitter.go
+++ b/internal/agent/admitter/admitter.go
@@ -28,6 +28,10 @@
 	TooLarge Reason = "tooLarge"
 )
 
+// resumeExponent raises the accepted risk for a work that was interrupted: to
+// wait costs its caller more than it does others.
+const resumeExponent = 0.25
+
 // refreshAfter bounds the age of the forecast that admissions rest on.
 const refreshAfter = 50 * time.Millisecond
 
@@ -49,6 +53,16 @@
 		Priority  int32
 		// Weights of the workspace; the zero value stands for those of the settings.
 		Weights Weights
+
+		risk float64
+	}
+
+	// Account is the memory of an engine as its admitter keeps it, in tokens.
+	Account struct {
+		Running  int
+		Total    int
+		Used     int
+		Expected int
 	}
 
 	// Verdict is the answer to Admit.
@@ -56,7 +70,7 @@
 		Admit  bool
 		Reason Reason
 		// Expected is the memory that is expected to be used at the peak, in
-		// tokens, this work included.
+		// tokens, with this work if it is admitted.
 		Expected int
 		// RetryAfter is when another try may have a better chance.
 		RetryAfter time.Duration
@@ -91,12 +105,12 @@
 		shared int
 		// prefilling is the part of the prompt that counts as being computed.
 		prefilling int
-		since      time.Time
 	}
 
 	// head is the declined work that others must not overtake for ever.
 	head struct {
 		work      Work
+		reason    Reason
 		seen      time.Time
 		overtaken int
 	}
@@ -120,25 +134,23 @@
 	if a.works[w.ID] != nil {
 		return Verdict{Admit: true}
 	}
-	if w.Weights == (Weights{}) {
-		w.Weights = a.settings.Weights
-	}
+	w = a.weighed(w)
 	if w.PromptTokens+w.Resumed >= a.settings.MemoryTokens {
 		return Verdict{Reason: TooLarge}
 	}
 	a.refresh(now)
-	reason, expected := a.judge(now, w)
+	reason := a.judge(now, w)
 	a.remember(now, w, reason)
 	if reason != Admitted {
-		return Verdict{Reason: reason, Expected: expected, RetryAfter: refreshAfter}
+		return Verdict{Reason: reason, Expected: a.peak(), RetryAfter: refreshAfter}
 	}
-	a.start(now, w)
-	return Verdict{Admit: true, Expected: expected}
+	a.start(w)
+	return Verdict{Admit: true, Expected: a.peak()}
 }
 
 // Abandon drops a work that came to no end here: it was cancelled or its
 // engine was lost. Its length so far has been learned from.
-func (a *Admitter) Abandon(_ time.Time, id string) {
+func (a *Admitter) Abandon(id string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if g := a.works[id]; g != nil {
@@ -146,17 +158,21 @@
 	}
 }
 
-// Expected returns the memory that is expected to be used at the peak, in
-// tokens.
-func (a *Admitter) Expected(now time.Time) int {
+// Account returns how the memory stands at now.
+func (a *Admitter) Account(now time.Time) Account {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.refresh(now)
-	return a.peak(&a.running)
+	return Account{
+		Running:  len(a.order),
+		Total:    a.settings.MemoryTokens,
+		Used:     a.used + a.prefixes.tokens(),
+		Expected: a.peak(),
+	}
 }
 
 // Finish tells that a work came to its own end with so many output tokens.
-func (a *Admitter) Finish(_ time.Time, id string, length int) {
+func (a *Admitter) Finish(id string, length int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	g := a.works[id]
@@ -171,13 +187,14 @@
 	a.drop(g)
 }
 
-// Progress tells that a work has n output tokens.
-func (a *Admitter) Progress(_ time.Time, id string, n int) {
+// Progress tells that a work has n output tokens. If it returns true, memory
+// runs short: then Victims should be called.
+func (a *Admitter) Progress(id string, n int) (short bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	g := a.works[id]
 	if g == nil || n <= g.tokens {
-		return
+		return false
 	}
 	a.used -= g.memory()
 	g.tokens = n
@@ -185,13 +202,23 @@
 	a.used += g.memory()
 	a.prefill -= g.prefilling
 	g.prefilling = 0
+	return a.short(0)
 }
 
-// Used returns the memory that the admitted works hold, in tokens.
-func (a *Admitter) Used() int {
+// SetMemory takes the memory that the engine tells of, in tokens.
+func (a *Admitter) SetMemory(tokens int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.used + a.prefixes.tokens()
+	a.settings.MemoryTokens = tokens
+}
+
+// SetWeights takes new weights, from which risk and the bound of prompts follow.
+func (a *Admitter) SetWeights(w Weights) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.settings.Weights = w
+	a.settings.Risk = w.risk()
+	a.settings.MaxPrefill = w.maxPrefill()
 }
 
 // candidate returns the memory that a work would take now.
@@ -214,41 +241,51 @@
 	a.computed = time.Time{}
 }
 
-// fits tells whether the works in f need no more than the memory.
-func (a *Admitter) fits(f *forecast) bool {
-	return a.peak(f) <= a.settings.MemoryTokens
-}
-
 // include adds a work that is not admitted to a forecast.
 func (a *Admitter) include(f *forecast, w Work) {
-	curve := a.lengths.Curve(estimator.Key{Workspace: w.Workspace, Kind: w.Kind})
 	var alive [len(horizons)]float64
-	curve.Chances(w.Resumed, horizons[:], alive[:])
+	a.chances(w, &alive)
 	f.add(a.candidate(w), atMost(w, w.Resumed), &alive)
 }
 
+func (a *Admitter) chances(w Work, alive *[len(horizons)]float64) {
+	curve := a.lengths.Curve(estimator.Key{Workspace: w.Workspace, Kind: w.Kind})
+	curve.Chances(w.Resumed, horizons[:], alive[:])
+}
+
 // judge decides on a work without changing anything.
-func (a *Admitter) judge(now time.Time, w Work) (Reason, int) {
-	with := a.running
-	a.include(&with, w)
-	expected := a.peak(&with)
+func (a *Admitter) judge(now time.Time, w Work) Reason {
+	var alive [len(horizons)]float64
+	a.chances(w, &alive)
 	prompt := a.candidate(w)
+	bound := float64(a.settings.MemoryTokens - a.prefixes.tokens())
+	risk := w.risk
+	if w.Resumed > 0 {
+		risk = math.Pow(risk, resumeExponent)
+	}
+	fits := func(f *forecast) bool {
+		return f.fits(prompt, atMost(w, w.Resumed), &alive, risk, bound)
+	}
 	switch {
 	case len(a.order) >= a.settings.MaxBatch:
-		return Batch, expected
+		return Batch
 	case len(a.order) == 0:
-		return Admitted, expected
+		return Admitted
 	case a.settings.MaxPrefill > 0 && a.prefill > 0 && a.prefill+prompt > a.settings.MaxPrefill:
-		return Prefill, expected
-	case a.short(prompt) || !a.fits(&with):
-		return Memory, expected
+		return Prefill
+	case a.short(prompt) || !fits(&a.running):
+		return Memory
 	case a.headWaits(now, w):
+		if a.head.reason == Prefill {
+			return Overtaking
+		}
+		with := a.running
 		a.include(&with, a.head.work)
-		if !a.fits(&with) {
-			return Overtaking, expected
+		if !fits(&with) {
+			return Overtaking
 		}
 	}
-	return Admitted, expected
+	return Admitted
 }
 
 // headWaits tells whether another work has been overtaken often enough.
@@ -260,8 +297,10 @@
 		now.Sub(h.seen) < a.settings.HeadTimeout
 }
 
-func (a *Admitter) peak(f *forecast) int {
-	return int(math.Ceil(f.peak(a.settings.Caution))) + a.prefixes.tokens()
+// peak returns the quantile of the memory at its peak.
+func (a *Admitter) peak() int {
+	z := probit(1 - a.settings.Risk)
+	return int(math.Ceil(a.running.peak(z))) + a.prefixes.tokens()
 }
 
 // refresh computes the forecast anew when it is too old.
@@ -279,16 +318,23 @@
 }
 
 // remember keeps the place of a work that was declined for its size, and
-// counts those that overtake it.
+// counts those that overtake it. One that was running before goes first, and
+// nothing overtakes it.
 func (a *Admitter) remember(now time.Time, w Work, reason Reason) {
 	h := &a.head
 	if now.Sub(h.seen) >= a.settings.HeadTimeout {
 		*h = head{}
 	}
+	declined := reason == Memory || reason == Prefill
+	resumes := w.Resumed > 0 && h.work.Resumed == 0
 	switch {
-	case reason == Memory && (h.work.ID == "" || h.work.ID == w.ID):
+	case declined && (h.work.ID == "" || h.work.ID == w.ID || resumes):
 		h.work = w
+		h.reason = reason
 		h.seen = now
+		if w.Resumed > 0 {
+			h.overtaken = a.settings.MaxOvertaken
+		}
 	case reason != Admitted || h.work.ID == "":
 	case h.work.ID == w.ID:
 		*h = head{}
@@ -303,13 +349,12 @@
 	return a.used+a.prefixes.tokens()+slack+more > a.settings.MemoryTokens
 }
 
-func (a *Admitter) start(now time.Time, w Work) {
+func (a *Admitter) start(w Work) {
 	g := &generation{
 		Work:       w,
 		tracker:    a.lengths.Track(estimator.Key{Workspace: w.Workspace, Kind: w.Kind}, w.Resumed),
 		tokens:     w.Resumed,
 		prefilling: a.candidate(w),
-		since:      now,
 	}
 	a.include(&a.running, w)
 	g.shared = a.prefixes.add(w.Blocks)
@@ -319,6 +364,16 @@
 	a.order = append(a.order, g)
 }
 
+// weighed fills in what the work's weights decide.
+func (a *Admitter) weighed(w Work) Work {
+	if w.Weights == (Weights{}) {
+		w.Weights, w.risk = a.settings.Weights, a.settings.Risk
+		return w
+	}
+	w.risk = w.Weights.risk()
+	return w
+}
+
 // memory returns the tokens of memory that the generation holds alone.
 func (g *generation) memory() int {
 	return blocksOf(g.PromptTokens+g.tokens) - g.shared*hasher.BlockTokens
--- a/internal/agent/admitter/settings.go
+++ b/internal/agent/admitter/settings.go
@@ -9,8 +9,8 @@
 )
 
 type (
-	// Weights are the relative costs of what hurts callers, 0 or more; only
-	// their proportions count.
+	// Weights are the relative costs of what hurts callers, 0 or more. Their
+	// proportions decide what is risked, their size who gives way to whom.
 	Weights struct {
 		Preemptions float64
 		StallTime   float64
@@ -24,9 +24,9 @@
 		// MaxBatch is how many generations the engine runs at once; further ones
 		// wait at the entries.
 		MaxBatch int
-		// Caution is the quantile of memory that has to fit, in standard
-		// deviations over the mean.
-		Caution float64
+		// Risk is the highest chance that memory runs short while a work runs,
+		// for works without weights of their own.
+		Risk float64
 		// MaxPrefill bounds the prompt tokens that are computed at once, since
 		// running generations wait meanwhile; 0 sets no bound. One prompt
 		// alone is always let in.
@@ -40,7 +40,7 @@
 		// HeadTimeout is how long a declined generation keeps its place without
 		// being offered again.
 		HeadTimeout time.Duration
-		// Weights apply to generations without their own.
+		// Weights apply to works without their own.
 		Weights Weights
 	}
 )
@@ -48,14 +48,18 @@
 // Default values of Settings.
 const (
 	DefaultMaxBatch     = 128
-	DefaultSlack        = 4
+	DefaultSlack        = 8
 	DefaultMaxOvertaken = 32
 	DefaultHeadTimeout  = 2 * time.Second
 
-	leastCaution = 1.0
-	mostCaution  = 3.0
-	leastPrefill = 512
-	mostPrefill  = 4096
+	// Risk without any weight, and the powers of ten by which a weight on
+	// preemptions, or on stalls and tail latency, lowers it at the most.
+	baseRisk       = 0.15
+	preemptionStep = 1.0
+	latencyStep    = 2.0
+	// mostPrefill is the bound without a weight on the tail of the latency; with
+	// nothing but that weight, one prompt is computed at a time.
+	mostPrefill = 4096
 )
 
 // ChoirsWeights are sample weights where a preemption hurts most.
@@ -70,24 +74,41 @@
 }
 
 // NewSettings returns the settings for an engine's memory that follow from
-// weights: both preemptions and stalls ask for caution, and the tail of the
-// latency between tokens for small portions of prompts.
+// weights. Each weight lowers the risk that is taken: preemptions by one power
+// of ten at the most, stalls and tail latency by two, since these also grow
+// with the memory in use. The weight on the tail asks for small portions of
+// prompts besides.
 func NewSettings(memoryTokens int, w Weights) Settings {
-	sum := w.Preemptions + w.StallTime + w.TailLatency
-	if sum <= 0 {
-		w = Weights{Preemptions: 1, StallTime: 1, TailLatency: 1}
-		sum = 3
-	}
-	memory := (w.Preemptions + w.StallTime) / sum
-	tail := w.TailLatency / sum
 	return Settings{
 		MemoryTokens: memoryTokens,
 		MaxBatch:     DefaultMaxBatch,
-		Caution:      leastCaution + (mostCaution-leastCaution)*memory,
-		MaxPrefill:   int(mostPrefill * math.Pow(float64(leastPrefill)/mostPrefill, tail)),
+		Risk:         w.risk(),
+		MaxPrefill:   w.maxPrefill(),
 		Slack:        DefaultSlack,
 		MaxOvertaken: DefaultMaxOvertaken,
 		HeadTimeout:  DefaultHeadTimeout,
 		Weights:      w,
 	}
 }
+
+// maxPrefill returns the bound of prompt tokens computed at once that follows
+// from the weights.
+func (w Weights) maxPrefill() int {
+	w = w.normal()
+	return int(math.Pow(mostPrefill, 1-w.TailLatency))
+}
+
+// normal returns weights of the same proportions whose sum is 1.
+func (w Weights) normal() Weights {
+	sum := w.Preemptions + w.StallTime + w.TailLatency
+	if sum <= 0 {
+		return Weights{Preemptions: 1. / 3, StallTime: 1. / 3, TailLatency: 1. / 3}
+	}
+	return Weights{Preemptions: w.Preemptions / sum, StallTime: w.StallTime / sum, TailLatency: w.TailLatency / sum}
+}
+
+// risk returns the accepted risk that follows from the weights.
+func (w Weights) risk() float64 {
+	w = w.normal()
+	return baseRisk * math.Pow(10, -preemptionStep*w.Preemptions-latencyStep*(w.StallTime+w.TailLatency))
+}
--- a/internal/control/follower/follower_test.go
+++ b/internal/control/follower/follower_test.go
@@ -340,9 +340,17 @@
 	if got := f.Member().Incarnation; got != 21 || f.Superseded() {
 		t.Fatalf("incarnation %d after a clock fell back, want 21", got)
 	}
-	if err := c.takeWelcome(&messenger.Welcome{}); err != nil || f.Superseded() {
-		t.Fatalf("welcome: %v", err)
+	select {
+	case <-f.Settled():
+		t.Fatal("settled before control accepted it")
+	default:
 	}
+	for range 2 {
+		if err := c.takeWelcome(&messenger.Welcome{}); err != nil || f.Superseded() {
+			t.Fatalf("welcome: %v", err)
+		}
+	}
+	<-f.Settled()
 	if err := c.takeWelcome(&messenger.Welcome{NewerIncarnation: 30}); err != nil || !f.Superseded() {
 		t.Errorf("after another process took the name: superseded %v, %v", f.Superseded(), err)
 	}
@@ -405,3 +413,16 @@
 	}
 	return &messenger.ClaimReply{Status: messenger.ClaimStatus_CLAIM_STATUS_GRANTED}, nil
 }
+
+func TestOnlyChangesAreTold(t *testing.T) {
+	f := newTestFollower("127.0.0.1:1")
+	self := f.Member()
+	self.Backend.Models = []registrar.LoadedModel{{Model: "rota-large"}}
+	for range 3 {
+		f.SetSelf(self)
+		f.SetReport(&messenger.Report{MarkNumber: 1, InProgress: 2})
+	}
+	if f.described != 1 || f.reported != 1 {
+		t.Errorf("%d descriptions and %d reports to send, want one of each", f.described, f.reported)
+	}
+}
