--- a/internal/control/follower/follower.go
+++ b/internal/control/follower/follower.go
@@ -12,10 +12,12 @@
 	"errors"
 	"hash/fnv"
 	"math/rand/v2"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"storj.io/drpc/drpcpool"
 
 	"verbenareach/internal/control/registrar"
@@ -67,7 +69,9 @@
 		relayed   []*messenger.RelayedMark
 		// freshAt is when the newest heartbeat that a quorum confirmed was sent.
 		freshAt time.Time
-		// announced tells that control has accepted this incarnation.
+		// settled is closed once control has accepted this incarnation, which
+		// announced tells as well.
+		settled    chan struct{}
 		announced  bool
 		superseded bool
 		// current is the address of the control host that is followed.
@@ -160,13 +164,16 @@
 	return nil
 }
 
-// SetReport tells control of the work behind an agent. It is sent at once if the
-// mark changed, else with the next heartbeat.
+// SetReport tells control of the work behind an agent, if it has changed. It is
+// sent at once if the mark changed, else with the next heartbeat.
 func (f *Follower) SetReport(r *messenger.Report) {
 	f.init()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	old := f.report
+	if proto.Equal(old, r) {
+		return
+	}
 	f.report = r
 	f.reported++
 	if old.GetMarkNumber() != r.GetMarkNumber() {
@@ -174,17 +181,28 @@
 	}
 }
 
-// SetSelf changes the description of this process. Name and incarnation stay.
+// SetSelf changes the description of this process, which is announced if it
+// differs. Name, role and incarnation stay.
 func (f *Follower) SetSelf(m registrar.Member) {
 	f.init()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m.Name, m.Role, m.Incarnation = f.self.Name, f.self.Role, f.self.Incarnation
+	if reflect.DeepEqual(m, f.self) {
+		return
+	}
 	f.self = m
 	f.described++
 	f.poke()
 }
 
+// Settled returns a channel that is closed once control has accepted this
+// process: from then on the incarnation of Member no longer changes.
+func (f *Follower) Settled() <-chan struct{} {
+	f.init()
+	return f.settled
+}
+
 // Superseded tells whether control knows a newer incarnation of this process:
 // another process took its name, so this one must take no further work.
 func (f *Follower) Superseded() bool {
@@ -209,6 +227,7 @@
 	f.once.Do(func() {
 		f.view.Store(&registrar.View{})
 		f.changed = make(chan struct{})
+		f.settled = make(chan struct{})
 		f.kick = make(chan struct{}, 1)
 		f.self = f.Self
 		if f.self.Incarnation == 0 {
