--- a/internal/event/explainer/explainer_test.go
+++ b/internal/event/explainer/explainer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -181,3 +182,30 @@
 	}
 	b.ReportMetric(float64(k.bytes)/float64(len(k.stories)), "B/story")
 }
+
+// BenchmarkStoryBytes reports the heap that each story of six records keeps,
+// beside what the bound counts for it.
+func BenchmarkStoryBytes(b *testing.B) {
+	for _, n := range []int{1000, 10000, 40000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				before := heap()
+				k := &Keeper{MaxBytes: 1 << 30}
+				for i := range 6 * n {
+					k.Keep(record(time.Duration(i)*time.Millisecond, logger.GenerationRouted, fmt.Sprint("gen-0123456789abcdef-", i%n),
+						logger.F("server", "engine-riga-a"), logger.F("epoch", 1), logger.F("candidates", 4)))
+				}
+				b.ReportMetric(float64(heap()-before)/float64(n), "heapB/story")
+				b.ReportMetric(float64(k.bytes)/float64(n), "countedB/story")
+			}
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
