--- a/internal/entry/placer/placer.go
+++ b/internal/entry/placer/placer.go
@@ -28,6 +28,8 @@
 	// awayPause is how long one is left alone that declined for another reason or
 	// could not be reached.
 	awayPause = 250 * time.Millisecond
+	// resumedPriority is added to the priority of an interrupted generation.
+	resumedPriority = 2
 	// defaultExpected is what a generation is expected to grow to, in tokens, when
 	// nothing is known.
 	defaultExpected = 256
@@ -45,9 +47,11 @@
 		// Load returns what control last passed on of a backend server's load; nil for
 		// nothing.
 		Load func(server string) (follower.Load, bool)
-		// Expect estimates how many tokens a generation will grow to, its prompt not
-		// counted; nil for a constant.
-		Expect func(now time.Time, start *messenger.GenerateStart) int
+		// Expect estimates how many more tokens a generation will make; nil for a
+		// constant.
+		Expect func(start *messenger.GenerateStart) int
+		// Ended hears of a generation that came to its own end; nil for nobody to hear.
+		Ended  func(start *messenger.GenerateStart)
 		Router *router.Router
 		Queue  *queuer.Queue
 		// Ejector's Size is set by the placer.
@@ -190,24 +194,34 @@
 }
 
 // withinSlowStart tells whether s may take one more: one that joined or returned
-// gets a growing share of what its busiest usable peer has. The caller holds mu.
+// gets a growing share of what its busiest established peer has. Without such a peer
+// it gets all. The caller holds mu.
 func (p *Placer) withinSlowStart(now time.Time, s *server, peers func(m registrar.Member) bool) bool {
+	share := p.share(now, s)
+	if share >= 1 {
+		return true
+	}
+	busiest, established := 0, false
+	for _, peer := range p.servers {
+		if peer != s && peers(peer.member) && p.usable(now, peer) && p.share(now, peer) >= 1 {
+			busiest = max(busiest, peer.outstanding)
+			established = true
+		}
+	}
+	return !established || float64(s.outstanding) < 1+share*float64(busiest)
+}
+
+// share is the part of a peer's work that s may have at now. The caller holds mu.
+func (p *Placer) share(now time.Time, s *server) float64 {
 	since := s.since
 	if at := p.Ejector.ReturnedAt(s.member.Name); at.After(since) {
 		since = at
 	}
 	age := now.Sub(since)
 	if since.IsZero() || age >= p.SlowStart {
-		return true
-	}
-	busiest := 0
-	for _, peer := range p.servers {
-		if peer != s && peers(peer.member) && p.usable(now, peer) {
-			busiest = max(busiest, peer.outstanding)
-		}
+		return 1
 	}
-	share := slowStartLeast + (1-slowStartLeast)*max(age.Seconds(), 0)/p.SlowStart.Seconds()
-	return float64(s.outstanding) < 1+share*float64(busiest)
+	return slowStartLeast + (1-slowStartLeast)*max(age.Seconds(), 0)/p.SlowStart.Seconds()
 }
 
 // note passes an ejection on to the log.
