--- a/internal/event/logger/agentevents.go
+++ b/internal/event/logger/agentevents.go
@@ -16,6 +16,7 @@
 	AttemptEnded       = Event{3203, log.DebugLevel, "attempt ended"}
 	AttemptFailed      = Event{3204, log.WarnLevel, "attempt failed"}
 	AttemptAbandoned   = Event{3205, log.InfoLevel, "attempt abandoned, nobody reads it"}
+	WorkPreempted      = Event{3206, log.WarnLevel, "generation gives way, memory runs short"}
 	ClaimDispatched    = Event{3301, log.InfoLevel, "claimed call dispatched"}
 	ClaimRefusedAtGate = Event{3302, log.WarnLevel, "claimed call refused"}
 	OrderTaken         = Event{3401, log.InfoLevel, "order passed on to the engine"}
@@ -24,7 +25,7 @@
 
 	agentEvents = []Event{
 		AgentStarted, AgentStopping, AgentStopped, BackendAnnounced, BackendLost, EngineHung, MarkTaken, WorkAdmitted,
-		WorkDeclined, AttemptEnded, AttemptFailed, AttemptAbandoned, ClaimDispatched, ClaimRefusedAtGate, ClaimOutcome,
+		WorkDeclined, AttemptEnded, AttemptFailed, AttemptAbandoned, WorkPreempted, ClaimDispatched, ClaimRefusedAtGate, ClaimOutcome,
 		OrderTaken, OrderRefused,
 	}
 )
