--- a/internal/control/replicator/history_test.go
+++ b/internal/control/replicator/history_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -17,6 +18,7 @@
 	"github.com/leanovate/gopter/prop"
 
 	"verbenareach/internal/control/recorder"
+	"verbenareach/internal/wire/messenger"
 )
 
 // TestHistories runs random histories of cuts, rough links, restarts, damaged logs and
@@ -227,3 +229,72 @@
 	n.proposeMany(6, 10)
 	n.converged(commands(1, 10)...)
 }
+
+// TestNothingIsAnsweredBeforeItIsDurable has one host's syncs hang: meanwhile it must
+// neither acknowledge entries nor vote.
+func TestNothingIsAnsweredBeforeItIsDurable(t *testing.T) {
+	n := newNetwork(t, 15)
+	peers := []Peer{{"a", "a"}, {"b", "b"}, {"c", "c"}}
+	folder := t.TempDir()
+	var gate sync.RWMutex
+	files := recorder.Disk()
+	create := files.Create
+	files.Create = func(path string) (*recorder.File, error) {
+		f, err := create(path)
+		if err == nil {
+			sync := f.Sync
+			f.Sync = func() error {
+				gate.RLock()
+				defer gate.RUnlock()
+				return sync()
+			}
+		}
+		return f, err
+	}
+	for _, p := range peers {
+		r := &Replicator{Name: p.Name, Peers: peers, Folder: filepath.Join(folder, p.Name)}
+		if p.Name == "b" {
+			r.Files = files
+		}
+		n.start(r)
+	}
+	n.proposeMany(1, 5)
+	n.eventually("another leader than b", func() bool {
+		lead := n.leader()
+		if lead.Name == "b" {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			_ = lead.TransferLeadership(ctx)
+			cancel()
+		}
+		return lead.Name != "b"
+	})
+	n.converged(commands(1, 5)...)
+	gate.Lock()
+	last := n.host("b").Status().Last
+	var early atomic.Int32
+	n.mu.Lock()
+	n.watch = func(from string, m *messenger.PeerMessage) {
+		acked := m.GetAppendReply() != nil && !m.GetAppendReply().Rejected && m.GetAppendReply().Match > last
+		voted := m.GetVoteReply().GetGranted() && !m.GetVoteReply().GetPre()
+		if from == "b" && (acked || voted) {
+			early.Add(1)
+		}
+	}
+	n.mu.Unlock()
+	n.proposeMany(6, 10)
+	lead := n.leader()
+	n.eventually("b holds entries that are not durable", func() bool { return n.host("b").Status().Last > last })
+	if err := n.stop(lead.Name); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(6 * lead.ElectionTimeout)
+	n.mu.Lock()
+	n.watch = nil
+	n.mu.Unlock()
+	if got := early.Load(); got > 0 {
+		t.Errorf("b answered %d times before its records were durable", got)
+	}
+	gate.Unlock()
+	n.proposeMany(11, 12)
+	n.converged(commands(1, 12)...)
+}
--- a/internal/control/replicator/network_test.go
+++ b/internal/control/replicator/network_test.go
@@ -38,7 +38,9 @@
 		rnd   *rand.Rand
 		// leaders holds who led each term.
 		leaders map[uint64]string
-		wg      sync.WaitGroup
+		// watch sees each message; nil for nobody.
+		watch func(from string, m *messenger.PeerMessage)
+		wg    sync.WaitGroup
 	}
 
 	// host is one control host whose application is the list of applied commands.
@@ -167,6 +169,9 @@
 		}
 		n.leaders[m.Term] = m.FromId
 	}
+	if n.watch != nil {
+		n.watch(from, m)
+	}
 	if n.cut[from+">"+to] {
 		return nil // A silent partition.
 	}
