--- a/internal/control/replicator/network_test.go
+++ b/internal/control/replicator/network_test.go
@@ -63,6 +63,8 @@
 		t: t, hosts: make(map[string]*host), cut: make(map[string]bool),
 		rnd: rand.New(rand.NewSource(seed)), leaders: make(map[uint64]string),
 	}
+	// The first call has the folders removed after the hosts have stopped.
+	t.TempDir()
 	t.Cleanup(func() {
 		for _, h := range n.all() {
 			n.stop(h.Name)
@@ -115,7 +117,10 @@
 			n.t.Errorf("%s restored %d after %d", r.Name, index, h.last)
 		}
 		h.last = index
-		h.applied = strings.Split(string(state), "\n")
+		h.applied = nil
+		if len(state) > 0 {
+			h.applied = strings.Split(string(state), "\n")
+		}
 		return nil
 	}
 	r.Send = func(_ context.Context, address string, m *messenger.PeerMessage) error {
@@ -227,7 +232,7 @@
 		}
 	}
 	for _, h := range n.all() {
-		n.t.Logf("%+v", h.Status())
+		n.t.Logf("%+v has applied %q", h.Status(), h.commands())
 	}
 	n.t.Fatalf("never came: %s", what)
 }
