--- a/internal/control/recorder/recorder.go
+++ b/internal/control/recorder/recorder.go
@@ -246,6 +246,20 @@
 	return r.termAt(index)
 }
 
+// Trail returns the index up to which entries may be dropped, so that at most
+// maxEntries with at most maxBytes of data stay before index.
+func (r *Recorder) Trail(index, maxEntries uint64, maxBytes int) uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at := min(index, r.lastIndex())
+	for size := 0; at > r.base.index && index-at < maxEntries; at-- {
+		if size += len(r.entries[at-r.base.index-1].Data); size > maxBytes {
+			break
+		}
+	}
+	return at
+}
+
 // WriteSnapshot makes the file of a snapshot durable, beside the one in use.
 func (r *Recorder) WriteSnapshot(snap *messenger.LogSnapshot) error {
 	err := r.writeWhole(snapshotPath(r.Folder, snap.Index), snap)
--- a/internal/control/replicator/replicator.go
+++ b/internal/control/replicator/replicator.go
@@ -54,6 +54,9 @@
 		// are a little behind, by default 5,000.
 		SnapshotEntries uint64
 		TrailingEntries uint64
+		// SnapshotBytes is how many bytes of commands are applied between snapshots at
+		// most, by default 16 MiB; half of them at most stay in the log.
+		SnapshotBytes int
 
 		mu sync.Mutex
 		// work wakes the flusher and the applier; changed is closed and replaced
@@ -109,6 +112,8 @@
 		installing   bool
 		restore      *restoration
 		snapshotting bool
+		// unsaved counts the bytes of commands applied since the last snapshot began.
+		unsaved int
 		// snapshotLock is held while a snapshot file is written.
 		snapshotLock sync.Mutex
 	}
@@ -173,6 +178,7 @@
 	defaultElectionTimeout = time.Second
 	defaultSnapshotEntries = 20_000
 	defaultTrailingEntries = 5_000
+	defaultSnapshotBytes   = 16 << 20
 	// maxCommand bounds a command in bytes.
 	maxCommand = 8 << 20
 	// maxApplyBytes bounds the data that is applied between two looks at the log.
@@ -272,6 +278,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.applied = e.Index
+	r.unsaved += len(e.Data)
 	for _, w := range r.waiters[e.Index] {
 		done := outcome{result: result}
 		if w.term != e.Term {
@@ -405,6 +412,9 @@
 	if r.SnapshotEntries == 0 {
 		r.SnapshotEntries = defaultSnapshotEntries
 	}
+	if r.SnapshotBytes == 0 {
+		r.SnapshotBytes = defaultSnapshotBytes
+	}
 	if r.TrailingEntries == 0 {
 		r.TrailingEntries = defaultTrailingEntries
 	}
--- a/internal/control/replicator/replicator_test.go
+++ b/internal/control/replicator/replicator_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 )
@@ -109,6 +110,25 @@
 	n.converged(commands(1, 630)...)
 }
 
+// TestLargeCommandsAreBounded has the log stay small by bytes, however few entries.
+func TestLargeCommandsAreBounded(t *testing.T) {
+	n := newNetwork(t, 16)
+	peers := []Peer{{"a", "a"}}
+	folder := t.TempDir()
+	h := n.start(&Replicator{Name: "a", Peers: peers, Folder: folder, SnapshotBytes: 10_000})
+	n.leader()
+	large := strings.Repeat("x", 1000)
+	for i := range 60 {
+		n.propose(fmt.Sprint(large, i))
+	}
+	n.eventually("a short log", func() bool { return h.Status().Last-h.Status().First < 25 })
+	n.restart("a")
+	n.propose("last")
+	if got := len(n.host("a").commands()); got != 61 {
+		t.Errorf("%d commands after the restart", got)
+	}
+}
+
 func TestRoughNetwork(t *testing.T) {
 	n := newNetwork(t, 5)
 	n.cluster("a", "b", "c", "d", "e")
--- a/internal/control/replicator/snapshot.go
+++ b/internal/control/replicator/snapshot.go
@@ -204,11 +204,14 @@
 func (r *Replicator) maybeSnapshot() {
 	r.mu.Lock()
 	index := r.applied
-	due := index >= r.rec.Snapshot().GetIndex()+r.SnapshotEntries && !r.snapshotting && !r.full
+	saved := r.rec.Snapshot().GetIndex()
+	due := index >= saved+r.SnapshotEntries || index > saved && r.unsaved >= r.SnapshotBytes
+	due = due && !r.snapshotting && !r.full
 	term, ok := r.rec.Term(index)
 	due = due && ok && r.running
 	if due {
 		r.snapshotting = true
+		r.unsaved = 0
 	}
 	members := r.membershipAt(index).members
 	r.mu.Unlock()
@@ -241,5 +244,5 @@
 	if snap.Index <= r.rec.Snapshot().GetIndex() {
 		return nil
 	}
-	return r.rec.SaveSnapshot(snap, snap.Index-min(snap.Index, r.TrailingEntries))
+	return r.rec.SaveSnapshot(snap, r.rec.Trail(snap.Index, r.TrailingEntries, r.SnapshotBytes/2))
 }
