--- a/internal/control/controller/controller_test.go
+++ b/internal/control/controller/controller_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -19,10 +20,13 @@
 	goleak.VerifyTestMain(m)
 }
 
-// freeAddress returns a loopback address that nothing listens on.
+// freeAddress returns a loopback address that nothing listens on. It is of an IP
+// number of this process's own, so that nothing else takes the port meanwhile.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	ip := net.IPv4(127, 80+byte(pid>>16), byte(pid>>8), byte(pid))
+	lis, err := net.Listen("tcp", net.JoinHostPort(ip.String(), "0"))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/control/controller/replication_test.go
+++ b/internal/control/controller/replication_test.go
@@ -28,7 +28,11 @@
 	var ctx context.Context
 	ctx, h.cancel = context.WithCancel(context.Background())
 	go func() { h.done <- h.Run(ctx) }()
-	<-started
+	select {
+	case <-started:
+	case err := <-h.done:
+		panic(fmt.Sprintf("%s did not start: %v", name, err))
+	}
 	return h
 }
 
