feat: correct the account of memory by the engine's reports; plots with a legend

Cause: prompts are counted as words, a real engine counts otherwise, and then the whole account is off; labels of near points covered each other in the plots. Change: the agent compares its account with each engine report, both at the time of the report, and corrects the memory that it may fill, slowly and within bounds; plots tell policies by colour and shape.

--- a/internal/agent/server/agent.go
+++ b/internal/agent/server/agent.go
@@ -72,6 +72,8 @@
 		load atomic.Pointer[messenger.Load]
 		// memory keeps the account of the engine's memory; nil while it is unknown.
 		memory atomic.Pointer[admitter.Admitter]
+		// calibrator is only used by the goroutine that polls the engine's load.
+		calibrator admitter.Calibrator
 		// hangs notices an engine that makes no tokens.
 		hangs hangdetector.Detector
 		// calls counts the calls that reached the gate.
--- a/internal/agent/server/backend.go
+++ b/internal/agent/server/backend.go
@@ -196,4 +196,5 @@
 		ReportedAt:        report.ReportedAt,
 		Leaving:           a.gate.Mark().Leaving,
 	})
+	a.calibrateMemory(time.Now(), report)
 }
--- a/internal/agent/server/memory.go
+++ b/internal/agent/server/memory.go
@@ -7,6 +7,7 @@
 	"verbenareach/internal/agent/bufferer"
 	"verbenareach/internal/agent/gatekeeper"
 	"verbenareach/internal/control/registrar"
+	engineconnector "verbenareach/internal/engine/connector"
 	"verbenareach/internal/event/logger"
 	"verbenareach/internal/wire/messenger"
 )
@@ -37,6 +38,19 @@
 	return &gatekeeper.DeclinedError{Reason: messenger.DeclineReason_DECLINE_REASON_MEMORY, Detail: string(verdict.Reason)}
 }
 
+// calibrateMemory corrects the memory that the account may fill by what the
+// engine reports, as it may count prompts otherwise than we do.
+func (a *Agent) calibrateMemory(now time.Time, report engineconnector.Load) {
+	m := a.memory.Load()
+	total := int(report.MemoryTokensTotal)
+	if m == nil || total <= 0 || report.ReportedAt == 0 {
+		return
+	}
+	a.calibrator.Note(now, m.Account(now).Used)
+	a.calibrator.Report(time.Unix(0, report.ReportedAt), int(report.MemoryTokensUsed), total)
+	m.SetMemory(int(float64(total) / a.calibrator.Factor()))
+}
+
 // currentLoad returns the load at now: the agent's own account, which is ahead
 // of the engine's report as all work passes here.
 func (a *Agent) currentLoad(now time.Time) *messenger.Load {
--- a/internal/agent/server/memory_test.go
+++ b/internal/agent/server/memory_test.go
@@ -10,6 +10,7 @@
 	"verbenareach/internal/agent/bufferer"
 	"verbenareach/internal/agent/gatekeeper"
 	"verbenareach/internal/control/registrar"
+	engineconnector "verbenareach/internal/engine/connector"
 	"verbenareach/internal/wire/messenger"
 )
 
@@ -84,6 +85,28 @@
 	}
 }
 
+func TestCalibrateMemory(t *testing.T) {
+	a := newMemoryAgent(2000)
+	bounded := func(i, prompt int) *messenger.GenerateStart {
+		start := memoryStart(i, prompt)
+		start.MaxTokens = 3
+		return start
+	}
+	begin(t, a, bounded(1, 800))
+	now := epoch
+	for range 300 {
+		now = now.Add(250 * time.Millisecond)
+		// The engine counts twice as many tokens for the same prompt.
+		a.calibrateMemory(now, engineconnector.Load{MemoryTokensTotal: 2000, MemoryTokensUsed: 1632, ReportedAt: now.Add(-time.Second).UnixNano()})
+	}
+	if err := a.admitMemory(now, bounded(2, 400)); err == nil {
+		t.Error("admitted what the engine has no room for")
+	}
+	if err := a.admitMemory(now, bounded(3, 40)); err != nil {
+		t.Errorf("declined what the engine has room for: %v", err)
+	}
+}
+
 func TestUnknownMemoryAdmitsAll(t *testing.T) {
 	a := newMemoryAgent(0)
 	for i := range 100 {
--- a/internal/experiment/experimenter/plot.go
+++ b/internal/experiment/experimenter/plot.go
@@ -8,13 +8,14 @@
 	"github.com/rotisserie/eris"
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
-	"gonum.org/v1/plot/vg/draw"
 )
 
 const (
-	plotWidth  = 16 * vg.Centimeter
-	plotHeight = 11 * vg.Centimeter
+	plotWidth   = 16 * vg.Centimeter
+	plotHeight  = 11 * vg.Centimeter
+	glyphRadius = 4
 	// leastShown stands for 0 on a logarithmic axis.
 	leastShown = 0.1
 )
@@ -56,27 +57,19 @@
 	p.Y.Label.Text = m.label + fmt.Sprintf(" (%.1f stands for 0)", leastShown)
 	p.Y.Scale = plot.LogScale{}
 	p.Y.Tick.Marker = plot.LogTicks{Prec: -1}
-	points := make(plotter.XYs, len(list))
-	names := make([]string, len(list))
+	p.Legend.Top, p.Legend.Left = true, true
+	p.Add(plotter.NewGrid())
 	for i, s := range list {
-		points[i].X = s.TokensPerSecond
-		points[i].Y = max(m.value(s), leastShown)
-		names[i] = s.Policy
-	}
-	scatter, err := plotter.NewScatter(points)
-	if err != nil {
-		return eris.Wrap(err, "plot")
-	}
-	scatter.Shape = draw.CircleGlyph{}
-	labels, err := plotter.NewLabels(plotter.XYLabels{XYs: points, Labels: names})
-	if err != nil {
-		return eris.Wrap(err, "plot")
+		point, err := plotter.NewScatter(plotter.XYs{{X: s.TokensPerSecond, Y: max(m.value(s), leastShown)}})
+		if err != nil {
+			return eris.Wrap(err, "plot")
+		}
+		point.Color, point.Shape, point.Radius = plotutil.Color(i), plotutil.Shape(i), glyphRadius
+		p.Add(point)
+		p.Legend.Add(s.Policy, point)
 	}
-	labels.Offset = vg.Point{X: vg.Points(4), Y: vg.Points(4)}
-	p.Add(plotter.NewGrid(), scatter, labels)
 	// A logarithmic axis needs a range above 0, also where all values are equal.
 	p.Y.Min, p.Y.Max = leastShown, max(p.Y.Max, 10*leastShown)
-	// Room for the labels at the right.
-	p.X.Max += max(p.X.Max-p.X.Min, 1) / 3
+	p.X.Min = 0
 	return eris.Wrap(p.Save(plotWidth, plotHeight, path), "plot")
 }
