fix: a declined work keeps its place for 300 ms, prompts of 512 tokens pass at once

A work that was declined here and taken elsewhere held its place for 2 s against all others, and the bound on prompts was about 80 tokens, so that each prompt waited for the one before and for the entry's pause. Change: the place is kept for 300 ms, as entries offer again every 20 to 100 ms; the bound on prompts never falls below 512 tokens.

--- a/internal/agent/admitter/settings.go
+++ b/internal/agent/admitter/settings.go
@@ -38,7 +38,7 @@
 		// declined for its size.
 		MaxOvertaken int
 		// HeadTimeout is how long a declined generation keeps its place without
-		// being offered again.
+		// being offered again: it may have gone to another engine meanwhile.
 		HeadTimeout time.Duration
 		// Weights apply to works without their own.
 		Weights Weights
@@ -50,16 +50,18 @@
 	DefaultMaxBatch     = 128
 	DefaultSlack        = 8
 	DefaultMaxOvertaken = 32
-	DefaultHeadTimeout  = 2 * time.Second
+	DefaultHeadTimeout  = 300 * time.Millisecond
 
 	// Risk without any weight, and the powers of ten by which a weight on
 	// preemptions, or on stalls and tail latency, lowers it at the most.
 	baseRisk       = 0.15
 	preemptionStep = 1.0
 	latencyStep    = 2.0
-	// mostPrefill is the bound without a weight on the tail of the latency; with
-	// nothing but that weight, one prompt is computed at a time.
-	mostPrefill = 4096
+	// mostPrefill is the bound without a weight on the tail of the latency, in
+	// tokens, leastPrefill that with a high one: less would hold back first
+	// tokens for little.
+	mostPrefill  = 4096
+	leastPrefill = 512
 )
 
 // ChoirsWeights are sample weights where a preemption hurts most.
@@ -95,7 +97,7 @@
 // from the weights.
 func (w Weights) maxPrefill() int {
 	w = w.normal()
-	return int(math.Pow(mostPrefill, 1-w.TailLatency))
+	return max(int(math.Pow(mostPrefill, 1-w.TailLatency)), leastPrefill)
 }
 
 // normal returns weights of the same proportions whose sum is 1.
