--- a/internal/control/controller/insight.go
+++ b/internal/control/controller/insight.go
@@ -17,7 +17,7 @@
 func (c *Controller) insight() *presenter.Presenter {
 	return &presenter.Presenter{Gatherer: &gatherer.Gatherer{
 		Conn: func(ctx context.Context, address string) drpc.Conn {
-			return c.peers.pool.Get(ctx, address, dial)
+			return c.peers.pool.Conn(ctx, address)
 		},
 		Members: c.everyone,
 	}}
--- a/internal/control/controller/peers.go
+++ b/internal/control/controller/peers.go
@@ -3,16 +3,14 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
-	"storj.io/drpc/drpcconn"
-	"storj.io/drpc/drpcpool"
 
 	"verbenareach/internal/config/parser"
+	"verbenareach/internal/wire/dialer"
 	"verbenareach/internal/wire/messenger"
 )
 
@@ -20,29 +18,25 @@
 type peers struct {
 	// others returns them as they are now.
 	others func() []parser.Peer
-	pool   *drpcpool.Pool[string, drpcpool.Conn]
+	pool   *dialer.Pool
 }
 
 const (
 	// peerTimeout bounds a call to another control host or an agent.
-	peerTimeout    = 1500 * time.Millisecond
-	poolExpiration = time.Minute
-	poolCapacity   = 256
+	peerTimeout = 1500 * time.Millisecond
 	// exchangeRetry is the wait before a broken stream of loads is opened again.
 	exchangeRetry = 2 * time.Second
 )
 
 func newPeers(others func() []parser.Peer) *peers {
-	return &peers{others: others, pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
-		Expiration: poolExpiration, Capacity: poolCapacity, KeyCapacity: 4,
-	})}
+	return &peers{others: others, pool: dialer.New()}
 }
 
 // agent calls the agent at address.
 func (p *peers) agent(ctx context.Context, address string, m *messenger.MarkRequest) (reply *messenger.MarkReply, err error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	conn := p.pool.Get(ctx, address, dial)
+	conn := p.pool.Conn(ctx, address)
 	defer func() { err = errors.Join(err, conn.Close()) }()
 	return messenger.NewDRPCAgentClient(conn).Mark(ctx, m)
 }
@@ -59,7 +53,7 @@
 	)
 	for _, peer := range p.others() {
 		wg.Go(func() {
-			conn := p.pool.Get(ctx, peer.Address, dial)
+			conn := p.pool.Conn(ctx, peer.Address)
 			err := errors.Join(call(ctx, peer, messenger.NewDRPCControlClient(conn)), conn.Close())
 			if err != nil {
 				mu.Lock()
@@ -158,10 +152,7 @@
 func (p *peers) exchangeOnce(
 	ctx context.Context, peer parser.Peer, send func(context.Context, messenger.DRPCControl_ExchangeClient) error,
 ) (err error) {
-	conn, err := dial(ctx, peer.Address)
-	if err != nil {
-		return err
-	}
+	conn := p.pool.Conn(ctx, peer.Address)
 	defer func() { err = errors.Join(err, conn.Close()) }()
 	stream, err := messenger.NewDRPCControlClient(conn).Exchange(ctx)
 	if err != nil {
@@ -169,12 +160,3 @@
 	}
 	return send(ctx, stream)
 }
-
-func dial(ctx context.Context, address string) (drpcpool.Conn, error) {
-	d := net.Dialer{Timeout: peerTimeout}
-	tr, err := d.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, eris.Wrap(err, "dial")
-	}
-	return drpcconn.New(tr), nil
-}
--- a/internal/control/follower/calls.go
+++ b/internal/control/follower/calls.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"storj.io/drpc"
-	"storj.io/drpc/drpcpool"
 
 	"verbenareach/internal/wire/messenger"
 )
@@ -23,8 +21,6 @@
 const (
 	// attemptTimeout bounds a call to one control host before the next is tried.
 	attemptTimeout = 2 * time.Second
-	poolExpiration = time.Minute
-	poolCapacity   = 64
 )
 
 var _ error = &UnavailableError{}
@@ -104,11 +100,11 @@
 	wait := firstRetry
 	for {
 		for _, address := range f.order() {
-			conn := f.pool.Get(ctx, address, f.dialPooled)
+			conn := f.pool.Conn(ctx, address)
 			attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
 			err := do(attempt, messenger.NewDRPCControlClient(conn))
 			cancel()
-			err = errors.Join(err, closePooled(conn))
+			err = errors.Join(err, conn.Close())
 			if err == nil {
 				return nil
 			}
@@ -155,16 +151,7 @@
 }
 
 func (f *Follower) relayDirect(ctx context.Context, address string, m *messenger.MarkRequest) (*messenger.MarkReply, error) {
-	conn := f.pool.Get(ctx, address, f.dialPooled)
+	conn := f.pool.Conn(ctx, address)
 	reply, err := messenger.NewDRPCAgentClient(conn).Mark(ctx, m)
-	return reply, errors.Join(err, closePooled(conn))
-}
-
-func (f *Follower) dialPooled(ctx context.Context, address string) (drpcpool.Conn, error) {
-	return f.dial(ctx, address)
-}
-
-// closePooled gives a connection back to its pool.
-func closePooled(conn drpc.Conn) error {
-	return conn.Close()
+	return reply, errors.Join(err, conn.Close())
 }
--- a/internal/control/follower/connection.go
+++ b/internal/control/follower/connection.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 
 	"verbenareach/internal/control/registrar"
@@ -93,22 +94,23 @@
 }
 
 // dial connects to a process of the system.
-func (f *Follower) dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
+func (f *Follower) dial(ctx context.Context, address string) (drpc.Transport, error) {
 	d := net.Dialer{Timeout: dialTimeout}
 	tr, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, eris.Wrap(err, "dial")
 	}
-	return drpcconn.New(countedConn{tr, &f.traffic}), nil
+	return countedConn{tr, &f.traffic}, nil
 }
 
 // follow follows the control host at address until its stream ends, or it is
 // silent or stale for too long.
 func (f *Follower) follow(ctx context.Context, address string) (err error) {
-	conn, err := f.dial(ctx, address)
+	transport, err := f.dial(ctx, address)
 	if err != nil {
 		return err
 	}
+	conn := drpcconn.New(transport)
 	defer func() { err = errors.Join(err, conn.Close()) }()
 	// The stream outlives ctx, so that goodbye can be said.
 	live, cancel := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/control/follower/follower.go
+++ b/internal/control/follower/follower.go
@@ -18,10 +18,10 @@
 	"time"
 
 	"google.golang.org/protobuf/proto"
-	"storj.io/drpc/drpcpool"
 
 	"verbenareach/internal/control/registrar"
 	"verbenareach/internal/event/logger"
+	"verbenareach/internal/wire/dialer"
 	"verbenareach/internal/wire/messenger"
 )
 
@@ -52,7 +52,7 @@
 		view atomic.Pointer[registrar.View]
 		// loads by member ordinal.
 		loads atomic.Pointer[map[uint32]uint32]
-		pool  *drpcpool.Pool[string, drpcpool.Conn]
+		pool  *dialer.Pool
 		// traffic counts the bytes between this process and control.
 		traffic traffic
 
@@ -233,9 +233,8 @@
 		if f.self.Incarnation == 0 {
 			f.self.Incarnation = uint64(time.Now().UnixNano())
 		}
-		f.pool = drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
-			Expiration: poolExpiration, Capacity: poolCapacity, KeyCapacity: poolCapacity,
-		})
+		f.pool = dialer.New()
+		f.pool.Dial = f.dial
 	})
 }
 
