--- a/internal/control/follower/follower_test.go
+++ b/internal/control/follower/follower_test.go
@@ -249,10 +249,10 @@
 		}
 	})
 	f := newTestFollower(host.address)
-	background(t, f.Run)
 	if f.Fresh(time.Now()) {
 		t.Error("fresh before anything was heard")
 	}
+	background(t, f.Run)
 	eventually(t, "freshness", func() bool { return f.Fresh(time.Now()) })
 	once.Do(func() { close(cut) })
 	eventually(t, "the end of freshness", func() bool { return !f.Fresh(time.Now()) })
--- a/internal/entry/limiter/grant.go
+++ b/internal/entry/limiter/grant.go
@@ -48,6 +48,9 @@
 	if e.RetryAfter == 0 {
 		return fmt.Sprintf("request is larger than the contract's %s", e.Limit)
 	}
+	if e.Limit == LimitUnreachable {
+		return fmt.Sprintf("the entry that shares the contract's limits out does not answer, retry after %s", e.RetryAfter)
+	}
 	return fmt.Sprintf("over the contract's %s, retry after %s", e.Limit, e.RetryAfter)
 }
 
