perf: wait as long for a full backend server as it says

Cause: an entry left a backend server alone for 100 ms after each decline, also when only enough prompts were being computed, which takes a few steps. The agent's decline now says 10 ms for prompts, 100 ms for memory. The benchmark lost tokens whose marker lay across two reads (seen: one failed run of the reverse proxy); it reads lines now.

--- a/internal/agent/admitter/admitter.go
+++ b/internal/agent/admitter/admitter.go
@@ -35,6 +35,14 @@
 // refreshAfter bounds the age of the forecast that admissions rest on.
 const refreshAfter = 50 * time.Millisecond
 
+const (
+	// prefillRetry is when a prompt may find room: prompts are computed within a
+	// few steps of the engine.
+	prefillRetry = 10 * time.Millisecond
+	// memoryRetry is when memory may have room: as generations end.
+	memoryRetry = 100 * time.Millisecond
+)
+
 type (
 	// Work is a generation that asks to be admitted.
 	Work struct {
@@ -142,7 +150,7 @@
 	reason := a.judge(now, w)
 	a.remember(now, w, reason)
 	if reason != Admitted {
-		return Verdict{Reason: reason, Expected: a.peak(), RetryAfter: refreshAfter}
+		return Verdict{Reason: reason, Expected: a.peak(), RetryAfter: reason.retryAfter()}
 	}
 	a.start(w)
 	return Verdict{Admit: true, Expected: a.peak()}
@@ -391,3 +399,11 @@
 func blocksOf(tokens int) int {
 	return (tokens/hasher.BlockTokens + 1) * hasher.BlockTokens
 }
+
+// retryAfter returns when another try may have a better chance.
+func (r Reason) retryAfter() time.Duration {
+	if r == Prefill {
+		return prefillRetry
+	}
+	return memoryRetry
+}
--- a/internal/agent/gatekeeper/gate.go
+++ b/internal/agent/gatekeeper/gate.go
@@ -52,6 +52,8 @@
 	DeclinedError struct {
 		Reason messenger.DeclineReason
 		Detail string
+		// RetryAfter is when another try may have a better chance; 0 if not known.
+		RetryAfter time.Duration
 	}
 )
 
--- a/internal/agent/server/generate.go
+++ b/internal/agent/server/generate.go
@@ -160,6 +160,7 @@
 	if errors.As(err, &reason) {
 		declined.Reason = reason.Reason
 		declined.Detail = reason.Detail
+		declined.RetryAfterNanos = int64(reason.RetryAfter)
 	}
 	return stream.Send(&messenger.GenerateDown{Body: &messenger.GenerateDown_Declined{Declined: declined}})
 }
--- a/internal/agent/server/memory.go
+++ b/internal/agent/server/memory.go
@@ -35,7 +35,7 @@
 		return nil
 	}
 	a.Log.Emit(now, logger.WorkDeclined, start.GetGenerationId(), logger.F("reason", verdict.Reason), logger.F("expected", verdict.Expected))
-	return &gatekeeper.DeclinedError{Reason: messenger.DeclineReason_DECLINE_REASON_MEMORY, Detail: string(verdict.Reason)}
+	return &gatekeeper.DeclinedError{Reason: messenger.DeclineReason_DECLINE_REASON_MEMORY, Detail: string(verdict.Reason), RetryAfter: verdict.RetryAfter}
 }
 
 // calibrateMemory corrects the memory that the account may fill by what the
--- a/internal/entry/placer/engines.go
+++ b/internal/entry/placer/engines.go
@@ -65,7 +65,7 @@
 	case outcome.CallerGone:
 		// It tells nothing of the backend server.
 	case outcome.Reason == messenger.DeclineReason_DECLINE_REASON_MEMORY:
-		s.closedUntil = now.Add(fullPause)
+		s.closedUntil = now.Add(pauseFor(outcome.RetryAfter))
 	case outcome.Reason != messenger.DeclineReason_DECLINE_REASON_UNSPECIFIED:
 		s.closedUntil = now.Add(awayPause)
 	case !outcome.Admitted, outcome.Lost:
@@ -177,3 +177,12 @@
 	}
 	return resumedPriority
 }
+
+// pauseFor returns how long a full backend server is left alone: as long as it
+// says, within reason.
+func pauseFor(retryAfter time.Duration) time.Duration {
+	if retryAfter <= 0 {
+		return fullPause
+	}
+	return min(retryAfter, longestPause)
+}
--- a/internal/entry/placer/placer.go
+++ b/internal/entry/placer/placer.go
@@ -24,7 +24,10 @@
 	loadLag = 1500 * time.Millisecond
 	// fullPause is how long a backend server that declined for want of room is left
 	// alone, unless work of this entry ends there first.
+	// It counts for one that does not say how long.
 	fullPause = 100 * time.Millisecond
+	// longestPause bounds what a full backend server says.
+	longestPause = time.Second
 	// awayPause is how long one is left alone that declined for another reason or
 	// could not be reached.
 	awayPause = 250 * time.Millisecond
--- a/internal/entry/placer/placer_test.go
+++ b/internal/entry/placer/placer_test.go
@@ -125,6 +125,8 @@
 		closed time.Duration
 	}{
 		{"no room", relayer.Outcome{Reason: messenger.DeclineReason_DECLINE_REASON_MEMORY}, fullPause},
+		{"no room, and it says for how long", relayer.Outcome{Reason: messenger.DeclineReason_DECLINE_REASON_MEMORY, RetryAfter: 10 * time.Millisecond}, 10 * time.Millisecond},
+		{"no room, and it says far too long", relayer.Outcome{Reason: messenger.DeclineReason_DECLINE_REASON_MEMORY, RetryAfter: time.Hour}, longestPause},
 		{"leaving", relayer.Outcome{Reason: messenger.DeclineReason_DECLINE_REASON_LEAVING}, awayPause},
 		{"not reached", relayer.Outcome{}, awayPause},
 		{"lost", relayer.Outcome{Admitted: true, Lost: true}, awayPause},
--- a/internal/entry/relayer/attempt.go
+++ b/internal/entry/relayer/attempt.go
@@ -35,6 +35,8 @@
 		linkLost bool
 		cause    string
 		reason   messenger.DeclineReason
+		// retryAfter is when the backend server may have room; 0 if it doesn't tell.
+		retryAfter time.Duration
 		// refusedStatus is the engine's HTTP status if it refused the request.
 		refusedStatus int
 		load          *messenger.Load
@@ -209,6 +211,7 @@
 
 func (c *course) declined(target Target, declined *messenger.Declined, result *attemptResult) {
 	result.kind, result.reason, result.load = attemptDeclined, declined.GetReason(), declined.GetLoad()
+	result.retryAfter = time.Duration(declined.GetRetryAfterNanos())
 	result.cause = declined.GetReason().String()
 	if c.ran == messenger.Ran_RAN_UNKNOWN && !c.maybeElsewhere {
 		c.ran = messenger.Ran_RAN_NO
--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -110,6 +110,8 @@
 		// Reason is set when the backend server declined, and when an attempt was
 		// lost as it gave way to others.
 		Reason messenger.DeclineReason
+		// RetryAfter is when the backend server may have room; 0 if it doesn't tell.
+		RetryAfter time.Duration
 		// Load is what the backend server last told; nil if nothing.
 		Load *messenger.Load
 		// Tokens is how many tokens the attempt delivered.
@@ -221,6 +223,7 @@
 	r.Report(time.Now(), target, Outcome{
 		Admitted: result.admitted, Lost: result.kind == attemptLost, Reason: result.reason,
 		Start: start, Ended: result.kind == attemptEnded, CachedTokens: int(result.cached), Load: result.load, Tokens: result.tokens, CallerGone: result.callerGone, FirstToken: result.firstToken,
+		RetryAfter: result.retryAfter,
 	})
 }
 
--- a/internal/role/runner/relay_bench_test.go
+++ b/internal/role/runner/relay_bench_test.go
@@ -1,9 +1,9 @@
 package runner
 
 import (
+	"bufio"
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -107,20 +107,17 @@
 		return 0, 0, err
 	}
 	defer resp.Body.Close()
-	buf := make([]byte, 64<<10)
+	lines := bufio.NewScanner(resp.Body)
 	marker := []byte(`"finish_reason":null`)
-	for err == nil {
-		var read int
-		read, err = resp.Body.Read(buf)
+	for lines.Scan() {
 		if n == 0 {
 			first = time.Since(began)
 		}
-		n += bytes.Count(buf[:read], marker)
-	}
-	if errors.Is(err, io.EOF) {
-		err = nil
+		if bytes.Contains(lines.Bytes(), marker) {
+			n++
+		}
 	}
-	return first, n, err
+	return first, n, lines.Err()
 }
 
 func startProxy(b *testing.B, engine string) string {
