--- a/internal/entry/queuer/queuer.go
+++ b/internal/entry/queuer/queuer.go
@@ -20,6 +20,10 @@
 	// DefaultTick is the time between passes while requests wait.
 	DefaultTick = 20 * time.Millisecond
 
+	// idleTick is the time between passes while nothing waits: only what is no
+	// longer used is dropped then.
+	idleTick = time.Second
+
 	// maxPriority bounds how much a priority counts: each step doubles the share.
 	maxPriority = 4
 	// minCost keeps a request that costs nothing from being free of any share.
@@ -83,6 +87,8 @@
 		mu      sync.Mutex
 		classes map[string]*class
 		waiting int
+		// wake holds one item once a request waits; nil before Run.
+		wake chan struct{}
 	}
 
 	// RefusedError tells that a request got no backend server. It did not run.
@@ -109,17 +115,27 @@
 	}
 }
 
-// Run makes passes until ctx ends.
+// Run makes passes until ctx ends, often only while requests wait: timers that
+// fire for nothing were the largest part of an idle entry's processor time.
 func (q *Queue) Run(ctx context.Context) error {
-	ticker := time.NewTicker(q.tick())
-	defer ticker.Stop()
+	wake := q.prepareWake()
+	timer := time.NewTimer(idleTick)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case now := <-ticker.C:
+		case <-wake:
+			timer.Reset(q.tick())
+			continue
+		case now := <-timer.C:
 			q.Sweep(now)
 		}
+		if q.Waiting() > 0 {
+			timer.Reset(q.tick())
+		} else {
+			timer.Reset(idleTick)
+		}
 	}
 }
 
@@ -202,6 +218,9 @@
 	if len(w.done) > 0 {
 		return nil, nil
 	}
+	if q.waiting == 1 {
+		q.signal()
+	}
 	return w, nil
 }
 
@@ -244,6 +263,25 @@
 
 func (q *Queue) maxOvertaken() int { return orDefault(q.MaxOvertaken, DefaultMaxOvertaken) }
 
+// prepareWake returns the channel by which Run hears of the first that waits.
+func (q *Queue) prepareWake() <-chan struct{} {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.wake = make(chan struct{}, 1)
+	if q.waiting > 0 {
+		q.signal()
+	}
+	return q.wake
+}
+
+// signal wakes Run; the caller holds mu.
+func (q *Queue) signal() {
+	select {
+	case q.wake <- struct{}{}:
+	default:
+	}
+}
+
 func (q *Queue) tick() time.Duration {
 	if q.Tick == 0 {
 		return DefaultTick
--- a/internal/entry/queuer/queuer_test.go
+++ b/internal/entry/queuer/queuer_test.go
@@ -323,3 +323,31 @@
 		})
 	}
 }
+
+// TestRunPlacesWhoWaits has room come without a kick: the passes of Run find it,
+// again and again after idle times.
+func TestRunPlacesWhoWaits(t *testing.T) {
+	q := &Queue{Tick: time.Millisecond}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- q.Run(ctx) }()
+	for range 50 {
+		tries := 0
+		err := q.Wait(ctx, time.Now(), Request{
+			Class: "m", Workspace: "w", Share: 1, Cost: 1, Deadline: time.Now().Add(time.Minute),
+			Place: func(time.Time) Verdict {
+				if tries++; tries < 3 {
+					return NoRoom
+				}
+				return Placed
+			},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	stop()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
