--- a/internal/cmd/commander/process_test.go
+++ b/internal/cmd/commander/process_test.go
@@ -29,6 +29,8 @@
 	asProgram  = "VERBENAREACH_TEST_AS_PROGRAM"
 	waitLimit  = 30 * time.Second
 	streamSize = 1000
+	// controlHosts is how many control hosts agree.
+	controlHosts = 3
 )
 
 func TestMain(m *testing.M) {
@@ -91,32 +93,48 @@
 	return f.processes[name].ProcessState.ExitCode()
 }
 
-func (f *fleet) control() string { return f.address(22020) }
+// controls returns the addresses of all control hosts.
+func (f *fleet) controls() []string {
+	all := make([]string, controlHosts)
+	for i := range all {
+		all[i] = f.address(22020 + i)
+	}
+	return all
+}
 
-func (f *fleet) startControl() {
-	f.start(parser.Settings{Role: "control", Name: "control-1", Control: &parser.Control{
-		Listen: f.control(), OperatorListen: f.address(22010), DataFolder: filepath.Join(f.folder, "data"),
-		OperatorKeySHA256: registrar.HashKey(runner.DemoOperatorKey),
-		Peers:             []parser.Peer{{Name: "control-1", Address: f.control()}},
+func (f *fleet) startControl(i int) {
+	peers := make([]parser.Peer, 0, controlHosts)
+	for n, address := range f.controls() {
+		peers = append(peers, parser.Peer{Name: controlName(n), Address: address})
+	}
+	f.start(parser.Settings{Role: "control", Name: controlName(i), Control: &parser.Control{
+		Listen: f.controls()[i], OperatorListen: f.address(22010 + i), DataFolder: filepath.Join(f.folder, controlName(i)),
+		OperatorKeySHA256: registrar.HashKey(runner.DemoOperatorKey), Peers: peers,
 	}})
 }
 
+func controlName(i int) string { return fmt.Sprintf("control-%d", i) }
+
 func (f *fleet) startAgent(i int) {
 	f.start(parser.Settings{Role: "agent", Name: fmt.Sprintf("engine-%d", i), Agent: &parser.Agent{
-		Listen: f.address(22050 + i), AnnounceListen: f.address(22070 + i), Control: []string{f.control()},
+		Listen: f.address(22050 + i), AnnounceListen: f.address(22070 + i), Control: f.controls(),
 	}})
 }
 
 func (f *fleet) startEntry(i int) {
 	f.start(parser.Settings{Role: "entry", Name: fmt.Sprintf("entry-%d", i), Entry: &parser.Entry{
-		Listen: f.address(22000 + i), PeerListen: f.address(22030 + i), Control: []string{f.control()},
+		Listen: f.address(22000 + i), PeerListen: f.address(22030 + i), Control: f.controls(),
 	}})
 }
 
 // operate runs an operator's command until it succeeds.
 func (f *fleet) operate(args ...string) {
 	f.t.Helper()
-	f.t.Setenv("VERBENAREACH_CONTROL", f.address(22010))
+	operators := make([]string, controlHosts)
+	for i := range operators {
+		operators[i] = f.address(22010 + i)
+	}
+	f.t.Setenv("VERBENAREACH_CONTROL", strings.Join(operators, "\n"))
 	f.t.Setenv("VERBENAREACH_OPERATOR_KEY", runner.DemoOperatorKey)
 	var stdout, stderr bytes.Buffer
 	deadline := time.Now().Add(waitLimit)
@@ -149,7 +167,9 @@
 			}
 		}
 	})
-	f.startControl()
+	for i := range controlHosts {
+		f.startControl(i)
+	}
 	parameters := emulator.DefaultParameters()
 	parameters.StepBase = step
 	parameters.MemoryTokens = 1 << 24
@@ -364,6 +384,20 @@
 		}
 		f.restart(stopping)
 	})
+	t.Run("control hosts killed in turn", func(t *testing.T) {
+		f.t = t
+		r := f.open(0)
+		r.read(100)
+		for i := range controlHosts {
+			// The next host is lost as soon as the former one is back.
+			f.signal(controlName(i), syscall.SIGKILL)
+			_ = f.exitCode(controlName(i))
+			f.operate("server", "leave", "engine-0")
+			f.operate("server", "return", "engine-0")
+			f.startControl(i)
+		}
+		r.check(want)
+	})
 	t.Run("entry stops", func(t *testing.T) {
 		f.t = t
 		r := f.open(0)
--- a/internal/cmd/commander/slopes_bench_test.go
+++ b/internal/cmd/commander/slopes_bench_test.go
@@ -73,7 +73,7 @@
 		wg.Go(func() { readings[i].readUntilClosed() })
 	}
 	time.Sleep(settleTime)
-	names := []string{"entry-0", "engine-0", "control-1"}
+	names := []string{"entry-0", "engine-0", "control-0"}
 	before := make([]usageOf, len(names))
 	for i, name := range names {
 		before[i] = f.usage(name)
