fix: a stream that goes on never meets the write deadline of an earlier token

Cause: the deadline of 30 s for a write was set only after a pause of more than a second. A stream whose first token came late and whose others came steadily kept that first deadline, and was cut off 30 s later.

--- a/internal/entry/server/eventwriter.go
+++ b/internal/entry/server/eventwriter.go
@@ -15,6 +15,9 @@
 const (
 	smallestPlain = 0x20
 	largestPlain  = 0x7e
+
+	// deadlineSlack saves setting the deadline again for each token.
+	deadlineSlack = time.Second
 )
 
 type (
@@ -28,6 +31,9 @@
 		mu      sync.Mutex
 		begun   bool
 		wroteAt time.Time
+		// deadline is until when writes may last; each write has most of
+		// writeTimeout left.
+		deadline time.Time
 		// head and tail surround the text of each token.
 		head, tail []byte
 		// idPrefix is the text of the event ids but for the index.
@@ -131,8 +137,9 @@
 		e.w.Header().Set("Cache-Control", "no-store")
 		e.w.WriteHeader(http.StatusOK)
 	}
-	if now.Sub(e.wroteAt) > time.Second || e.wroteAt.IsZero() {
-		_ = e.control.SetWriteDeadline(now.Add(writeTimeout))
+	if e.deadline.Sub(now) < writeTimeout-deadlineSlack {
+		e.deadline = now.Add(writeTimeout)
+		_ = e.control.SetWriteDeadline(e.deadline)
 	}
 	e.wroteAt = now
 	if _, err := e.w.Write(e.buf); err != nil {
