--- a/internal/config/parser/settings.go
+++ b/internal/config/parser/settings.go
@@ -3,7 +3,8 @@
 
 import (
 	"os"
-	"time"
+
+	"verbenareach/internal/control/registrar"
 )
 
 type (
@@ -78,8 +79,8 @@
 		Address string `json:"address"`
 	}
 
-	// Duration is a time.Duration written as a string such as "250ms".
-	Duration time.Duration
+	// Duration is a time.Duration written as a string such as "250ms", as in contracts.
+	Duration = registrar.Duration
 )
 
 // ParseFile reads and checks the settings file at path. Its error is a
@@ -115,18 +116,3 @@
 	}
 	return s, nil
 }
-
-// MarshalText writes the duration as Go does.
-func (d Duration) MarshalText() ([]byte, error) {
-	return []byte(time.Duration(d).String()), nil
-}
-
-// UnmarshalText reads a duration such as "250ms".
-func (d *Duration) UnmarshalText(text []byte) error {
-	parsed, err := time.ParseDuration(string(text))
-	if err != nil {
-		return err
-	}
-	*d = Duration(parsed)
-	return nil
-}
