perf: copy a part of the contracts for a change, not all

Cause: each contract change copied two maps of all contracts, at each node and for each entry of the log at a restart.

--- a/internal/control/registrar/view.go
+++ b/internal/control/registrar/view.go
@@ -66,11 +66,11 @@
 		Index uint64
 		// contracts by workspace, members by name, marks by server.
 		// What they point to never changes.
-		contracts map[string]*Contract
+		contracts *contractShards
 		members   map[string]*Member
 		marks     map[string]*Mark
 		// workspaces by key hash, derived from contracts.
-		workspaces map[string]string
+		workspaces *keyShards
 	}
 )
 
@@ -86,7 +86,7 @@
 
 // Contract returns a workspace's contract.
 func (v View) Contract(workspace string) (Contract, bool) {
-	c, ok := v.contracts[workspace]
+	c, ok := v.contracts.get(workspace)
 	if !ok {
 		return Contract{}, false
 	}
@@ -95,7 +95,7 @@
 
 // ContractByKey returns the contract that an API key belongs to.
 func (v View) ContractByKey(key string) (Contract, bool) {
-	workspace, ok := v.workspaces[HashKey(key)]
+	workspace, ok := v.workspaces.get(HashKey(key))
 	if !ok {
 		return Contract{}, false
 	}
@@ -104,8 +104,13 @@
 
 // EachContract calls f for each contract, in no order.
 func (v View) EachContract(f func(Contract)) {
-	for _, c := range v.contracts {
-		f(*c)
+	if v.contracts == nil {
+		return
+	}
+	for _, part := range v.contracts {
+		for _, c := range part {
+			f(*c)
+		}
 	}
 }
 
@@ -140,8 +145,8 @@
 	return *m, true
 }
 
-// WithChanges returns a view that holds changes up to index, copying each map
-// at most once.
+// WithChanges returns a view that holds changes up to index, copying each map, or
+// each part of one, at most once.
 func (v View) WithChanges(index uint64, changes ...Change) View {
 	v.Index = index
 	var contracts, members, marks bool
@@ -150,8 +155,10 @@
 		marks = marks || c.Mark != nil
 		members = members || c.Member != nil || c.Removed != ""
 	}
+	var edit *shardEdit
 	if contracts {
-		v.contracts, v.workspaces = cloned(v.contracts), clonedTexts(v.workspaces)
+		edit = newShardEdit(v.contracts, v.workspaces)
+		v.contracts, v.workspaces = edit.contracts, edit.keys
 	}
 	if marks {
 		v.marks = clonedMarks(v.marks)
@@ -160,6 +167,10 @@
 		v.members = clonedMembers(v.members)
 	}
 	for _, c := range changes {
+		if c.Contract != nil {
+			edit.put(c.Contract)
+			continue
+		}
 		v.put(c)
 	}
 	return v
@@ -185,17 +196,9 @@
 	return v.WithChanges(index, Change{Removed: name})
 }
 
-// put makes one change in maps that no one else holds.
+// put makes one change of a mark or member in maps that no one else holds.
 func (v View) put(c Change) {
 	switch {
-	case c.Contract != nil:
-		if old, ok := v.contracts[c.Contract.Workspace]; ok {
-			v.forgetKeys(*old)
-		}
-		for _, k := range c.Contract.Keys {
-			v.workspaces[k.SHA256] = c.Contract.Workspace
-		}
-		v.contracts[c.Contract.Workspace] = c.Contract
 	case c.Mark != nil:
 		v.marks[c.Mark.Server] = c.Mark
 	case c.Member != nil:
@@ -205,23 +208,6 @@
 	}
 }
 
-// forgetKeys drops the keys of a contract that is being replaced, but for those
-// that have moved to another workspace.
-func (v View) forgetKeys(c Contract) {
-	for _, k := range c.Keys {
-		if v.workspaces[k.SHA256] == c.Workspace {
-			delete(v.workspaces, k.SHA256)
-		}
-	}
-}
-
-func cloned(contracts map[string]*Contract) map[string]*Contract {
-	if contracts == nil {
-		return make(map[string]*Contract)
-	}
-	return maps.Clone(contracts)
-}
-
 // Serves tells whether an engine has a model, adapter and version loaded. An
 // empty version stands for any.
 func (b Backend) Serves(model, adapter, version string) bool {
@@ -246,10 +232,3 @@
 	}
 	return maps.Clone(members)
 }
-
-func clonedTexts(texts map[string]string) map[string]string {
-	if texts == nil {
-		return make(map[string]string)
-	}
-	return maps.Clone(texts)
-}
