fix: tell nothing of a line's rate from a window in which nobody was placed

Cause: the rate of placing was measured over one second; long generations end more seldom, so the rate came out as 0 and newcomers were refused as hopeless (503 waitTooLong) though room came well before their deadline. Seen in TestMemoryRunsShort, one of three runs of all tests on a busy machine. A window now needs four placements, or ten seconds. The new test fails before.

--- a/internal/entry/queuer/class.go
+++ b/internal/entry/queuer/class.go
@@ -9,6 +9,9 @@
 const (
 	// rateWindow is the time over which the rate of placing is measured.
 	rateWindow = time.Second
+	// minPlaced is how many requests a window must have seen placed: long
+	// generations end seldom, and a window without an end tells nothing.
+	minPlaced = 4
 	// rateSmoothing weighs the newest window against those before.
 	rateSmoothing = 0.3
 	// minRetryAfter and maxRetryAfter bound what a refused request is told to wait.
@@ -32,8 +35,10 @@
 		virtual float64
 		// waiting counts the requests of all flows.
 		waiting int
-		// served counts cost placed since a time from which on requests waited.
+		// served and placed count cost and requests placed since a time from which
+		// on requests waited.
 		served float64
+		placed int
 		since  time.Time
 		// rate is cost a second while requests wait, as measured last at ratedAt.
 		rate    float64
@@ -114,6 +119,14 @@
 	if c.waiting == 0 || passed < rateWindow {
 		return
 	}
+	if c.placed < minPlaced && passed < rateExpiry {
+		return
+	}
+	if c.placed == 0 {
+		c.ratedAt = time.Time{}
+		c.since = now
+		return
+	}
 	rate := c.served / passed.Seconds()
 	if now.Sub(c.ratedAt) >= rateExpiry {
 		c.rate = rate
@@ -121,6 +134,7 @@
 	c.rate += rateSmoothing * (rate - c.rate)
 	c.ratedAt = now
 	c.served = 0
+	c.placed = 0
 	c.since = now
 }
 
@@ -186,6 +200,7 @@
 	c.virtual = max(c.virtual, f.start)
 	f.start += cost(w.Request) / f.weight
 	c.served += cost(w.Request)
+	c.placed++
 	w.done <- nil
 }
 
@@ -193,6 +208,7 @@
 func (c *class) push(now time.Time, f *flow, w *waiter) {
 	if c.waiting == 0 {
 		c.served = 0
+		c.placed = 0
 		c.since = now
 	}
 	c.waiting++
--- a/internal/entry/queuer/queuer_test.go
+++ b/internal/entry/queuer/queuer_test.go
@@ -351,3 +351,30 @@
 		t.Error(err)
 	}
 }
+
+// TestSlowLineRefusesNobodyBefore has a line in which nobody was placed for some
+// seconds, as generations are long: that tells nothing of how long it takes.
+func TestSlowLineRefusesNobodyBefore(t *testing.T) {
+	for _, placed := range []int{0, 1, 3} {
+		t.Run(fmt.Sprintf("placed=%d", placed), func(t *testing.T) {
+			q := &Queue{}
+			full := &room{}
+			for range placed + 1 {
+				enter(t, q, testNow, full.request("w", 1, 500))
+			}
+			now := testNow
+			for i := range 8 {
+				now = now.Add(500 * time.Millisecond)
+				if i < placed {
+					full.free = 500
+				}
+				q.Sweep(now)
+				select {
+				case refused := <-enter(t, q, now, full.request("w", 1, 500)):
+					t.Fatalf("refused after %v: %v", now.Sub(testNow), refused)
+				default:
+				}
+			}
+		})
+	}
+}
