perf: use connections to engines again

Cause: the agent left an engine's answer at the finish reason, with the last lines unread, so that net/http closed the connection and each generation made a new one.

--- a/internal/agent/server/session.go
+++ b/internal/agent/server/session.go
@@ -150,6 +150,8 @@
 		if token.FinishReason != "" {
 			result := finished(token, g.Next, s.buffer.First, indexed)
 			result.CachedTokens = stream.CachedTokens
+			s.buffer.Finish(result)
+			stream.Drain()
 			return result
 		}
 	}
--- a/internal/agent/server/session_test.go
+++ b/internal/agent/server/session_test.go
@@ -53,3 +53,21 @@
 		})
 	}
 }
+
+// TestEngineThatDoesNotHangUp has an engine that keeps its answer open after the
+// end: the generation is whole at once all the same.
+func TestEngineThatDoesNotHangUp(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = w.Write([]byte("data: {\"choices\":[{\"text\":\"t0\",\"finish_reason\":\"stop\"}]}\n\n"))
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}))
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	a := &Agent{backend: &backend{engine: &engineconnector.Engine{Address: address, Client: server.Client()}}}
+	s := &session{start: &messenger.GenerateStart{Path: "/v1/completions", Request: []byte("{}")}, buffer: bufferer.NewBuffer(nil)}
+	result := a.generate(context.Background(), s)
+	if result.Cause != "" || len(s.buffer.Texts()) != 1 {
+		t.Errorf("got %q, %+v", s.buffer.Texts(), result)
+	}
+}
--- a/internal/engine/connector/connector.go
+++ b/internal/engine/connector/connector.go
@@ -12,6 +12,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fastjson"
@@ -22,6 +23,7 @@
 const (
 	readBufferBytes = 64 << 10
 	maxErrorBytes   = 4 << 10
+	drainTimeout    = 100 * time.Millisecond
 )
 
 var (
@@ -187,6 +189,14 @@
 	_ = s.body.Close()
 }
 
+// Drain reads what follows the last token, so that the connection can be used
+// again: one that is closed with unread bytes is lost. It waits for a moment only.
+func (s *Stream) Drain() {
+	timer := time.AfterFunc(drainTimeout, s.Close)
+	defer timer.Stop()
+	_, _ = io.Copy(io.Discard, io.LimitReader(s.reader, maxErrorBytes))
+}
+
 // Next waits for the next token. It fails with a BrokenError when the stream
 // ends without a finish reason.
 func (s *Stream) Next() (Token, error) {
--- a/internal/role/runner/relay_bench_test.go
+++ b/internal/role/runner/relay_bench_test.go
@@ -31,8 +31,39 @@
 // httputil.ReverseProxy, and through an entry and an agent. The cost includes
 // caller and engine; the difference to direct is what the way between costs.
 func BenchmarkRelay(b *testing.B) {
+	for _, way := range startWays(b, benchStep) {
+		b.Run(way.name, func(b *testing.B) { benchmarkWay(b, way.client, way.address) })
+	}
+}
+
+// BenchmarkFirstToken compares the time to the first token of one request at a
+// time, at an engine with steps of a millisecond.
+func BenchmarkFirstToken(b *testing.B) {
+	for _, way := range startWays(b, time.Millisecond) {
+		b.Run(way.name, func(b *testing.B) {
+			var firsts []time.Duration
+			for b.Loop() {
+				first, n, err := readStream(way.client, way.address, 1)
+				if err != nil || n != 1 {
+					b.Fatalf("%d tokens, %v", n, err)
+				}
+				firsts = append(firsts, first)
+			}
+			reportFirsts(b, firsts)
+		})
+	}
+}
+
+// benchWay is one way to the same engine.
+type benchWay struct {
+	name, address string
+	client        *http.Client
+}
+
+// startWays runs a system with one engine, and a reverse proxy beside it.
+func startWays(b *testing.B, step time.Duration) []benchWay {
 	parameters := emulator.DefaultParameters()
-	parameters.StepBase, parameters.StepPerSequence, parameters.StepPerKiloToken = benchStep, 0, 0
+	parameters.StepBase, parameters.StepPerSequence, parameters.StepPerKiloToken = step, 0, 0
 	parameters.MemoryTokens = 1 << 20
 	s := &Standalone{
 		Host: testHost(3), BasePort: testBasePort, DataFolder: b.TempDir(),
@@ -42,18 +73,15 @@
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- s.Run(ctx) }()
-	defer func() { stop(); <-done }()
+	b.Cleanup(func() { stop(); <-done })
 	engine := s.Engine(0).Address(ctx)
 	proxy := startProxy(b, engine)
-	transport := &http.Transport{MaxIdleConnsPerHost: benchStreams}
-	client := &http.Client{Transport: transport}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: benchStreams}}
 	for awaitToken(client, s.EntryAddress(0)) != nil {
 		time.Sleep(20 * time.Millisecond)
 	}
-	for _, way := range []struct{ name, address string }{
-		{"direct", engine}, {"reverseProxy", proxy}, {"entryAndAgent", s.EntryAddress(0)},
-	} {
-		b.Run(way.name, func(b *testing.B) { benchmarkWay(b, client, way.address) })
+	return []benchWay{
+		{"direct", engine, client}, {"reverseProxy", proxy, client}, {"entryAndAgent", s.EntryAddress(0), client},
 	}
 }
 
@@ -79,8 +107,12 @@
 		wg.Wait()
 	}
 	used := processorTime() - before
-	slices.Sort(firsts)
 	b.ReportMetric(float64(used.Microseconds())/float64(tokens), "cpu-µs/token")
+	reportFirsts(b, firsts)
+}
+
+func reportFirsts(b *testing.B, firsts []time.Duration) {
+	slices.Sort(firsts)
 	b.ReportMetric(float64(firsts[len(firsts)/2].Microseconds())/1000, "first-ms/p50")
 	b.ReportMetric(float64(firsts[len(firsts)*95/100].Microseconds())/1000, "first-ms/p95")
 }
