fix: never make tokens again that a resuming caller has

Cause: when the agent of the newest attempt and the entry were lost together, a resuming caller could be served from an older attempt that was still held: tokens it had were made again and skipped, so that what followed might not belong to what it had read. Found by reading. The cursor's epoch now bounds the attempts, and missing tokens end in the incomplete event. The new test fails without the change in both cases.

--- a/internal/entry/relayer/attempt.go
+++ b/internal/entry/relayer/attempt.go
@@ -154,6 +154,11 @@
 		}
 		switch body := down.GetBody().(type) {
 		case *messenger.GenerateDown_Admitted:
+			if body.Admitted.GetStart() != nil && body.Admitted.GetStart().GetEpoch() < c.leastEpoch {
+				// What the caller has came from a later attempt; this one may differ from it.
+				result.kind, result.cause = attemptDeclined, "only an older attempt is left"
+				return result, nil
+			}
 			if err := c.admitted(target, body.Admitted, &result); err != nil {
 				return result, err
 			}
--- a/internal/entry/relayer/course.go
+++ b/internal/entry/relayer/course.go
@@ -23,6 +23,8 @@
 		// callerHas is how many tokens the caller had before it resumed; those are
 		// taken but not delivered again.
 		callerHas uint64
+		// leastEpoch is the attempt that the resuming caller's last token came from.
+		leastEpoch uint32
 		// ran is RAN_NO until an attempt may have begun, RAN_YES once one was admitted.
 		ran messenger.Ran
 		// maybeElsewhere is true once an attempt broke off without an answer, so that
@@ -106,6 +108,10 @@
 	if result.kind == attemptFinal {
 		return c.incomplete(result.cause)
 	}
+	if c.generation.Next < c.callerHas {
+		// Making them again could give other tokens than the caller has.
+		return c.incomplete("tokens that the caller has are lost here")
+	}
 	if c.start.GetModel() == "" {
 		return c.incomplete("the agent was lost before it told how the generation began")
 	}
--- a/internal/entry/relayer/relayer.go
+++ b/internal/entry/relayer/relayer.go
@@ -195,6 +195,7 @@
 func (r *Relayer) Resume(ctx context.Context, workspace string, cursor sequencer.Cursor, target Target, sink Sink) error {
 	c := r.course(&messenger.GenerateStart{GenerationId: cursor.Generation, Workspace: workspace}, sink)
 	c.callerHas = uint64(cursor.Index + 1)
+	c.leastEpoch = cursor.Epoch
 	result, err := c.attach(ctx, target)
 	if err != nil {
 		return err
--- a/internal/entry/relayer/relayer_test.go
+++ b/internal/entry/relayer/relayer_test.go
@@ -424,3 +424,34 @@
 		t.Errorf("abandoned %v", left.abandoned)
 	}
 }
+
+// TestResumeNeverMakesTokensAgain has a caller with more tokens, or tokens of a
+// later attempt, than the agent that is left: what it would make may differ.
+func TestResumeNeverMakesTokensAgain(t *testing.T) {
+	shorter := [][]step{{func(a *attemptScript) error { a.next = 0; return admit(a) }, tokens(4), fail(true)}}
+	older := [][]step{{func(a *attemptScript) error { a.next = 0; return admit(a) }, rest}}
+	tests := []struct {
+		name     string
+		script   [][]step
+		epoch    uint32
+		notFound bool
+	}{
+		{name: "fewer tokens than the caller has", script: shorter, epoch: 1},
+		{name: "an older attempt", script: older, epoch: 2, notFound: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench(t, tt.script, [][]step{{admit, rest}})
+			cursor := sequencer.Cursor{Generation: "g", Server: "s0", Incarnation: 1, Epoch: tt.epoch, Index: 7}
+			err := b.relayer.Resume(context.Background(), "w", cursor, b.targets[0], b.sink())
+			var incomplete *IncompleteError
+			var notFound *NotFoundError
+			if errors.As(err, &notFound) != tt.notFound || errors.As(err, &incomplete) == tt.notFound {
+				t.Errorf("got %v", err)
+			}
+			if len(b.got) > 0 || len(b.agents[1].starts) > 0 {
+				t.Errorf("delivered %q", b.got)
+			}
+		})
+	}
+}
--- a/internal/entry/server/resume.go
+++ b/internal/entry/server/resume.go
@@ -98,7 +98,7 @@
 	defer cancel()
 	view := e.View()
 	if member, ok := view.Member(cursor.Server); ok {
-		if found, ok := e.ask(ctx, workspace, cursor.Generation, member); ok {
+		if found, ok := e.ask(ctx, workspace, cursor.Generation, member); ok && found.epoch >= cursor.Epoch {
 			return found.target, true
 		}
 	}
@@ -121,7 +121,7 @@
 		})
 	})
 	_ = g.Wait()
-	return newest.target, newest.epoch > 0
+	return newest.target, newest.epoch > 0 && newest.epoch >= cursor.Epoch
 }
 
 func (e *Entry) ask(ctx context.Context, workspace, generation string, m registrar.Member) (place, bool) {
