--- a/internal/role/runner/relay_bench_test.go
+++ b/internal/role/runner/relay_bench_test.go
@@ -32,7 +32,15 @@
 // caller and engine; the difference to direct is what the way between costs.
 func BenchmarkRelay(b *testing.B) {
 	for _, way := range startWays(b, benchStep) {
-		b.Run(way.name, func(b *testing.B) { benchmarkWay(b, way.client, way.address) })
+		b.Run(way.name, func(b *testing.B) { benchmarkWay(b, way, benchStreams, benchTokens) })
+	}
+}
+
+// BenchmarkRelayTogether is BenchmarkRelay at an engine so fast that tokens
+// arrive together.
+func BenchmarkRelayTogether(b *testing.B) {
+	for _, way := range startWays(b, 20*time.Microsecond) {
+		b.Run(way.name, func(b *testing.B) { benchmarkWay(b, way, 8, 5000) })
 	}
 }
 
@@ -85,19 +93,19 @@
 	}
 }
 
-func benchmarkWay(b *testing.B, client *http.Client, address string) {
+func benchmarkWay(b *testing.B, way benchWay, streams, length int) {
 	var mu sync.Mutex
 	var firsts []time.Duration
 	tokens := 0
 	before := processorTime()
 	for b.Loop() {
 		var wg sync.WaitGroup
-		for range benchStreams {
+		for range streams {
 			wg.Go(func() {
-				first, n, err := readStream(client, address, benchTokens)
+				first, n, err := readStream(way.client, way.address, length)
 				mu.Lock()
 				defer mu.Unlock()
-				if err != nil || n != benchTokens {
+				if err != nil || n != length {
 					b.Errorf("%d tokens, %v", n, err)
 				}
 				tokens += n
