--- a/internal/control/replicator/replicator.go
+++ b/internal/control/replicator/replicator.go
@@ -114,6 +114,8 @@
 		snapshotting bool
 		// unsaved counts the bytes of commands applied since the last snapshot began.
 		unsaved int
+		// recheck is set when a snapshot ends while the next one is due already.
+		recheck bool
 		// snapshotLock is held while a snapshot file is written.
 		snapshotLock sync.Mutex
 	}
@@ -245,7 +247,7 @@
 func (r *Replicator) applyLoop() {
 	for {
 		r.mu.Lock()
-		for r.running && r.restore == nil && r.applied >= r.commit {
+		for r.running && r.restore == nil && r.applied >= r.commit && !r.recheck {
 			r.work.Wait()
 		}
 		if !r.running {
@@ -254,10 +256,8 @@
 		}
 		restore := r.restore
 		r.restore = nil
-		entries, _ := r.rec.Entries(r.applied+1, maxApplyBytes)
-		if n := r.commit - r.applied; r.commit > r.applied && uint64(len(entries)) > n {
-			entries = entries[:n]
-		}
+		r.recheck = false
+		entries := r.committed()
 		r.mu.Unlock()
 		if restore != nil {
 			r.restoreNow(restore)
@@ -270,6 +270,15 @@
 	}
 }
 
+// committed returns the next entries that may be applied; the caller holds mu.
+func (r *Replicator) committed() []*messenger.LogEntry {
+	if r.commit <= r.applied {
+		return nil
+	}
+	entries, _ := r.rec.Entries(r.applied+1, maxApplyBytes)
+	return entries[:min(uint64(len(entries)), r.commit-r.applied)]
+}
+
 func (r *Replicator) applyOne(e *messenger.LogEntry) {
 	var result []byte
 	if e.Kind == messenger.LogEntry_KIND_COMMAND {
--- a/internal/control/replicator/snapshot.go
+++ b/internal/control/replicator/snapshot.go
@@ -226,6 +226,11 @@
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.snapshotting = false
+		if r.unsaved >= r.SnapshotBytes {
+			// No further entry may come to ask for the next snapshot.
+			r.recheck = true
+			r.work.Broadcast()
+		}
 		if err != nil {
 			r.emit(logger.ControlSnapshotFailed, logger.F("index", index), logger.F("error", err))
 			return
