chore: say once what stood twice

One wait between tries for follower, controller and booker (wire/pauser), the command line's untilSignal in all commands that stop at SIGTERM, cmp.Or in place of an own first-error loop, one branch for a lost link where two with the same condition stood, and an attempt's id made once. Behavior and tests' assertions are as before.

--- a/internal/agent/server/session.go
+++ b/internal/agent/server/session.go
@@ -97,7 +97,7 @@
 	defer s.cancel()
 	id := s.start.GetGenerationId()
 	a.Log.Emit(time.Now(), logger.WorkAdmitted, id, logger.F("epoch", s.start.GetEpoch()), logger.F("from", s.buffer.First))
-	result := a.generate(ctx, s)
+	result := a.generate(ctx, s, work)
 	s.buffer.Finish(result)
 	next, final := s.buffer.Next()
 	a.finishMemory(work, final, next)
@@ -109,7 +109,7 @@
 }
 
 // generate reads the engine's tokens into the buffer until the attempt ends.
-func (a *Agent) generate(ctx context.Context, s *session) bufferer.Result {
+func (a *Agent) generate(ctx context.Context, s *session, work string) bufferer.Result {
 	b := a.currentBackend()
 	if b == nil || b.engine == nil {
 		return bufferer.Result{Cause: "the engine is gone", Resumable: true}
@@ -124,7 +124,6 @@
 		return bufferer.Result{Cause: err.Error(), Resumable: true}
 	}
 	defer stream.Close()
-	work := workID(s.start)
 	a.hangs.Begin(time.Now(), work)
 	defer a.hangs.End(work)
 	g := sequencer.Generation{ID: s.start.GetGenerationId(), Epoch: s.start.GetEpoch(), Next: s.buffer.First}
--- a/internal/agent/server/session_test.go
+++ b/internal/agent/server/session_test.go
@@ -46,7 +46,7 @@
 			a := &Agent{backend: &backend{engine: &engineconnector.Engine{Address: address, Client: server.Client()}}}
 			start := &messenger.GenerateStart{GenerationId: "g", Epoch: 1, Path: "/v1/completions", Request: []byte("{}"), Delivered: []string{"t0", "t1"}}
 			s := &session{start: start, buffer: bufferer.NewBuffer(start.GetDelivered())}
-			result := a.generate(context.Background(), s)
+			result := a.generate(context.Background(), s, workID(s.start))
 			if got := strings.Join(s.buffer.Texts(), ""); got != tt.texts || (result.Cause == "") != tt.whole || !tt.whole && !result.Resumable {
 				t.Errorf("got %s, %+v", got, result)
 			}
@@ -66,7 +66,7 @@
 	address := strings.TrimPrefix(server.URL, "http://")
 	a := &Agent{backend: &backend{engine: &engineconnector.Engine{Address: address, Client: server.Client()}}}
 	s := &session{start: &messenger.GenerateStart{Path: "/v1/completions", Request: []byte("{}")}, buffer: bufferer.NewBuffer(nil)}
-	result := a.generate(context.Background(), s)
+	result := a.generate(context.Background(), s, workID(s.start))
 	if result.Cause != "" || len(s.buffer.Texts()) != 1 {
 		t.Errorf("got %q, %+v", s.buffer.Texts(), result)
 	}
--- a/internal/cmd/commander/experimentcmd.go
+++ b/internal/cmd/commander/experimentcmd.go
@@ -1,11 +1,8 @@
 package commander
 
 import (
-	"context"
 	"encoding/json"
 	"io"
-	"os/signal"
-	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/schollz/progressbar/v3"
@@ -24,7 +21,7 @@
 	cmd.Flag("json", "Print the rows as JSON.").BoolVar(&asJSON)
 	cmd.Flag("plots", "Folder for plots, as SVG files.").ExistingDirVar(&plots)
 	run[cmd.FullCommand()] = func() error {
-		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+		ctx, stop := untilSignal()
 		defer stop()
 		bar := progressbar.NewOptions(e.Runs(),
 			progressbar.OptionSetWriter(stderr), progressbar.OptionClearOnFinish(),
--- a/internal/cmd/commander/standinenginecmd.go
+++ b/internal/cmd/commander/standinenginecmd.go
@@ -1,12 +1,9 @@
 package commander
 
 import (
-	"context"
 	"errors"
 	"io"
-	"os/signal"
 	"strings"
-	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/charmbracelet/log"
@@ -39,7 +36,7 @@
 			s.Models = append(s.Models, parseModel(m))
 		}
 		s.Logger = &logger.Logger{Out: log.NewWithOptions(stderr, log.Options{ReportTimestamp: true})}
-		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+		ctx, stop := untilSignal()
 		defer stop()
 		err := s.Run(ctx)
 		if errors.Is(err, emulator.ErrKilled) {
--- a/internal/control/controller/peers.go
+++ b/internal/control/controller/peers.go
@@ -12,6 +12,7 @@
 	"verbenareach/internal/config/parser"
 	"verbenareach/internal/wire/dialer"
 	"verbenareach/internal/wire/messenger"
+	"verbenareach/internal/wire/pauser"
 )
 
 // peers are the other control hosts.
@@ -125,30 +126,20 @@
 			}
 			wg.Go(func() {
 				if err := p.exchangeOnce(ctx, peer, send); err != nil && ctx.Err() == nil {
-					pause(ctx, exchangeRetry)
+					pauser.Pause(ctx, exchangeRetry)
 				}
 				mu.Lock()
 				defer mu.Unlock()
 				delete(open, peer.Address)
 			})
 		}
-		pause(ctx, exchangeRetry)
+		pauser.Pause(ctx, exchangeRetry)
 		if ctx.Err() != nil {
 			return
 		}
 	}
 }
 
-// pause waits for t or until ctx ends.
-func pause(ctx context.Context, t time.Duration) {
-	timer := time.NewTimer(t)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func (p *peers) exchangeOnce(
 	ctx context.Context, peer parser.Peer, send func(context.Context, messenger.DRPCControl_ExchangeClient) error,
 ) (err error) {
--- a/internal/control/follower/calls.go
+++ b/internal/control/follower/calls.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"verbenareach/internal/wire/messenger"
+	"verbenareach/internal/wire/pauser"
 )
 
 // UnavailableError tells that no control host answered. Whether the call took
@@ -113,7 +114,7 @@
 				return failed
 			}
 		}
-		pause(ctx, wait)
+		pauser.Pause(ctx, wait)
 		wait = min(2*wait, maxRetry)
 		if ctx.Err() != nil {
 			return failed
--- a/internal/control/follower/follower.go
+++ b/internal/control/follower/follower.go
@@ -23,6 +23,7 @@
 	"verbenareach/internal/event/logger"
 	"verbenareach/internal/wire/dialer"
 	"verbenareach/internal/wire/messenger"
+	"verbenareach/internal/wire/pauser"
 )
 
 type (
@@ -157,7 +158,7 @@
 			continue
 		}
 		if failed++; failed%len(f.Addresses) == 0 {
-			pause(ctx, wait/2+rand.N(wait))
+			pauser.Pause(ctx, wait/2+rand.N(wait))
 			wait = min(2*wait, maxRetry)
 		}
 	}
@@ -275,13 +276,3 @@
 	}
 	return defaultStaleAfter
 }
-
-// pause waits for t or until ctx ends.
-func pause(ctx context.Context, t time.Duration) {
-	timer := time.NewTimer(t)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/entry/booker/booker.go
+++ b/internal/entry/booker/booker.go
@@ -13,6 +13,7 @@
 	"verbenareach/internal/event/logger"
 	"verbenareach/internal/wire/dialer"
 	"verbenareach/internal/wire/messenger"
+	"verbenareach/internal/wire/pauser"
 )
 
 const (
@@ -158,7 +159,7 @@
 		}
 		b.Log.Emit(time.Now(), logger.CallRetried, req.ID, logger.F("left", target.Server), logger.F("cause", cause))
 		avoid = append(avoid, target)
-		pause(ctx, b.Backoff.Pause(len(avoid)))
+		pauser.Pause(ctx, b.Backoff.Pause(len(avoid)))
 	}
 }
 
@@ -173,15 +174,6 @@
 	})
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func unanswered(mayHaveRun bool, cause error) error {
 	if mayHaveRun {
 		return &UnknownError{Cause: cause}
--- a/internal/entry/booker/claim.go
+++ b/internal/entry/booker/claim.go
@@ -8,6 +8,7 @@
 
 	"verbenareach/internal/event/logger"
 	"verbenareach/internal/wire/messenger"
+	"verbenareach/internal/wire/pauser"
 )
 
 // callOnce makes a non-repeatable call: claim, dispatch, record. Each round is
@@ -103,7 +104,7 @@
 			}
 			unknown.Detail = err.Error()
 		}
-		pause(ctx, b.Backoff.Pause(3))
+		pauser.Pause(ctx, b.Backoff.Pause(3))
 		if ctx.Err() != nil {
 			b.Log.Emit(time.Now(), logger.CallUnknown, req.ID, logger.F("server", claim.GetServer()), logger.F("detail", unknown.GetDetail()))
 			return unknown
--- a/internal/entry/relayer/course.go
+++ b/internal/entry/relayer/course.go
@@ -91,8 +91,6 @@
 		if result.kind == attemptFinal {
 			return true, c.incomplete(result.cause)
 		}
-	}
-	if lost.linkLost {
 		go c.relayer.abandon(context.WithoutCancel(ctx), target, &messenger.AbandonRequest{
 			GenerationId: c.generation.ID, Workspace: c.start.GetWorkspace(), Epoch: c.generation.Epoch,
 		})
--- a/internal/role/runner/standalone.go
+++ b/internal/role/runner/standalone.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -169,7 +170,7 @@
 	stopBackends()
 	backendErr := backendGroup.Wait()
 	stopControl()
-	return firstError(entryErr, agentErr, backendErr, controlGroup.Wait())
+	return cmp.Or(entryErr, agentErr, backendErr, controlGroup.Wait())
 }
 
 // Service returns the i-th stand-in service once Run has begun.
@@ -349,12 +350,3 @@
 	}
 	return settings
 }
-
-func firstError(errs ...error) error {
-	for _, err := range errs {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/wire/pauser/pauser.go
@@ -0,0 +1,17 @@
+// Package pauser waits between tries to reach other processes.
+package pauser
+
+import (
+	"context"
+	"time"
+)
+
+// Pause waits for d or until ctx ends.
+func Pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
