feat: a host of a fleet on the users' platform, thin from end to end

One role serves clients and control on every front host; hosts with a disk keep the configuration in the product's replicated log. platform/ translates settings, configuration, reports and header fields.

--- a/internal/cmd/commander/commander.go
+++ b/internal/cmd/commander/commander.go
@@ -38,6 +38,7 @@
 	addExplain(app, run, stdout)
 	addReplay(app, run, stdout, stderr)
 	addReport(app, run, stdout)
+	addPlatform(app, run, stdout)
 	selected, err := app.Parse(args)
 	if helped {
 		// The help is printed; nothing else was asked for, whatever else is missing.
--- a/internal/control/replicator/membership.go
+++ b/internal/control/replicator/membership.go
@@ -82,7 +82,7 @@
 				return nil, &RefusedError{Reason: fmt.Sprintf("address belongs to %s", m.Name)}
 			}
 		}
-		if len(hello.Members) > 0 {
+		if len(hello.Members) > 0 && !related(members, hello.Members) {
 			return nil, &RefusedError{Reason: fmt.Sprintf("%s belongs to a membership already", host.Name)}
 		}
 		learner := &messenger.LogMember{Name: host.Name, Id: hello.Id, Address: host.Address}
@@ -91,6 +91,14 @@
 	return hello.Id, err
 }
 
+// related tells whether two memberships share an identity: those of one log do, also
+// where one of them is old.
+func related(a, b []*messenger.LogMember) bool {
+	return slices.ContainsFunc(a, func(m *messenger.LogMember) bool {
+		return slices.ContainsFunc(b, func(o *messenger.LogMember) bool { return o.Id == m.Id })
+	})
+}
+
 // Promote makes a learner a voter once it has caught up, and waits for that. id may be
 // its name as well. Other voters of the same name are removed first.
 func (r *Replicator) Promote(ctx context.Context, id string) error {
--- a/internal/event/logger/event.go
+++ b/internal/event/logger/event.go
@@ -12,7 +12,8 @@
 	// never changes its meaning; docs/events.md holds the catalogue.
 	Event struct {
 		// Number is unique in the catalogue. Control has 1000 to 1999, entries 2000 to 2999,
-		// agents 3000 to 3999, stand-ins 4000 to 4999, commands 5000 to 5999.
+		// agents 3000 to 3999, stand-ins 4000 to 4999, commands 5000 to 5999,
+		// hosts of a fleet 6000 to 6999.
 		Number int
 		// Level is the severity under which the event is written.
 		Level log.Level
@@ -36,6 +37,7 @@
 	all = append(all, agentEvents...)
 	all = append(all, standInEvents...)
 	all = append(all, commandEvents...)
+	all = append(all, fleetEvents...)
 	return all
 }
 
--- /dev/null
+++ b/internal/event/logger/fleetevents.go
@@ -0,0 +1,51 @@
+package logger
+
+import "github.com/charmbracelet/log"
+
+// Events of the hosts of a fleet.
+var (
+	FleetStarted   = Event{6001, log.InfoLevel, "fleet host started"}
+	FleetStopping  = Event{6002, log.InfoLevel, "fleet host stops"}
+	FleetStopped   = Event{6003, log.InfoLevel, "fleet host stopped"}
+	FleetReloaded  = Event{6004, log.InfoLevel, "settings read again"}
+	FleetReadiness = Event{6005, log.InfoLevel, "readiness changed"}
+
+	// Events of what a host believes of the others.
+	FleetLinked         = Event{6101, log.InfoLevel, "link to a host is up"}
+	FleetUnlinked       = Event{6102, log.WarnLevel, "link to a host is lost"}
+	FleetMemberChanged  = Event{6103, log.InfoLevel, "membership of the replicated log changed"}
+	FleetLogFailed      = Event{6104, log.ErrorLevel, "replicated log failed"}
+	FleetBackendChanged = Event{6105, log.InfoLevel, "backend server changed"}
+	FleetLeaderChanged  = Event{6106, log.InfoLevel, "leader changed"}
+
+	// Events of the configuration.
+	FleetConfigAdopted  = Event{6201, log.InfoLevel, "configuration in force"}
+	FleetConfigDecided  = Event{6202, log.InfoLevel, "change of the configuration decided"}
+	FleetConfigRefused  = Event{6203, log.WarnLevel, "configuration refused as invalid"}
+	FleetConfigRead     = Event{6204, log.InfoLevel, "configuration read"}
+	FleetConfigRejected = Event{6205, log.ErrorLevel, "stored configuration can't be used"}
+	FleetReportRefused  = Event{6206, log.WarnLevel, "backend server's report refused"}
+
+	// Events of requests.
+	ForwardMalformed = Event{6301, log.WarnLevel, "request refused as malformed"}
+	ForwardRefused   = Event{6302, log.WarnLevel, "request refused"}
+	ForwardFailed    = Event{6303, log.WarnLevel, "request failed"}
+	ForwardRepeated  = Event{6304, log.InfoLevel, "request sent to another backend server"}
+	ForwardServed    = Event{6305, log.DebugLevel, "request served"}
+	ForwardLeft      = Event{6306, log.InfoLevel, "client left"}
+
+	// Events of generations.
+	RunPlaced     = Event{6401, log.DebugLevel, "generation placed"}
+	RunMoving     = Event{6402, log.InfoLevel, "generation is to continue elsewhere"}
+	RunMoved      = Event{6403, log.InfoLevel, "generation continues elsewhere"}
+	RunMoveFailed = Event{6404, log.WarnLevel, "generation could not be moved"}
+	RunBrokenOff     = Event{6405, log.WarnLevel, "generation broke off"}
+
+	fleetEvents = []Event{
+		FleetStarted, FleetStopping, FleetStopped, FleetReloaded, FleetReadiness, FleetLinked, FleetUnlinked,
+		FleetMemberChanged, FleetLogFailed, FleetBackendChanged, FleetLeaderChanged, FleetConfigAdopted,
+		FleetConfigDecided, FleetConfigRefused, FleetConfigRead, FleetConfigRejected, FleetReportRefused,
+		ForwardMalformed, ForwardRefused, ForwardFailed, ForwardRepeated, ForwardServed, ForwardLeft,
+		RunPlaced, RunMoving, RunMoved, RunMoveFailed, RunBrokenOff,
+	}
+)
--- /dev/null
+++ b/internal/fleet/forwarder/forwarder.go
@@ -0,0 +1,234 @@
+// Package forwarder serves clients' requests from backend servers: it finds the route,
+// checks the key, passes the request on within its deadline, repeats only what may be
+// repeated, and tells a client "not run" only of what was not run.
+package forwarder
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"verbenareach/internal/event/logger"
+	"verbenareach/internal/fleet/budgeter"
+	"verbenareach/internal/fleet/cataloger"
+	"verbenareach/internal/fleet/receiver"
+	"verbenareach/internal/fleet/sender"
+	"verbenareach/internal/fleet/tracker"
+	"verbenareach/internal/wire/messenger"
+)
+
+type (
+	// Forwarder serves the requests of one host. Its exported fields are set before first use.
+	Forwarder struct {
+		Dialect Dialect
+		// FailureDomain is the host's own.
+		FailureDomain string
+		// Catalog returns the configuration in force; nil while none is known.
+		Catalog func() *cataloger.Catalog
+		Tracker *tracker.Tracker
+		Budget  *budgeter.Budgeter
+		Pool    *sender.Pool
+		// Place asks for a place for a generation and waits for the decision.
+		Place func(ctx context.Context, req *messenger.PlaceRequest) (*messenger.Placement, error)
+		// Tell passes on how a generation stands.
+		Tell func(state *messenger.RunState)
+		// Stopping tells whether the host is about to stop.
+		Stopping func() bool
+		Log      *logger.Logger
+		// Observe hears of each finished request: its kind, outcome and duration.
+		Observe func(kind, outcome string, took time.Duration)
+
+		mu sync.Mutex
+		// loads holds what this host has outstanding at each backend server.
+		loads map[string]*load
+		// courses holds the generations in progress, by run.
+		courses map[string]*course
+	}
+
+	// exchange is one request of a client on its way.
+	exchange struct {
+		w         *receiver.Writer
+		r         *receiver.Request
+		id        string
+		route     cataloger.Route
+		service   cataloger.Service
+		workspace string
+		priority  int
+		// until is when the client's or the route's time ends.
+		until time.Time
+		// mayHaveRun is set once a backend server may have run the request.
+		mayHaveRun bool
+		outcome    string
+	}
+)
+
+const (
+	// retryUnready is told to clients while the host has no configuration.
+	retryUnready = time.Second
+	// retryBusy is told to clients when no backend server takes the request.
+	retryBusy = 300 * time.Millisecond
+)
+
+// Handle serves one request.
+func (f *Forwarder) Handle(ctx context.Context, w *receiver.Writer, r *receiver.Request) {
+	x := &exchange{w: w, r: r, id: r.Get(f.Dialect.RequestID)}
+	if !f.admit(x) {
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, x.until)
+	defer cancel()
+	f.Budget.Request(r.Arrived, x.service.Name)
+	if x.service.Engine != nil && x.route.Kind == cataloger.Stream {
+		f.generate(ctx, x)
+	} else {
+		f.call(ctx, x)
+	}
+	f.Observe(kindName(x.route.Kind), x.outcome, time.Since(r.Arrived))
+}
+
+// admit finds the request's route, workspace and deadline, or answers it.
+func (f *Forwarder) admit(x *exchange) bool {
+	c := f.Catalog()
+	if c == nil {
+		f.refuse(x, http.StatusServiceUnavailable, "no configuration is known yet", retryUnready)
+		return false
+	}
+	route, ok := c.Match(x.r.Host, x.r.Path)
+	if !ok {
+		f.refuse(x, http.StatusNotFound, "no route matches", 0)
+		return false
+	}
+	if x.id == "" {
+		f.refuse(x, http.StatusBadRequest, "request has no id", 0)
+		return false
+	}
+	x.route, x.priority = route, route.Priority
+	if c.Keyed && !route.Public {
+		key, _ := strings.CutPrefix(x.r.Get("Authorization"), "Bearer ")
+		ws, ok := c.Workspace(key)
+		if !ok {
+			f.refuse(x, http.StatusUnauthorized, "key is unknown", 0)
+			return false
+		}
+		x.workspace = ws.Name
+		if ws.HasPriority {
+			x.priority = ws.Priority
+		}
+	}
+	x.service = c.Services[route.Pick(rand.Float64())] //nolint:gosec // Traffic is split, nothing is hidden.
+	x.until = x.r.Arrived.Add(route.Timeout)
+	if ms, err := strconv.ParseFloat(x.r.Get(f.Dialect.Deadline), 64); err == nil {
+		if end := x.r.Arrived.Add(time.Duration(ms * float64(time.Millisecond))); end.Before(x.until) {
+			x.until = end
+		}
+	}
+	return true
+}
+
+// refuse answers a request that was not run and never will be, or that can't be taken.
+func (f *Forwarder) refuse(x *exchange, status int, reason string, after time.Duration) {
+	x.outcome = "refused"
+	f.Log.Emit(time.Now(), logger.ForwardRefused, x.id, logger.F("status", status), logger.F("reason", reason),
+		logger.F("route", x.route.Name), logger.F("service", x.service.Name), logger.F("retryAfter", after))
+	fields := f.ownFields(x)
+	if after > 0 {
+		fields = append(fields, receiver.Field{Name: "Retry-After", Value: fmt.Sprintf("%.3f", after.Seconds())})
+	}
+	x.w.Reply(status, fields, []byte(reason+"\n"))
+}
+
+// fail answers a request that may have run and of which no whole answer came.
+func (f *Forwarder) fail(x *exchange, status int, reason string, cause error) {
+	x.outcome = "failed"
+	f.Log.Emit(time.Now(), logger.ForwardFailed, x.id, logger.F("status", status), logger.F("reason", reason),
+		logger.F("route", x.route.Name), logger.F("service", x.service.Name), logger.F("cause", cause),
+		logger.F("after", time.Since(x.r.Arrived).Round(time.Millisecond)))
+	x.w.Reply(status, f.ownFields(x), []byte(reason+"\n"))
+}
+
+// giveUp answers a request whose time has ended or whose backend servers all failed.
+func (f *Forwarder) giveUp(ctx context.Context, x *exchange, reason string, cause error) {
+	switch {
+	case context.Cause(ctx) == context.Canceled:
+		x.outcome = "left"
+		f.Log.Emit(time.Now(), logger.ForwardLeft, x.id, logger.F("route", x.route.Name),
+			logger.F("after", time.Since(x.r.Arrived).Round(time.Millisecond)))
+		x.w.Abort()
+	case !x.mayHaveRun:
+		f.refuse(x, http.StatusServiceUnavailable, reason, retryBusy)
+	case ctx.Err() != nil || time.Now().After(x.until):
+		f.fail(x, http.StatusGatewayTimeout, "time ended before an answer came", cause)
+	default:
+		f.fail(x, http.StatusBadGateway, reason, cause)
+	}
+}
+
+// ownFields returns the header of an answer of this host.
+func (f *Forwarder) ownFields(x *exchange) []receiver.Field {
+	fields := []receiver.Field{{Name: "Content-Type", Value: "text/plain"}}
+	if x.id != "" {
+		fields = append(fields, receiver.Field{Name: f.Dialect.RequestID, Value: x.id})
+	}
+	return fields
+}
+
+// outgoing returns the request as it is sent to a backend server.
+func (f *Forwarder) outgoing(x *exchange, now time.Time, backend string, extra ...sender.Field) sender.Request {
+	out := sender.Request{
+		Method: x.r.Method, Target: x.r.Target, Host: x.r.Get("Host"), Body: x.r.Body, Echo: f.Dialect.RequestID, ID: x.id,
+	}
+	listed := strings.ToLower(x.r.Get("Connection"))
+	for _, field := range x.r.Fields {
+		name := strings.ToLower(field.Name)
+		if hopByHop[name] || f.Dialect.reserved(name) || strings.Contains(listed, name) {
+			continue
+		}
+		if name == "authorization" && x.workspace != "" {
+			continue
+		}
+		out.Fields = append(out.Fields, sender.Field{Name: field.Name, Value: field.Value})
+	}
+	left := strconv.FormatInt(max(x.until.Sub(now).Milliseconds(), 1), 10)
+	out.Fields = append(out.Fields, sender.Field{Name: f.Dialect.Deadline, Value: left},
+		sender.Field{Name: f.Dialect.Expect, Value: backend})
+	if x.workspace != "" {
+		out.Fields = append(out.Fields, sender.Field{Name: f.Dialect.Workspace, Value: x.workspace})
+	}
+	out.Fields = append(out.Fields, extra...)
+	return out
+}
+
+// incoming returns the header of a backend server's answer as it goes to the client.
+func incoming(header http.Header) []receiver.Field {
+	fields := make([]receiver.Field, 0, len(header))
+	for name, values := range header {
+		if hopByHop[strings.ToLower(name)] {
+			continue
+		}
+		for _, v := range values {
+			fields = append(fields, receiver.Field{Name: name, Value: v})
+		}
+	}
+	return fields
+}
+
+// notRun tells whether the backend server says that it did not run the request.
+func (f *Forwarder) notRun(a *sender.Answer) bool {
+	return a.Status == http.StatusMisdirectedRequest || a.Header.Get(f.Dialect.NotRun) != ""
+}
+
+func kindName(k cataloger.Kind) string {
+	switch k {
+	case cataloger.Once:
+		return "once"
+	case cataloger.Stream:
+		return "stream"
+	default:
+		return "idempotent"
+	}
+}
--- /dev/null
+++ b/internal/fleet/forwarder/generation.go
@@ -0,0 +1,358 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"verbenareach/internal/event/logger"
+	"verbenareach/internal/fleet/sender"
+	"verbenareach/internal/wire/messenger"
+)
+
+// course is one generation on its way to its client. Its goroutine alone uses it, but
+// for the orders channel.
+type course struct {
+	f      *Forwarder
+	x      *exchange
+	req    *messenger.PlaceRequest
+	answer *sender.Answer
+	events <-chan batch
+	stop   func()
+	// backend runs the generation, backup holds a copy of its memory.
+	backend *messenger.Backend
+	backup  *messenger.Backend
+	// last is the id of the newest event that the client has, made the events passed on.
+	last string
+	made int
+	// orders holds moves that the scheduler wants, copied the outcome of one under way.
+	orders chan *messenger.MoveOrder
+	copied chan copyOutcome
+	// moving is the order under way; nil for none.
+	moving *messenger.MoveOrder
+	// ended is how the stream of the backend server ended; nil while it goes on.
+	ended error
+	// snapshot is how the generation stood last; any goroutine may read it.
+	snapshot atomic.Pointer[messenger.RunState]
+}
+
+const (
+	// maxDeclined bounds the engines that may decline one generation.
+	maxDeclined = 3
+	// ordersAhead bounds the move orders that wait for one generation.
+	ordersAhead = 4
+)
+
+// Order passes a move order to its generation; it tells whether that is here.
+func (f *Forwarder) Order(m *messenger.MoveOrder) bool {
+	f.mu.Lock()
+	c := f.courses[m.Run]
+	f.mu.Unlock()
+	if c == nil {
+		return false
+	}
+	select {
+	case c.orders <- m:
+		return true
+	default:
+		return false
+	}
+}
+
+// Runs returns how all generations of this host stand.
+func (f *Forwarder) Runs() []*messenger.RunState {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := make([]*messenger.RunState, 0, len(f.courses))
+	for _, c := range f.courses {
+		if s := c.snapshot.Load(); s != nil {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// generate serves a generation.
+func (f *Forwarder) generate(ctx context.Context, x *exchange) {
+	if f.Stopping() {
+		f.refuse(x, http.StatusServiceUnavailable, "host is about to stop", retryStopping)
+		return
+	}
+	c := &course{
+		f: f, x: x, req: f.Dialect.Demand(x.r), orders: make(chan *messenger.MoveOrder, ordersAhead),
+		copied: make(chan copyOutcome, 1),
+	}
+	c.req.Run, c.req.Service, c.req.Priority, c.req.Workspace = x.id, x.service.Name, int32(x.priority), x.workspace
+	c.req.FailureDomain = f.FailureDomain
+	if !c.start(ctx) {
+		return
+	}
+	c.run(ctx)
+	c.tell(messenger.RunState_PHASE_ENDED)
+	f.mu.Lock()
+	delete(f.courses, x.id)
+	f.mu.Unlock()
+}
+
+// retryStopping is told to clients of a host that is about to stop: another one takes them.
+const retryStopping = 50 * time.Millisecond
+
+// start has the generation run somewhere; if it can't, it answers the client.
+func (c *course) start(ctx context.Context) bool {
+	reason, cause := "no engine is ready", errNobody
+	for range maxDeclined {
+		if ctx.Err() != nil {
+			break
+		}
+		now := time.Now()
+		c.req.ObjectiveMs = max(c.x.route.Objective-now.Sub(c.x.r.Arrived), 0).Milliseconds()
+		c.req.DeadlineMs = c.x.until.Sub(now).Milliseconds()
+		p, err := c.f.Place(ctx, c.req)
+		if err != nil {
+			cause = err
+			break
+		}
+		if p.Backend == "" {
+			c.f.refuse(c.x, http.StatusServiceUnavailable, p.Reason, time.Duration(p.RetryAfterMs)*time.Millisecond)
+			return false
+		}
+		c.backend, c.backup = c.f.Tracker.Find(p.Backend), c.f.Tracker.Find(p.Backup)
+		if c.backend == nil {
+			c.decline(p.Backend)
+			continue
+		}
+		if len(c.req.Avoid) > 0 && !c.f.Budget.Repeat(now, c.x.service.Name) {
+			break
+		}
+		err = c.send(ctx)
+		if err == nil {
+			return true
+		}
+		reason, cause = "no engine took the request", err
+		c.f.Log.Emit(time.Now(), logger.ForwardRepeated, c.x.id, logger.F("backend", c.backend.Id),
+			logger.F("cause", err), logger.F("mayHaveRun", c.x.mayHaveRun))
+		c.decline(c.backend.Id)
+		if c.x.mayHaveRun {
+			break
+		}
+	}
+	c.f.giveUp(ctx, c.x, reason, cause)
+	return false
+}
+
+// decline gives back a place that could not be used.
+func (c *course) decline(backend string) {
+	c.req.Avoid = append(c.req.Avoid, backend)
+	c.f.Tell(&messenger.RunState{Run: c.x.id, Backend: backend, Phase: messenger.RunState_PHASE_ENDED})
+}
+
+// send sends the request to its first engine and awaits the head of the answer.
+func (c *course) send(ctx context.Context) error {
+	answer, err := c.open(ctx, c.backend, 0, c.backupField()...)
+	if err != nil {
+		unsent := new(sender.UnsentError)
+		if errors.As(err, &unsent) {
+			c.f.Tracker.Avoid(c.backend.Id, time.Now().Add(avoidUnreachable))
+		} else if !errors.Is(err, errDeclined) {
+			c.x.mayHaveRun = true
+		}
+		return err
+	}
+	c.x.mayHaveRun = true
+	c.attach(answer)
+	c.f.mu.Lock()
+	if c.f.courses == nil {
+		c.f.courses = make(map[string]*course)
+	}
+	c.f.courses[c.x.id] = c
+	c.f.mu.Unlock()
+	c.note(messenger.RunState_PHASE_PLACED)
+	return nil
+}
+
+// open sends the request to an engine. It fails with errDeclined where the engine says
+// that it did not run the request. The head of the answer must come within a limit; 0
+// sets none.
+func (c *course) open(
+	ctx context.Context, b *messenger.Backend, within time.Duration, extra ...sender.Field,
+) (*sender.Answer, error) {
+	now := time.Now()
+	conn, err := c.f.Pool.Get(ctx, now, b.Address, freshOnce)
+	if err != nil {
+		return nil, &sender.UnsentError{Cause: err}
+	}
+	if within > 0 {
+		limit := time.AfterFunc(within, func() { _ = conn.Close() })
+		defer limit.Stop()
+	}
+	a, err := c.f.Pool.Send(ctx, conn, c.f.outgoing(c.x, now, b.Id, extra...))
+	if err != nil {
+		return nil, err
+	}
+	if c.f.notRun(a) {
+		// The rest of the answer is of no use, but the connection may be.
+		if _, err := io.Copy(io.Discard, a.Body); err != nil {
+			a.Break()
+		} else {
+			a.Done()
+		}
+		return nil, errDeclined
+	}
+	return a, nil
+}
+
+// attach makes an answer the one that is passed on.
+func (c *course) attach(a *sender.Answer) {
+	c.answer = a
+	c.ended = nil
+	c.events, c.stop = readEvents(a)
+}
+
+// detach ends the answer that is passed on.
+func (c *course) detach() {
+	if c.answer != nil {
+		c.stop()
+		c.answer.Break()
+		c.answer, c.events = nil, nil
+	}
+}
+
+// run passes events on until the stream ends.
+func (c *course) run(ctx context.Context) {
+	if c.answer.Status != http.StatusOK {
+		c.passWhole()
+		return
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			c.detach()
+			c.finish(ctx, ctx.Err())
+			return
+		case b, open := <-c.events:
+			if !open {
+				c.events = nil
+				continue
+			}
+			if c.pass(b) {
+				continue
+			}
+			if c.ended == io.EOF {
+				c.complete()
+				return
+			}
+			if c.ended == nil {
+				c.detach()
+				c.finish(ctx, context.Canceled)
+				return
+			}
+			if c.moving == nil && !c.recover(ctx) {
+				c.finish(ctx, c.ended)
+				return
+			}
+		case m := <-c.orders:
+			c.obey(ctx, m)
+		case o := <-c.copied:
+			if !c.settle(ctx, o) {
+				c.finish(ctx, c.ended)
+				return
+			}
+		}
+	}
+}
+
+// pass passes a batch on; it tells whether the stream goes on.
+func (c *course) pass(b batch) bool {
+	if b.err != nil {
+		c.ended = b.err
+		return false
+	}
+	first := c.made == 0
+	if first {
+		c.x.w.Begin(c.answer.Status, incoming(c.answer.Header))
+	}
+	if !c.x.w.Write(b.bytes) {
+		return false
+	}
+	c.made += b.count
+	if b.last != "" {
+		c.last = b.last
+	}
+	if first {
+		c.tell(messenger.RunState_PHASE_STREAMING)
+	}
+	return true
+}
+
+// complete ends a stream that is whole.
+func (c *course) complete() {
+	if c.made == 0 {
+		c.x.w.Begin(c.answer.Status, incoming(c.answer.Header))
+	}
+	c.x.w.Finish()
+	c.stop()
+	c.answer.Done()
+	c.x.outcome = "served"
+	c.f.Log.Emit(time.Now(), logger.ForwardServed, c.x.id, logger.F("backend", c.backend.Id),
+		logger.F("events", c.made), logger.F("after", time.Since(c.x.r.Arrived).Round(time.Millisecond)))
+}
+
+// finish ends a stream that is not whole. The client sees that it is not.
+func (c *course) finish(ctx context.Context, cause error) {
+	if !c.x.w.Started() {
+		c.f.giveUp(ctx, c.x, "engine broke off", cause)
+		return
+	}
+	c.x.outcome = "broken"
+	if context.Cause(ctx) == context.Canceled || errors.Is(cause, context.Canceled) {
+		c.x.outcome = "left"
+	}
+	c.f.Log.Emit(time.Now(), logger.RunBrokenOff, c.x.id, logger.F("backend", c.backend.Id), logger.F("events", c.made),
+		logger.F("outcome", c.x.outcome), logger.F("cause", cause),
+		logger.F("after", time.Since(c.x.r.Arrived).Round(time.Millisecond)))
+	c.x.w.Abort()
+}
+
+// passWhole passes on an answer that is no stream.
+func (c *course) passWhole() {
+	c.stop()
+	var body []byte
+	err := error(nil)
+	for b := range c.events {
+		body = append(body, b.bytes...)
+		err = b.err
+	}
+	c.answer.Break()
+	if err != io.EOF && !errors.Is(err, errTornEvent) || promises(c.answer.Status) {
+		c.f.fail(c.x, http.StatusBadGateway, "engine gave no whole answer", err)
+		return
+	}
+	c.x.outcome = "backendError"
+	c.x.w.Reply(c.answer.Status, incoming(c.answer.Header), body)
+}
+
+// tell passes on how the generation stands.
+func (c *course) tell(phase messenger.RunState_Phase) {
+	c.f.Tell(c.note(phase))
+}
+
+// note keeps how the generation stands for whoever asks for all of them.
+func (c *course) note(phase messenger.RunState_Phase) *messenger.RunState {
+	s := &messenger.RunState{
+		Run: c.x.id, Backend: c.backend.GetId(), Backup: c.backup.GetId(), Phase: phase,
+		MadeTokens: int32(c.made * max(c.x.service.Engine.Stride, 1)), Request: c.req,
+	}
+	c.snapshot.Store(s)
+	return s
+}
+
+// backupField returns the field that has the memory copied; none without a backup.
+func (c *course) backupField() []sender.Field {
+	if c.backup == nil {
+		return nil
+	}
+	return []sender.Field{{Name: c.f.Dialect.Backup, Value: c.backup.Address}}
+}
--- /dev/null
+++ b/internal/fleet/receiver/request.go
@@ -0,0 +1,254 @@
+package receiver
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httputil"
+	"strconv"
+	"strings"
+	"time"
+)
+
+type (
+	// Field is one header field as it was sent.
+	Field struct {
+		Name  string
+		Value string
+	}
+
+	// Request is one whole request of a client.
+	Request struct {
+		Method string
+		// Target is the request target as sent; Path is its part before a query.
+		Target string
+		Path   string
+		Host   string
+		Fields []Field
+		Body   []byte
+		// Arrived is when its first byte was read.
+		Arrived time.Time
+
+		close      bool
+		chunked    bool
+		length     int64
+		wantsHints bool
+	}
+
+	// malformedError tells why a request cannot be taken and how it is answered.
+	malformedError struct {
+		status int
+		reason string
+	}
+)
+
+var _ error = &malformedError{}
+
+// errHeaderTooLarge is returned for a header beyond the limit.
+var errHeaderTooLarge = &malformedError{http.StatusRequestHeaderFieldsTooLarge, "header is too large"}
+
+// Error tells the reason.
+func (e *malformedError) Error() string { return e.reason }
+
+// Get returns the first value of a header field, by its name in any case.
+func (r *Request) Get(name string) string {
+	for _, f := range r.Fields {
+		if strings.EqualFold(f.Name, name) {
+			return f.Value
+		}
+	}
+	return ""
+}
+
+// readHeader reads and checks the header of one request.
+func readHeader(br *bufio.Reader, limit int) (*Request, error) {
+	var block []byte
+	for {
+		line, err := br.ReadSlice('\n')
+		if len(block)+len(line) > limit {
+			return nil, errHeaderTooLarge
+		}
+		block = append(block, line...)
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		if bytes.HasSuffix(block, []byte("\r\n\r\n")) {
+			break
+		}
+		if !bytes.HasSuffix(block, []byte("\r\n")) {
+			return nil, malformed("line does not end with CR LF")
+		}
+		if len(block) == 2 {
+			return nil, malformed("empty request line")
+		}
+	}
+	lines := strings.Split(strings.TrimSuffix(string(block), "\r\n\r\n"), "\r\n")
+	r, err := parseRequestLine(lines[0])
+	if err != nil {
+		return nil, err
+	}
+	for _, line := range lines[1:] {
+		if err := r.addField(line); err != nil {
+			return nil, err
+		}
+	}
+	return r, r.checkFraming()
+}
+
+func parseRequestLine(line string) (*Request, error) {
+	parts := strings.Split(line, " ")
+	if len(parts) != 3 || !isToken(parts[0]) || !isPrintable(parts[1]) {
+		return nil, malformed("request line is malformed")
+	}
+	if !strings.HasPrefix(parts[1], "/") {
+		return nil, malformed("request target is no path")
+	}
+	r := &Request{Method: parts[0], Target: parts[1], length: -1}
+	r.Path, _, _ = strings.Cut(parts[1], "?")
+	switch parts[2] {
+	case "HTTP/1.1":
+	case "HTTP/1.0":
+		r.close = true
+	default:
+		return nil, &malformedError{http.StatusHTTPVersionNotSupported, "protocol version is not HTTP/1.1"}
+	}
+	return r, nil
+}
+
+func (r *Request) addField(line string) error {
+	name, value, ok := strings.Cut(line, ":")
+	if !ok || !isToken(name) {
+		return malformed("header field is malformed")
+	}
+	value = strings.Trim(value, " \t")
+	for i := range len(value) {
+		if value[i] < ' ' && value[i] != '\t' || value[i] == 0x7f {
+			return malformed("header field holds a control character")
+		}
+	}
+	r.Fields = append(r.Fields, Field{Name: name, Value: value})
+	return nil
+}
+
+// checkFraming finds out how the body is framed and refuses what is ambiguous.
+func (r *Request) checkFraming() error {
+	hosts, lengths, encodings := 0, 0, 0
+	for _, f := range r.Fields {
+		switch strings.ToLower(f.Name) {
+		case "host":
+			hosts++
+			r.Host = hostName(f.Value)
+		case "content-length":
+			lengths++
+			n, err := strconv.ParseUint(f.Value, 10, 62)
+			if err != nil {
+				return malformed("length of the body is malformed")
+			}
+			r.length = int64(n)
+		case "transfer-encoding":
+			encodings++
+			if !strings.EqualFold(f.Value, "chunked") {
+				return &malformedError{http.StatusNotImplemented, "transfer encoding is unknown"}
+			}
+			r.chunked = true
+		case "connection":
+			r.close = r.close || strings.Contains(strings.ToLower(f.Value), "close")
+		case "expect":
+			r.wantsHints = strings.EqualFold(f.Value, "100-continue")
+		}
+	}
+	switch {
+	case hosts != 1:
+		return malformed("request does not name one host")
+	case lengths > 1 || encodings > 1 || lengths+encodings > 1:
+		return malformed("framing of the body is ambiguous")
+	}
+	return nil
+}
+
+// readBody reads the whole body.
+func (r *Request) readBody(br *bufio.Reader, limit int64) error {
+	if r.length > limit {
+		return &malformedError{http.StatusRequestEntityTooLarge, "body is too large"}
+	}
+	if r.chunked {
+		body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(br), limit+1))
+		if err != nil {
+			return bodyError(err)
+		}
+		if int64(len(body)) > limit {
+			return &malformedError{http.StatusRequestEntityTooLarge, "body is too large"}
+		}
+		r.Body = body
+		return skipTrailer(br)
+	}
+	if r.length <= 0 {
+		return nil
+	}
+	r.Body = make([]byte, r.length)
+	_, err := io.ReadFull(br, r.Body)
+	return err
+}
+
+// bodyError tells a malformed chunk from a connection that failed.
+func bodyError(err error) error {
+	if strings.Contains(err.Error(), "chunk") || strings.Contains(err.Error(), "line") {
+		return malformed("chunk of the body is malformed")
+	}
+	return err
+}
+
+// skipTrailer reads the lines after the last chunk.
+func skipTrailer(br *bufio.Reader) error {
+	for range maxTrailerLines {
+		line, err := br.ReadSlice('\n')
+		if err != nil {
+			return err
+		}
+		if string(line) == "\r\n" {
+			return nil
+		}
+	}
+	return malformed("trailer is too long")
+}
+
+// maxTrailerLines bounds the lines after a chunked body.
+const maxTrailerLines = 32
+
+func malformed(format string, args ...any) error {
+	return &malformedError{http.StatusBadRequest, fmt.Sprintf(format, args...)}
+}
+
+// hostName returns a Host field's value without its port.
+func hostName(value string) string {
+	if i := strings.LastIndexByte(value, ':'); i >= 0 && !strings.Contains(value[i:], "]") {
+		value = value[:i]
+	}
+	return strings.ToLower(value)
+}
+
+func isToken(s string) bool {
+	for i := range len(s) {
+		c := s[i]
+		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
+		if !letter && !strings.ContainsRune("!#$%&'*+-.^_`|~", rune(c)) {
+			return false
+		}
+	}
+	return s != ""
+}
+
+func isPrintable(s string) bool {
+	for i := range len(s) {
+		if s[i] <= ' ' || s[i] >= 0x7f {
+			return false
+		}
+	}
+	return s != ""
+}
--- /dev/null
+++ b/internal/fleet/runner/service.go
@@ -0,0 +1,96 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"verbenareach/internal/control/replicator"
+	"verbenareach/internal/fleet/keeper"
+	"verbenareach/internal/wire/messenger"
+)
+
+type (
+	// service answers other hosts' calls.
+	service struct {
+		host *Runner
+	}
+
+	// peers answers the calls of other hubs' replicated logs.
+	peers struct {
+		keeper *keeper.Keeper
+	}
+)
+
+var (
+	_ messenger.DRPCFleetServer = &service{}
+	_ messenger.DRPCPeersServer = &peers{}
+)
+
+// Configure stores a configuration durably.
+func (s *service) Configure(ctx context.Context, req *messenger.ConfigureRequest) (*messenger.ConfigureReply, error) {
+	if s.host.keeper == nil {
+		return &messenger.ConfigureReply{Error: "host is no hub"}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, callHubTimeout)
+	defer cancel()
+	version, err := s.host.keeper.Put(ctx, req.Version, req.Body)
+	return &messenger.ConfigureReply{Version: version, Error: text(err)}, nil
+}
+
+// Fetch returns the configuration.
+func (s *service) Fetch(ctx context.Context, req *messenger.FetchRequest) (*messenger.FetchReply, error) {
+	if req.Confirm && s.host.keeper == nil {
+		return &messenger.FetchReply{Error: "host is no hub"}, nil
+	}
+	reply := &messenger.FetchReply{}
+	if req.Confirm {
+		ctx, cancel := context.WithTimeout(ctx, callHubTimeout)
+		defer cancel()
+		version, packed, err := s.host.keeper.Confirmed(ctx)
+		if err != nil {
+			return &messenger.FetchReply{Error: err.Error()}, nil
+		}
+		reply.Version, reply.Body = version, packed
+	} else if held := s.host.packed.Load(); held != nil {
+		reply.Version, reply.Body = held.version, held.packed
+	}
+	if reply.Version <= req.Held {
+		reply.Body = nil
+	}
+	return reply, nil
+}
+
+// Introduce takes another host's introduction.
+func (s *service) Introduce(_ context.Context, req *messenger.IntroduceRequest) (*messenger.IntroduceReply, error) {
+	return s.host.linker.Introduced(time.Now(), req), nil
+}
+
+// Link serves a link that another host opened.
+func (s *service) Link(stream messenger.DRPCFleet_LinkStream) error {
+	return s.host.linker.Accept(stream)
+}
+
+// Ask answers a question about the replicated log.
+func (p *peers) Ask(ctx context.Context, req *messenger.PeerRequest) (*messenger.PeerReply, error) {
+	r := p.keeper.Replicator()
+	if r == nil {
+		return nil, keeper.ErrNotRunning
+	}
+	return (&replicator.Service{Replicator: r}).Ask(ctx, req)
+}
+
+// Exchange takes the messages of another hub.
+func (p *peers) Exchange(stream messenger.DRPCPeers_ExchangeStream) error {
+	r := p.keeper.Replicator()
+	if r == nil {
+		return keeper.ErrNotRunning
+	}
+	return (&replicator.Service{Replicator: r}).Exchange(stream)
+}
+
+func text(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/internal/fleet/scheduler/moves.go
@@ -0,0 +1,106 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"verbenareach/internal/wire/messenger"
+)
+
+// moveAll orders moves away from the engines that leave.
+func (s *Scheduler) moveAll(now time.Time) {
+	for _, b := range s.backends {
+		if b.leaving.IsZero() || len(b.runs) == 0 {
+			continue
+		}
+		for _, r := range s.movable(now, b) {
+			s.move(now, b, r)
+		}
+	}
+}
+
+// movable returns the runs to move away from an engine, in the order of moving: those
+// whose copy lies elsewhere first, then the smallest, of which most are saved.
+func (s *Scheduler) movable(now time.Time, b *backend) []*run {
+	var list []*run
+	for _, r := range b.runs {
+		if r.first.IsZero() || r.moveFailed >= maxMoveFailures {
+			continue
+		}
+		left := time.Duration(remaining(r.req, s.made(now, r))) * s.tokenTime
+		if left < endsSoon && now.Sub(b.leaving) < endsSoon {
+			continue
+		}
+		list = append(list, r)
+	}
+	slices.SortFunc(list, func(x, y *run) int {
+		return cmp.Or(
+			cmp.Compare(rank(x), rank(y)),
+			cmp.Compare(s.size(now, x), s.size(now, y)),
+			cmp.Compare(x.id, y.id),
+		)
+	})
+	return list
+}
+
+// rank puts runs with a copy before those without.
+func rank(r *run) int {
+	if r.copied != nil && r.copied.report.State == messenger.Backend_STATE_READY {
+		return 0
+	}
+	return 1
+}
+
+// move orders one run to continue elsewhere, if that is possible now. One engine copies
+// one run away at a time: copies that share a link delay the end of each.
+func (s *Scheduler) move(now time.Time, b *backend, r *run) {
+	if b.moving == r.id || r.arrivingAnywhere(s) {
+		return
+	}
+	if rank(r) == 0 && r.moveFailed == 0 {
+		s.order(now, b, r.copied, r, true)
+		return
+	}
+	if !b.engine.Moves || b.moving != "" {
+		return
+	}
+	to := s.best(now, r.req, s.size(now, r), b)
+	if to == nil {
+		return
+	}
+	b.moving = r.id
+	s.order(now, b, to, r, false)
+}
+
+// order has the entry of a run move it. A run whose copy lies at the destination is
+// taken to be there at once; another one is expected there.
+func (s *Scheduler) order(now time.Time, from, to *backend, r *run, copied bool) {
+	if r.copied != nil {
+		delete(r.copied.copies, r.id)
+		r.copied = nil
+	}
+	m := &messenger.MoveOrder{Run: r.id, From: from.report.Id, To: to.report.Id, Copied: copied}
+	if copied {
+		delete(from.runs, r.id)
+		r.at = to
+		to.runs[r.id] = r
+	} else {
+		to.arriving = r.id
+		to.copies[r.id] = r
+	}
+	if c := s.copyTarget(now, r, to); c != nil {
+		m.Backup = c.report.Id
+	}
+	s.Send(r.entry, Decision{Move: m})
+}
+
+// arrivingAnywhere tells whether the run is being copied to an engine.
+func (r *run) arrivingAnywhere(s *Scheduler) bool {
+	for _, b := range s.backends {
+		if b.arriving == r.id {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/fleet/scheduler/scheduler.go
@@ -0,0 +1,431 @@
+// Package scheduler decides where generations run. It holds one view of all engines of
+// a fleet, places each generation where its memory fits and its prompt is read in time,
+// lets those wait that can still be on time, refuses the others at once, and has
+// generations continue elsewhere when their engine is about to leave. It knows no network.
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"verbenareach/internal/fleet/cataloger"
+	"verbenareach/internal/wire/messenger"
+)
+
+type (
+	// Scheduler holds the view and the queue. Its exported fields are set before first
+	// use; it is not safe for concurrent use.
+	Scheduler struct {
+		// Send passes a decision to the entry that asked.
+		Send func(entry string, d Decision)
+
+		engines  map[string]cataloger.Engine
+		backends map[string]*backend
+		runs     map[string]*run
+		// queue holds the requests that wait, most urgent first.
+		queue []*waiting
+		// tokenTime is the learned time to generate one token.
+		tokenTime time.Duration
+	}
+
+	// Decision is a placement, a refusal or an order to move; one field is set.
+	Decision struct {
+		Placement *messenger.Placement
+		Move      *messenger.MoveOrder
+	}
+
+	backend struct {
+		report *messenger.Backend
+		engine cataloger.Engine
+		runs   map[string]*run
+		// copies holds the runs whose memory is copied here as they grow.
+		copies map[string]*run
+		// leaving is when it was told that the backend server leaves; zero if it does not.
+		leaving time.Time
+		// moving is the run that is being copied away, arriving the one being copied here.
+		moving, arriving string
+		// avoid is until when nothing is placed here after a failure.
+		avoid time.Time
+	}
+
+	run struct {
+		id     string
+		entry  string
+		req    *messenger.PlaceRequest
+		at     *backend
+		copied *backend
+		placed time.Time
+		// first is when its first token came; zero before.
+		first time.Time
+		// made is how many tokens it had made at the time first.
+		made int
+		// moveFailed counts the moves that failed.
+		moveFailed int
+	}
+
+	waiting struct {
+		entry   string
+		req     *messenger.PlaceRequest
+		arrived time.Time
+	}
+)
+
+const (
+	// fillLimit is the share of an engine's memory that forecasts may fill.
+	fillLimit = 0.92
+	// copyLimit is the share that forecasts and copies may fill together.
+	copyLimit = 0.72
+	// growthShare is the part of the expected growth that is reserved: runs on one
+	// engine do not reach their ends together.
+	growthShare = 0.7
+	// maxReading bounds the prompts that one engine reads at once: each lengthens the
+	// pauses of all streams there.
+	maxReading = 2
+	// readTokensPerMS is how fast a prompt is read beside the streams of others.
+	readTokensPerMS = 7
+	// queueShare is the share of the objective that a request may wait for a place.
+	queueShare = 0.6
+	// minCopied is the expected output from which on a copy is worth its memory.
+	minCopied = 160
+	// initialTokenTime is assumed before any was learned.
+	initialTokenTime = 9 * time.Millisecond
+	// learnRate is the weight of a new sample of the time for a token.
+	learnRate = 0.1
+	// endsSoon is the expected remaining time of a run that is left to end by itself.
+	endsSoon = 500 * time.Millisecond
+	// maxMoveFailures bounds the tries to move one run.
+	maxMoveFailures = 4
+	// avoidAfterFailure is how long an engine that refused a run gets no other.
+	avoidAfterFailure = 300 * time.Millisecond
+	// minRetryAfter is the shortest wait told to a refused client.
+	minRetryAfter = 400 * time.Millisecond
+)
+
+// SetEngines takes the engine parameters of each service that has engines.
+func (s *Scheduler) SetEngines(engines map[string]cataloger.Engine) { s.engines = engines }
+
+// SetBackends takes what is known of all backend servers.
+func (s *Scheduler) SetBackends(now time.Time, reports []*messenger.Backend) {
+	s.init()
+	seen := make(map[string]bool, len(reports))
+	for _, r := range reports {
+		engine, ok := s.engines[r.Service]
+		if !ok {
+			continue
+		}
+		seen[r.Id] = true
+		b := s.backends[r.Id]
+		if b == nil || b.report.Started != r.Started {
+			b = &backend{runs: make(map[string]*run), copies: make(map[string]*run)}
+			s.backends[r.Id] = b
+		}
+		b.report, b.engine = r, engine
+		switch r.State {
+		case messenger.Backend_STATE_READY:
+			b.leaving = time.Time{}
+		default:
+			if b.leaving.IsZero() {
+				b.leaving = now
+			}
+		}
+	}
+	for id, b := range s.backends {
+		if !seen[id] && len(b.runs) == 0 {
+			delete(s.backends, id)
+		}
+	}
+	s.Advance(now)
+}
+
+// Ask takes a request for a place, or its cancellation.
+func (s *Scheduler) Ask(now time.Time, entry string, req *messenger.PlaceRequest) {
+	s.init()
+	if req.Cancelled {
+		s.queue = slices.DeleteFunc(s.queue, func(w *waiting) bool { return w.req.Run == req.Run })
+		s.end(req.Run)
+		s.Advance(now)
+		return
+	}
+	for _, id := range req.Avoid {
+		if b := s.backends[id]; b != nil {
+			b.avoid = now.Add(avoidAfterFailure)
+		}
+	}
+	s.end(req.Run)
+	w := &waiting{entry: entry, req: req, arrived: now}
+	at, _ := slices.BinarySearchFunc(s.queue, w, compareWaiting)
+	s.queue = slices.Insert(s.queue, at, w)
+	s.Advance(now)
+}
+
+// Report takes what an entry tells of one of its runs.
+func (s *Scheduler) Report(now time.Time, entry string, state *messenger.RunState) {
+	s.init()
+	r := s.runs[state.Run]
+	if r == nil {
+		if state.Phase == messenger.RunState_PHASE_ENDED || state.Request == nil {
+			return
+		}
+		r = s.adopt(now, entry, state)
+	}
+	if r == nil {
+		return
+	}
+	switch state.Phase {
+	case messenger.RunState_PHASE_ENDED:
+		s.learn(now, r, int(state.MadeTokens))
+		s.end(r.id)
+	case messenger.RunState_PHASE_STREAMING:
+		s.stream(now, r, state)
+	case messenger.RunState_PHASE_MOVE_FAILED:
+		r.moveFailed++
+		s.settleMove(r)
+		s.relocate(r, state)
+	case messenger.RunState_PHASE_PLACED:
+	}
+	s.Advance(now)
+}
+
+// Forget drops all runs and requests of an entry that is gone.
+func (s *Scheduler) Forget(now time.Time, entry string) {
+	s.init()
+	s.queue = slices.DeleteFunc(s.queue, func(w *waiting) bool { return w.entry == entry })
+	for id, r := range s.runs {
+		if r.entry == entry {
+			s.end(id)
+		}
+	}
+	s.Advance(now)
+}
+
+// Advance makes all decisions that are due.
+func (s *Scheduler) Advance(now time.Time) {
+	s.init()
+	s.moveAll(now)
+	kept := s.queue[:0]
+	for _, w := range s.queue {
+		if !s.decide(now, w) {
+			kept = append(kept, w)
+		}
+	}
+	clear(s.queue[len(kept):])
+	s.queue = kept
+}
+
+// Waiting returns how many requests wait.
+func (s *Scheduler) Waiting() int { return len(s.queue) }
+
+// Loads returns what is placed on each backend server.
+func (s *Scheduler) Loads(now time.Time) []*messenger.BackendLoad {
+	s.init()
+	list := make([]*messenger.BackendLoad, 0, len(s.backends))
+	for id, b := range s.backends {
+		list = append(list, &messenger.BackendLoad{
+			Backend: id, Runs: int32(len(b.runs)), Reading: int32(b.reading()), Tokens: int32(s.used(now, b, true)),
+		})
+	}
+	slices.SortFunc(list, func(x, y *messenger.BackendLoad) int { return cmp.Compare(x.Backend, y.Backend) })
+	return list
+}
+
+func (s *Scheduler) init() {
+	if s.backends == nil {
+		s.backends, s.runs = make(map[string]*backend), make(map[string]*run)
+		s.tokenTime = initialTokenTime
+	}
+}
+
+// decide places or refuses a request; it tells whether it did either.
+func (s *Scheduler) decide(now time.Time, w *waiting) bool {
+	need := s.need(w.req)
+	if b := s.best(now, w.req, need, nil); b != nil {
+		s.place(now, w, b)
+		return true
+	}
+	limit := time.Duration(float64(w.req.ObjectiveMs)*queueShare) * time.Millisecond
+	if now.Sub(w.arrived) < limit {
+		return false
+	}
+	after := max(minRetryAfter, limit)
+	s.Send(w.entry, Decision{Placement: &messenger.Placement{
+		Run: w.req.Run, RetryAfterMs: after.Milliseconds(), Reason: "no engine has room in time",
+	}})
+	return true
+}
+
+func (s *Scheduler) place(now time.Time, w *waiting, b *backend) {
+	r := &run{id: w.req.Run, entry: w.entry, req: w.req, at: b, placed: now}
+	s.runs[r.id] = r
+	b.runs[r.id] = r
+	p := &messenger.Placement{Run: r.id, Backend: b.report.Id}
+	if c := s.copyTarget(now, r, b); c != nil {
+		p.Backup = c.report.Id
+	}
+	s.Send(w.entry, Decision{Placement: p})
+}
+
+// best returns the engine on which a request is best placed; nil if none has room.
+func (s *Scheduler) best(now time.Time, req *messenger.PlaceRequest, need int, from *backend) *backend {
+	var best *backend
+	bestCost := 0.0
+	for _, b := range s.backends {
+		if !b.takes(now, req) || b == from {
+			continue
+		}
+		used := s.used(now, b, true)
+		if float64(used+need) > fillLimit*float64(b.engine.Tokens) {
+			continue
+		}
+		if from == nil && (b.reading() >= maxReading || !s.readsInTime(b, req)) {
+			continue
+		}
+		if from != nil && b.arriving != "" {
+			continue
+		}
+		cost := float64(used)/float64(b.engine.Tokens) + float64(b.reading())
+		home := req.FailureDomain
+		if from != nil {
+			home = from.report.FailureDomain
+		}
+		if b.report.FailureDomain != home {
+			cost += farCost
+		}
+		if best == nil || cost < bestCost || cost == bestCost && b.report.Id < best.report.Id {
+			best, bestCost = b, cost
+		}
+	}
+	return best
+}
+
+// farCost is what another failure domain costs beside a share of an engine's memory.
+const farCost = 0.12
+
+// readsInTime tells whether a prompt that is placed now is read before its objective.
+func (s *Scheduler) readsInTime(b *backend, req *messenger.PlaceRequest) bool {
+	tokens := int(req.PromptTokens)
+	for _, r := range b.runs {
+		if r.first.IsZero() {
+			tokens += int(r.req.PromptTokens)
+		}
+	}
+	return b.reading() == 0 || int64(tokens/readTokensPerMS) < req.ObjectiveMs
+}
+
+// copyTarget picks where the memory of a run on an engine is copied as it grows; nil if
+// no other has the room, or if the run is expected to end soon.
+func (s *Scheduler) copyTarget(now time.Time, r *run, at *backend) *backend {
+	if !at.engine.Backups || expectedOutput(r.req) < minCopied {
+		return nil
+	}
+	var best *backend
+	bestCost := 0.0
+	need := s.need(r.req)
+	for _, b := range s.backends {
+		if b == at || b == r.at || b.report.Service != at.report.Service || b.report.State != messenger.Backend_STATE_READY {
+			continue
+		}
+		fill := float64(s.used(now, b, true)+need) / float64(b.engine.Tokens)
+		if fill > copyLimit {
+			continue
+		}
+		if b.report.FailureDomain != at.report.FailureDomain {
+			fill += farCost
+		}
+		if best == nil || fill < bestCost {
+			best, bestCost = b, fill
+		}
+	}
+	if best != nil {
+		best.copies[r.id] = r
+		r.copied = best
+	}
+	return best
+}
+
+// adopt takes in a run that an entry placed without this host.
+func (s *Scheduler) adopt(now time.Time, entry string, state *messenger.RunState) *run {
+	b := s.backends[state.Backend]
+	if b == nil {
+		return nil
+	}
+	r := &run{id: state.Run, entry: entry, req: state.Request, at: b, placed: now}
+	s.runs[r.id] = r
+	b.runs[r.id] = r
+	if c := s.backends[state.Backup]; c != nil {
+		r.copied = c
+		c.copies[r.id] = r
+	}
+	return r
+}
+
+// stream notes that a run streams, on the backend server that the entry names.
+func (s *Scheduler) stream(now time.Time, r *run, state *messenger.RunState) {
+	r.first, r.made = now, int(state.MadeTokens)
+	s.settleMove(r)
+	s.relocate(r, state)
+}
+
+// relocate notes where a run and its copy are.
+func (s *Scheduler) relocate(r *run, state *messenger.RunState) {
+	if b := s.backends[state.Backend]; b != nil && b != r.at {
+		delete(r.at.runs, r.id)
+		r.at = b
+		b.runs[r.id] = r
+	}
+	c := s.backends[state.Backup]
+	if r.copied != nil && r.copied != c {
+		delete(r.copied.copies, r.id)
+	}
+	r.copied = c
+	if c != nil {
+		c.copies[r.id] = r
+	}
+}
+
+// settleMove ends the move of a run, if there is one.
+func (s *Scheduler) settleMove(r *run) {
+	for _, b := range s.backends {
+		if b.moving == r.id {
+			b.moving = ""
+		}
+		if b.arriving == r.id {
+			b.arriving = ""
+			delete(b.copies, r.id)
+		}
+	}
+}
+
+// end forgets a run.
+func (s *Scheduler) end(id string) {
+	r := s.runs[id]
+	if r == nil {
+		return
+	}
+	s.settleMove(r)
+	delete(r.at.runs, id)
+	if r.copied != nil {
+		delete(r.copied.copies, id)
+	}
+	delete(s.runs, id)
+}
+
+// learn takes the time for a token from a run that ended.
+func (s *Scheduler) learn(now time.Time, r *run, made int) {
+	grown := made - r.made
+	if r.first.IsZero() || grown < minCopied {
+		return
+	}
+	sample := now.Sub(r.first) / time.Duration(grown)
+	s.tokenTime += time.Duration(learnRate * float64(sample-s.tokenTime))
+}
+
+// compareWaiting puts the most urgent request first: by rank, then by when its
+// objective ends.
+func compareWaiting(a, b *waiting) int {
+	return cmp.Or(
+		cmp.Compare(a.req.Priority, b.req.Priority),
+		a.arrived.Add(time.Duration(a.req.ObjectiveMs)*time.Millisecond).
+			Compare(b.arrived.Add(time.Duration(b.req.ObjectiveMs)*time.Millisecond)),
+	)
+}
--- a/internal/wire/messenger/messenger.go
+++ b/internal/wire/messenger/messenger.go
@@ -2,4 +2,4 @@
 // generated from the .proto files beside it.
 package messenger
 
-//go:generate protoc --go_out=../../.. --go_opt=module=verbenareach --go-drpc_out=../../.. --go-drpc_opt=module=verbenareach -I . agent.proto limits.proto insight.proto control.proto peer.proto
+//go:generate protoc --go_out=../../.. --go_opt=module=verbenareach --go-drpc_out=../../.. --go-drpc_opt=module=verbenareach -I . agent.proto limits.proto insight.proto control.proto peer.proto fleet.proto
