--- a/internal/fleet/tracker/tracker.go
+++ b/internal/fleet/tracker/tracker.go
@@ -48,12 +48,12 @@
 	defer t.mu.Unlock()
 	report = proto.CloneOf(report)
 	report.Keeper = t.Name
-	before := t.entries[report.Id]
+	before := t.report(report.Id)
 	if !t.apply(now, report) {
 		return false
 	}
 	t.entries[report.Id].heard = now
-	return before == nil || differs(before.report, report)
+	return before == nil || differs(before, report)
 }
 
 // Learn takes reports that other hosts passed on and returns those that were news.
@@ -61,12 +61,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, r := range reports {
-		before := t.entries[r.Id]
+		before := t.report(r.Id)
 		if !t.apply(now, r) {
 			continue
 		}
 		t.entries[r.Id].heard = now
-		if before == nil || differs(before.report, r) {
+		if before == nil || differs(before, r) {
 			news = append(news, r)
 		}
 	}
@@ -120,10 +120,7 @@
 func (t *Tracker) Find(id string) *messenger.Backend {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if e := t.entries[id]; e != nil {
-		return e.report
-	}
-	return nil
+	return t.report(id)
 }
 
 // Ready returns the backend servers of a service that take new requests. Those that
@@ -187,6 +184,14 @@
 	return true
 }
 
+// report returns the record of a backend server; nil if there is none. The lock is held.
+func (t *Tracker) report(id string) *messenger.Backend {
+	if e := t.entries[id]; e != nil {
+		return e.report
+	}
+	return nil
+}
+
 // mark gives an entry another state. The lock is held.
 func (t *Tracker) mark(now time.Time, e *entry, state messenger.Backend_State) *messenger.Backend {
 	r := proto.CloneOf(e.report)
--- /dev/null
+++ b/internal/fleet/tracker/tracker_test.go
@@ -0,0 +1,125 @@
+package tracker
+
+import (
+	"testing"
+	"time"
+
+	"verbenareach/internal/wire/messenger"
+)
+
+const (
+	ready    = messenger.Backend_STATE_READY
+	draining = messenger.Backend_STATE_DRAINING
+	gone     = messenger.Backend_STATE_GONE
+	silent   = messenger.Backend_STATE_SILENT
+)
+
+var start = time.Unix(1000, 0)
+
+func report(id, address string, started, sequence int64, state messenger.Backend_State) *messenger.Backend {
+	return &messenger.Backend{Id: id, Service: "engine", Address: address, Started: started, Sequence: sequence, State: state}
+}
+
+func newTracker() *Tracker {
+	return &Tracker{Name: "host-1", Silence: 3 * time.Second}
+}
+
+func TestHeartbeatTellsWhetherOthersNeedToKnow(t *testing.T) {
+	tests := []struct {
+		name    string
+		then    *messenger.Backend
+		changed bool
+	}{
+		{"the same again", report("a", "1", 5, 2, ready), false},
+		{"another state", report("a", "1", 5, 2, draining), true},
+		{"another process", report("a", "1", 6, 1, ready), true},
+		{"an older report", report("a", "1", 5, 0, draining), false},
+		{"a report of an older process", report("a", "1", 4, 9, draining), false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tr := newTracker()
+			if !tr.Heartbeat(start, report("a", "1", 5, 1, ready)) {
+				t.Fatal("the first heartbeat is no news")
+			}
+			if got := tr.Heartbeat(start, tt.then); got != tt.changed {
+				t.Errorf("changed = %v, want %v", got, tt.changed)
+			}
+		})
+	}
+}
+
+func TestLearnPassesOnOnlyNews(t *testing.T) {
+	tr := newTracker()
+	if news := tr.Learn(start, []*messenger.Backend{report("a", "1", 5, 1, ready)}); len(news) != 1 {
+		t.Fatalf("%d news of a new backend server, want 1", len(news))
+	}
+	leaving := []*messenger.Backend{report("a", "1", 5, 9, gone)}
+	if news := tr.Learn(start, leaving); len(news) != 1 {
+		t.Fatalf("%d news of one that is gone, want 1", len(news))
+	}
+	if news := tr.Learn(start, leaving); len(news) != 0 {
+		t.Errorf("%d news of what is known, want 0", len(news))
+	}
+	if got := tr.Ready(start, "engine"); len(got) != 0 {
+		t.Errorf("%d backend servers are ready after one has gone", len(got))
+	}
+}
+
+func TestGoneIsTheLastWordOfAProcess(t *testing.T) {
+	tr := newTracker()
+	tr.Heartbeat(start, report("a", "1", 5, 3, ready))
+	if tr.Gone(start, "a") == nil {
+		t.Fatal("leaving is no news")
+	}
+	tr.Heartbeat(start, report("a", "1", 5, 4, ready))
+	if got := tr.Find("a").State; got != gone {
+		t.Errorf("state after a late heartbeat is %v", got)
+	}
+	tr.Heartbeat(start, report("a", "1", 6, 1, ready))
+	if got := tr.Find("a").State; got != ready {
+		t.Errorf("state of the next process is %v", got)
+	}
+}
+
+func TestAnAddressBelongsToItsNewestProcess(t *testing.T) {
+	tr := newTracker()
+	tr.Heartbeat(start, report("old", "1", 5, 3, ready))
+	tr.Heartbeat(start, report("new", "1", 7, 1, ready))
+	if got := tr.Find("old").State; got != gone {
+		t.Errorf("state of the former process at the address is %v", got)
+	}
+	tr.Heartbeat(start, report("older", "1", 6, 1, ready))
+	if tr.Find("older") != nil {
+		t.Error("a late report of an older process took the address")
+	}
+}
+
+func TestExpireMarksOnlyWhatThisHostKeeps(t *testing.T) {
+	tr := newTracker()
+	tr.Heartbeat(start, report("mine", "1", 5, 3, ready))
+	other := report("other", "2", 5, 3, ready)
+	other.Keeper = "host-2"
+	tr.Learn(start, []*messenger.Backend{other})
+	news := tr.Expire(start.Add(4 * time.Second))
+	if len(news) != 1 || news[0].Id != "mine" || news[0].State != silent {
+		t.Fatalf("news are %v", news)
+	}
+	if !tr.Heartbeat(start.Add(5*time.Second), report("mine", "1", 5, 4, ready)) {
+		t.Error("the return of a silent backend server is no news")
+	}
+}
+
+func TestReadyLeavesOutWhatFailedUnlessNoneIsLeft(t *testing.T) {
+	tr := newTracker()
+	tr.Heartbeat(start, report("a", "1", 5, 3, ready))
+	tr.Heartbeat(start, report("b", "2", 5, 3, ready))
+	tr.Avoid("a", start.Add(time.Second))
+	if got := tr.Ready(start, "engine"); len(got) != 1 || got[0].Id != "b" {
+		t.Errorf("ready are %v", got)
+	}
+	tr.Avoid("b", start.Add(time.Second))
+	if got := tr.Ready(start, "engine"); len(got) != 2 {
+		t.Errorf("%d are ready where all failed, want 2", len(got))
+	}
+}
