perf: prefer the own failure domain for moves, and use no copy that can't have arrived

Ruled out: late notice (all hosts knew within 2 ms). Change: distance weighs more for moves and copies, a copy counts 0.7 s after the first token.

--- a/internal/fleet/scheduler/moves.go
+++ b/internal/fleet/scheduler/moves.go
@@ -36,7 +36,7 @@
 	}
 	slices.SortFunc(list, func(x, y *run) int {
 		return cmp.Or(
-			cmp.Compare(rank(x), rank(y)),
+			cmp.Compare(rank(now, x), rank(now, y)),
 			cmp.Compare(s.size(now, x), s.size(now, y)),
 			cmp.Compare(x.id, y.id),
 		)
@@ -45,8 +45,9 @@
 }
 
 // rank puts runs with a copy before those without.
-func rank(r *run) int {
-	if r.copied != nil && r.copied.report.State == messenger.Backend_STATE_READY {
+func rank(now time.Time, r *run) int {
+	begun := now.Sub(r.first) >= copyStart
+	if begun && r.copied != nil && r.copied.report.State == messenger.Backend_STATE_READY {
 		return 0
 	}
 	return 1
@@ -58,7 +59,7 @@
 	if b.moving == r.id || r.arrivingAnywhere(s) {
 		return
 	}
-	if rank(r) == 0 && r.moveFailed == 0 {
+	if rank(now, r) == 0 && r.moveFailed == 0 {
 		s.order(now, b, r.copied, r, true)
 		return
 	}
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -88,6 +88,8 @@
 	queueShare = 0.6
 	// minCopied is the expected output from which on a copy is worth its memory.
 	minCopied = 160
+	// copyStart is how long after its first token a run's memory is at the other engine.
+	copyStart = 700 * time.Millisecond
 	// initialTokenTime is assumed before any was learned.
 	initialTokenTime = 9 * time.Millisecond
 	// learnRate is the weight of a new sample of the time for a token.
@@ -283,14 +285,7 @@
 		if from != nil && b.arriving != "" {
 			continue
 		}
-		cost := float64(used)/float64(b.engine.Tokens) + float64(b.reading())
-		home := req.FailureDomain
-		if from != nil {
-			home = from.report.FailureDomain
-		}
-		if b.report.FailureDomain != home {
-			cost += farCost
-		}
+		cost := float64(used)/float64(b.engine.Tokens) + float64(b.reading()) + distance(b, req, from)
 		if best == nil || cost < bestCost || cost == bestCost && b.report.Id < best.report.Id {
 			best, bestCost = b, cost
 		}
@@ -298,8 +293,27 @@
 	return best
 }
 
-// farCost is what another failure domain costs beside a share of an engine's memory.
-const farCost = 0.12
+// distance returns what the way to an engine costs: from the client for a new run, from
+// the other engine for one that moves, whose memory takes twice as long to another
+// failure domain.
+func distance(b *backend, req *messenger.PlaceRequest, from *backend) float64 {
+	switch {
+	case from != nil && from.report.FailureDomain != b.report.FailureDomain:
+		return farMoveCost
+	case from == nil && req.FailureDomain != b.report.FailureDomain:
+		return farCost
+	default:
+		return 0
+	}
+}
+
+// farCost, farCopyCost and farMoveCost are what another failure domain costs beside a
+// share of an engine's memory, for a new run, a copy and a move.
+const (
+	farCost     = 0.12
+	farCopyCost = 0.25
+	farMoveCost = 0.6
+)
 
 // readsInTime tells whether a prompt that is placed now is read before its objective.
 func (s *Scheduler) readsInTime(b *backend, req *messenger.PlaceRequest) bool {
@@ -330,7 +344,7 @@
 			continue
 		}
 		if b.report.FailureDomain != at.report.FailureDomain {
-			fill += farCost
+			fill += farCopyCost
 		}
 		if best == nil || fill < bestCost {
 			best, bestCost = b, fill
