--- a/internal/fleet/scheduler/moves.go
+++ b/internal/fleet/scheduler/moves.go
@@ -89,6 +89,7 @@
 	} else {
 		to.arriving = r.id
 		to.copies[r.id] = r
+		s.occupy(now, from, to, s.size(now, r))
 	}
 	if c := s.copyTarget(now, r, to); c != nil {
 		m.Backup = c.report.Id
@@ -96,6 +97,32 @@
 	s.Send(r.entry, Decision{Move: m})
 }
 
+// moveEnd returns when the memory of some tokens is expected to have moved: it waits for
+// the links of both engines, and takes twice as long to another failure domain.
+func (s *Scheduler) moveEnd(now time.Time, from, to *backend, tokens int) time.Time {
+	begin := now
+	for _, busy := range []time.Time{from.linkBusy, to.linkBusy} {
+		if busy.After(begin) {
+			begin = busy
+		}
+	}
+	if from.engine.LinkMbps <= 0 {
+		return begin
+	}
+	bits := float64(tokens) * float64(from.engine.TokenBytes) * 8
+	took := time.Duration(bits / (from.engine.LinkMbps * 1e6) * float64(time.Second))
+	if from.report.FailureDomain != to.report.FailureDomain {
+		took *= 2
+	}
+	return begin.Add(took)
+}
+
+// occupy notes that memory moves between two engines.
+func (s *Scheduler) occupy(now time.Time, from, to *backend, tokens int) {
+	end := s.moveEnd(now, from, to, tokens)
+	from.linkBusy, to.linkBusy = end, end
+}
+
 // arrivingAnywhere tells whether the run is being copied to an engine.
 func (r *run) arrivingAnywhere(s *Scheduler) bool {
 	for _, b := range s.backends {
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -47,6 +47,8 @@
 		moving, arriving string
 		// avoid is until when nothing is placed here after a failure.
 		avoid time.Time
+		// linkBusy is until when the link on which memory moves is expected to be busy.
+		linkBusy time.Time
 	}
 
 	run struct {
@@ -182,6 +184,7 @@
 		s.stream(now, r, state)
 	case messenger.RunState_PHASE_MOVE_FAILED:
 		r.moveFailed++
+		s.avoidDestination(now, r)
 		s.settleMove(r)
 		s.relocate(r, state)
 	case messenger.RunState_PHASE_PLACED:
@@ -285,7 +288,12 @@
 		if from != nil && b.arriving != "" {
 			continue
 		}
-		cost := float64(used)/float64(b.engine.Tokens) + float64(b.reading()) + distance(b, req, from)
+		cost := float64(used)/float64(b.engine.Tokens) + float64(b.reading())
+		if from != nil {
+			cost = fillWeight*cost + s.moveEnd(now, from, b, need).Sub(now).Seconds()
+		} else if req.FailureDomain != b.report.FailureDomain {
+			cost += farCost
+		}
 		if best == nil || cost < bestCost || cost == bestCost && b.report.Id < best.report.Id {
 			best, bestCost = b, cost
 		}
@@ -293,26 +301,13 @@
 	return best
 }
 
-// distance returns what the way to an engine costs: from the client for a new run, from
-// the other engine for one that moves, whose memory takes twice as long to another
-// failure domain.
-func distance(b *backend, req *messenger.PlaceRequest, from *backend) float64 {
-	switch {
-	case from != nil && from.report.FailureDomain != b.report.FailureDomain:
-		return farMoveCost
-	case from == nil && req.FailureDomain != b.report.FailureDomain:
-		return farCost
-	default:
-		return 0
-	}
-}
-
-// farCost, farCopyCost and farMoveCost are what another failure domain costs beside a
-// share of an engine's memory, for a new run, a copy and a move.
+// farCost and farCopyCost are what another failure domain costs beside a share of an
+// engine's memory, for a new run and for a copy. fillWeight is what that share costs
+// beside a second of moving.
 const (
 	farCost     = 0.12
 	farCopyCost = 0.25
-	farMoveCost = 0.6
+	fillWeight  = 0.3
 )
 
 // readsInTime tells whether a prompt that is placed now is read before its objective.
@@ -343,6 +338,7 @@
 		if fill > copyLimit {
 			continue
 		}
+		fill += max(0, b.linkBusy.Sub(now).Seconds())
 		if b.report.FailureDomain != at.report.FailureDomain {
 			fill += farCopyCost
 		}
@@ -353,6 +349,9 @@
 	if best != nil {
 		best.copies[r.id] = r
 		r.copied = best
+		// The copy begins as the prompt is read.
+		begin := now.Add(time.Duration(r.req.PromptTokens/readTokensPerMS) * time.Millisecond)
+		s.occupy(begin, at, best, need)
 	}
 	return best
 }
@@ -397,6 +396,15 @@
 	}
 }
 
+// avoidDestination keeps moves from the engine that did not take a run.
+func (s *Scheduler) avoidDestination(now time.Time, r *run) {
+	for _, b := range s.backends {
+		if b.arriving == r.id {
+			b.avoid = now.Add(avoidAfterFailure)
+		}
+	}
+}
+
 // settleMove ends the move of a run, if there is one.
 func (s *Scheduler) settleMove(r *run) {
 	for _, b := range s.backends {
