perf: copy long runs first, and move first what is worth most for its size

Change: the share of an engine's memory that copies may fill grows with the expected length; moves go by worth for each token.

--- a/internal/fleet/scheduler/moves.go
+++ b/internal/fleet/scheduler/moves.go
@@ -37,13 +37,20 @@
 	slices.SortFunc(list, func(x, y *run) int {
 		return cmp.Or(
 			cmp.Compare(rank(now, x), rank(now, y)),
-			cmp.Compare(s.size(now, x), s.size(now, y)),
+			cmp.Compare(s.density(now, y), s.density(now, x)),
 			cmp.Compare(x.id, y.id),
 		)
 	})
 	return list
 }
 
+// density returns what a run is worth for each token that has to move.
+func (s *Scheduler) density(now time.Time, r *run) float64 {
+	made := s.made(now, r)
+	output := made + remaining(r.req, made)
+	return float64(int(r.req.PromptTokens)+10*output) / float64(int(r.req.PromptTokens)+made)
+}
+
 // rank puts runs with a copy before those without.
 func rank(now time.Time, r *run) int {
 	begun := now.Sub(r.first) >= copyStart
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -76,8 +76,6 @@
 const (
 	// fillLimit is the share of an engine's memory that forecasts may fill.
 	fillLimit = 0.92
-	// copyLimit is the share that forecasts and copies may fill together.
-	copyLimit = 0.72
 	// growthShare is the part of the expected growth that is reserved: runs on one
 	// engine do not reach their ends together.
 	growthShare = 0.7
@@ -335,7 +333,7 @@
 			continue
 		}
 		fill := float64(s.used(now, b, true)+need) / float64(b.engine.Tokens)
-		if fill > copyLimit {
+		if fill > copyShare(r.req) {
 			continue
 		}
 		fill += max(0, b.linkBusy.Sub(now).Seconds())
@@ -356,6 +354,19 @@
 	return best
 }
 
+// copyShare returns the share of an engine's memory up to which a run is copied there. A
+// long run is worth most and is most likely to meet the end of its engine.
+func copyShare(req *messenger.PlaceRequest) float64 {
+	long := min(float64(expectedOutput(req))/longOutput, 1)
+	return minCopyShare + (maxCopyShare-minCopyShare)*long
+}
+
+const (
+	minCopyShare = 0.5
+	maxCopyShare = 0.85
+	longOutput   = 1200
+)
+
 // adopt takes in a run that an entry placed without this host.
 func (s *Scheduler) adopt(now time.Time, entry string, state *messenger.RunState) *run {
 	b := s.backends[state.Backend]
