perf: copy runs only while all engines together have room to spare

Ruled out: slots (24, a third used) and links. Change: no copies beyond 0.72 of the memory of all engines.

--- /dev/null
+++ b/internal/fleet/scheduler/copies.go
@@ -0,0 +1,43 @@
+package scheduler
+
+import (
+	"time"
+
+	"verbenareach/internal/wire/messenger"
+)
+
+const (
+	// minCopyShare and maxCopyShare are the shares of an engine's memory up to which the
+	// shortest and the longest runs are copied there; longOutput is the expected output
+	// in tokens from which on a run counts as long.
+	minCopyShare = 0.5
+	maxCopyShare = 0.85
+	longOutput   = 1200
+	// maxFleetFill is the share of all engines' memory, copies included, beyond which no
+	// further copies are made: what is left is for runs.
+	maxFleetFill = 0.72
+)
+
+// copyShare returns the share of an engine's memory up to which a run is copied there. A
+// long run is worth most and is most likely to meet the end of its engine.
+func copyShare(req *messenger.PlaceRequest) float64 {
+	long := min(float64(expectedOutput(req))/longOutput, 1)
+	return minCopyShare + (maxCopyShare-minCopyShare)*long
+}
+
+// fleetFill returns the share of the memory of a service's engines that is forecast to be
+// taken by runs and copies.
+func (s *Scheduler) fleetFill(now time.Time, service string) float64 {
+	used, room := 0, 0
+	for _, b := range s.backends {
+		if b.report.Service != service || b.report.State != messenger.Backend_STATE_READY {
+			continue
+		}
+		used += s.used(now, b, true)
+		room += b.engine.Tokens
+	}
+	if room == 0 {
+		return 1
+	}
+	return float64(used) / float64(room)
+}
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -325,6 +325,9 @@
 	if !at.engine.Backups || expectedOutput(r.req) < minCopied {
 		return nil
 	}
+	if s.fleetFill(now, at.report.Service) > maxFleetFill {
+		return nil
+	}
 	var best *backend
 	bestCost := 0.0
 	need := s.need(r.req)
@@ -354,19 +357,6 @@
 	return best
 }
 
-// copyShare returns the share of an engine's memory up to which a run is copied there. A
-// long run is worth most and is most likely to meet the end of its engine.
-func copyShare(req *messenger.PlaceRequest) float64 {
-	long := min(float64(expectedOutput(req))/longOutput, 1)
-	return minCopyShare + (maxCopyShare-minCopyShare)*long
-}
-
-const (
-	minCopyShare = 0.5
-	maxCopyShare = 0.85
-	longOutput   = 1200
-)
-
 // adopt takes in a run that an entry placed without this host.
 func (s *Scheduler) adopt(now time.Time, entry string, state *messenger.RunState) *run {
 	b := s.backends[state.Backend]
