perf: copy runs only while half of all engines' memory is free

Cause: copies also hold the links that moves need at a notice. Ruled out: none at all is no better. Change: the bound for copies falls from 0.72 to 0.5.

--- a/internal/event/logger/fleetevents.go
+++ b/internal/event/logger/fleetevents.go
@@ -39,7 +39,7 @@
 	RunMoving     = Event{6402, log.InfoLevel, "generation is to continue elsewhere"}
 	RunMoved      = Event{6403, log.InfoLevel, "generation continues elsewhere"}
 	RunMoveFailed = Event{6404, log.WarnLevel, "generation could not be moved"}
-	RunBrokenOff     = Event{6405, log.WarnLevel, "generation broke off"}
+	RunBrokenOff  = Event{6405, log.WarnLevel, "generation broke off"}
 
 	fleetEvents = []Event{
 		FleetStarted, FleetStopping, FleetStopped, FleetReloaded, FleetReadiness, FleetLinked, FleetUnlinked,
--- a/internal/fleet/scheduler/copies.go
+++ b/internal/fleet/scheduler/copies.go
@@ -15,7 +15,7 @@
 	longOutput   = 1200
 	// maxFleetFill is the share of all engines' memory, copies included, beyond which no
 	// further copies are made: what is left is for runs.
-	maxFleetFill = 0.72
+	maxFleetFill = 0.5
 )
 
 // copyShare returns the share of an engine's memory up to which a run is copied there. A
