perf: place a generation only where its prompt is read in time

Change: an engine is chosen only if the prompts ahead and the request's own are read before the objective ends, and a request that no engine can read in time any more is refused then.

--- a/internal/fleet/scheduler/moves.go
+++ b/internal/fleet/scheduler/moves.go
@@ -73,7 +73,7 @@
 	if !b.engine.Moves || b.moving != "" {
 		return
 	}
-	to := s.best(now, r.req, s.size(now, r), b)
+	to := s.destination(now, r, b)
 	if to == nil {
 		return
 	}
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -84,8 +84,6 @@
 	maxReading = 2
 	// readTokensPerMS is how fast a prompt is read beside the streams of others.
 	readTokensPerMS = 7
-	// queueShare is the share of the objective that a request may wait for a place.
-	queueShare = 0.6
 	// minCopied is the expected output from which on a copy is worth its memory.
 	minCopied = 160
 	// copyStart is how long after its first token a run's memory is at the other engine.
@@ -242,15 +240,14 @@
 // decide places or refuses a request; it tells whether it did either.
 func (s *Scheduler) decide(now time.Time, w *waiting) bool {
 	need := s.need(w.req)
-	if b := s.best(now, w.req, need, nil); b != nil {
+	if b := s.best(now, w, need); b != nil {
 		s.place(now, w, b)
 		return true
 	}
-	limit := time.Duration(float64(w.req.ObjectiveMs)*queueShare) * time.Millisecond
-	if now.Sub(w.arrived) < limit {
+	if !now.Add(readTime(int(w.req.PromptTokens))).After(w.ends()) {
 		return false
 	}
-	after := max(minRetryAfter, limit)
+	after := max(minRetryAfter, time.Duration(w.req.ObjectiveMs)*time.Millisecond)
 	s.Send(w.entry, Decision{Placement: &messenger.Placement{
 		Run: w.req.Run, RetryAfterMs: after.Milliseconds(), Reason: "no engine has room in time",
 	}})
@@ -268,31 +265,49 @@
 	s.Send(w.entry, Decision{Placement: p})
 }
 
-// best returns the engine on which a request is best placed; nil if none has room.
-func (s *Scheduler) best(now time.Time, req *messenger.PlaceRequest, need int, from *backend) *backend {
+// best returns the engine on which a request is best placed now; nil if none has room
+// and reads its prompt in time.
+func (s *Scheduler) best(now time.Time, w *waiting, need int) *backend {
+	return s.cheapest(now, w.req, need, func(b *backend, fill float64) (cost float64, ok bool) {
+		if b.reading() >= maxReading || !s.readsInTime(now, b, w) {
+			return 0, false
+		}
+		cost = fill + float64(b.reading())
+		if w.req.FailureDomain != b.report.FailureDomain {
+			cost += farCost
+		}
+		return cost, true
+	})
+}
+
+// destination returns the engine to which a run is best moved; nil if none has room.
+func (s *Scheduler) destination(now time.Time, r *run, from *backend) *backend {
+	need := s.size(now, r)
+	return s.cheapest(now, r.req, need, func(b *backend, fill float64) (cost float64, ok bool) {
+		if b == from || b.arriving != "" {
+			return 0, false
+		}
+		return fillWeight*(fill+float64(b.reading())) + s.moveEnd(now, from, b, need).Sub(now).Seconds(), true
+	})
+}
+
+// cheapest returns the engine with room whose cost is the lowest. What rates an engine
+// gets the share of its memory that is taken.
+func (s *Scheduler) cheapest(
+	now time.Time, req *messenger.PlaceRequest, need int, rate func(b *backend, fill float64) (cost float64, ok bool),
+) *backend {
 	var best *backend
 	bestCost := 0.0
 	for _, b := range s.backends {
-		if !b.takes(now, req) || b == from {
+		if !b.takes(now, req) {
 			continue
 		}
 		used := s.used(now, b, true)
 		if float64(used+need) > fillLimit*float64(b.engine.Tokens) {
 			continue
 		}
-		if from == nil && (b.reading() >= maxReading || !s.readsInTime(b, req)) {
-			continue
-		}
-		if from != nil && b.arriving != "" {
-			continue
-		}
-		cost := float64(used)/float64(b.engine.Tokens) + float64(b.reading())
-		if from != nil {
-			cost = fillWeight*cost + s.moveEnd(now, from, b, need).Sub(now).Seconds()
-		} else if req.FailureDomain != b.report.FailureDomain {
-			cost += farCost
-		}
-		if best == nil || cost < bestCost || cost == bestCost && b.report.Id < best.report.Id {
+		cost, ok := rate(b, float64(used)/float64(b.engine.Tokens))
+		if ok && (best == nil || cost < bestCost || cost == bestCost && b.report.Id < best.report.Id) {
 			best, bestCost = b, cost
 		}
 	}
@@ -308,15 +323,21 @@
 	fillWeight  = 0.3
 )
 
-// readsInTime tells whether a prompt that is placed now is read before its objective.
-func (s *Scheduler) readsInTime(b *backend, req *messenger.PlaceRequest) bool {
-	tokens := int(req.PromptTokens)
+// readsInTime tells whether a prompt that is placed now is expected to be read before
+// the objective of its request ends.
+func (s *Scheduler) readsInTime(now time.Time, b *backend, w *waiting) bool {
+	tokens := int(w.req.PromptTokens)
 	for _, r := range b.runs {
 		if r.first.IsZero() {
 			tokens += int(r.req.PromptTokens)
 		}
 	}
-	return b.reading() == 0 || int64(tokens/readTokensPerMS) < req.ObjectiveMs
+	return !now.Add(readTime(tokens)).After(w.ends())
+}
+
+// readTime returns how long an engine is expected to read a prompt of some tokens.
+func readTime(tokens int) time.Duration {
+	return time.Duration(tokens) * time.Millisecond / readTokensPerMS
 }
 
 // copyTarget picks where the memory of a run on an engine is copied as it grows; nil if
@@ -351,7 +372,7 @@
 		best.copies[r.id] = r
 		r.copied = best
 		// The copy begins as the prompt is read.
-		begin := now.Add(time.Duration(r.req.PromptTokens/readTokensPerMS) * time.Millisecond)
+		begin := now.Add(readTime(int(r.req.PromptTokens)))
 		s.occupy(begin, at, best, need)
 	}
 	return best
@@ -443,12 +464,13 @@
 	s.tokenTime += time.Duration(learnRate * float64(sample-s.tokenTime))
 }
 
+// ends returns when the objective of the request ends.
+func (w *waiting) ends() time.Time {
+	return w.arrived.Add(time.Duration(w.req.ObjectiveMs) * time.Millisecond)
+}
+
 // compareWaiting puts the most urgent request first: by rank, then by when its
 // objective ends.
 func compareWaiting(a, b *waiting) int {
-	return cmp.Or(
-		cmp.Compare(a.req.Priority, b.req.Priority),
-		a.arrived.Add(time.Duration(a.req.ObjectiveMs)*time.Millisecond).
-			Compare(b.arrived.Add(time.Duration(b.req.ObjectiveMs)*time.Millisecond)),
-	)
+	return cmp.Or(cmp.Compare(a.req.Priority, b.req.Priority), a.ends().Compare(b.ends()))
 }
