perf: serve late what an idle engine can still serve

A request whose prompt can't be read before its objective ends was refused even where an engine had room; it now runs where no prompt is being read and less than 0.6 of the memory is taken.

--- a/internal/fleet/forwarder/call.go
+++ b/internal/fleet/forwarder/call.go
@@ -121,14 +121,14 @@
 	if err != nil {
 		unsent := new(sender.UnsentError)
 		x.mayHaveRun = x.mayHaveRun || !errors.As(err, &unsent)
-		done(ctx.Err() != context.Canceled)
+		done(!errors.Is(ctx.Err(), context.Canceled))
 		return nil, err
 	}
 	answer, err := f.readWhole(a)
 	if err != nil {
 		a.Break()
 		x.mayHaveRun = x.mayHaveRun || !errors.Is(err, errDeclined)
-		done(ctx.Err() != context.Canceled)
+		done(!errors.Is(ctx.Err(), context.Canceled))
 		return nil, err
 	}
 	a.Done()
--- a/internal/fleet/forwarder/events.go
+++ b/internal/fleet/forwarder/events.go
@@ -85,7 +85,7 @@
 		if n > 0 {
 			continue
 		}
-		if err == io.EOF && len(r.buf) > 0 {
+		if errors.Is(err, io.EOF) && len(r.buf) > 0 {
 			return batch{err: errTornEvent}
 		}
 		if err != nil {
--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -154,7 +155,7 @@
 // giveUp answers a request whose time has ended or whose backend servers all failed.
 func (f *Forwarder) giveUp(ctx context.Context, x *exchange, reason string, cause error) {
 	switch {
-	case context.Cause(ctx) == context.Canceled:
+	case errors.Is(ctx.Err(), context.Canceled):
 		x.outcome = "left"
 		f.Log.Emit(time.Now(), logger.ForwardLeft, x.id, logger.F("route", x.route.Name),
 			logger.F("after", time.Since(x.r.Arrived).Round(time.Millisecond)))
--- a/internal/fleet/forwarder/generation.go
+++ b/internal/fleet/forwarder/generation.go
@@ -240,7 +240,7 @@
 			if c.pass(b) {
 				continue
 			}
-			if c.ended == io.EOF {
+			if errors.Is(c.ended, io.EOF) {
 				c.complete()
 				return
 			}
@@ -307,7 +307,7 @@
 		return
 	}
 	c.x.outcome = "broken"
-	if context.Cause(ctx) == context.Canceled || errors.Is(cause, context.Canceled) {
+	if errors.Is(ctx.Err(), context.Canceled) || errors.Is(cause, context.Canceled) {
 		c.x.outcome = "left"
 	}
 	c.f.Log.Emit(time.Now(), logger.RunBrokenOff, c.x.id, logger.F("backend", c.backend.Id), logger.F("events", c.made),
@@ -326,7 +326,8 @@
 		err = b.err
 	}
 	c.answer.Break()
-	if err != io.EOF && !errors.Is(err, errTornEvent) || promises(c.answer.Status) {
+	complete := errors.Is(err, io.EOF) || errors.Is(err, errTornEvent)
+	if !complete || promises(c.answer.Status) {
 		c.f.fail(c.x, http.StatusBadGateway, "engine gave no whole answer", err)
 		return
 	}
--- a/internal/fleet/keeper/keeper.go
+++ b/internal/fleet/keeper/keeper.go
@@ -76,7 +76,9 @@
 	k.mu.Lock()
 	k.running = r
 	k.mu.Unlock()
-	go k.manage(ctx, r)
+	managing, stop := context.WithCancel(ctx)
+	defer stop()
+	go k.manage(managing, r)
 	return errors.Join(r.Run(ctx), transport.Close())
 }
 
--- a/internal/fleet/receiver/request.go
+++ b/internal/fleet/receiver/request.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"net/http/httputil"
@@ -221,8 +220,8 @@
 // maxTrailerLines bounds the lines after a chunked body.
 const maxTrailerLines = 32
 
-func malformed(format string, args ...any) error {
-	return &malformedError{http.StatusBadRequest, fmt.Sprintf(format, args...)}
+func malformed(reason string) error {
+	return &malformedError{http.StatusBadRequest, reason}
 }
 
 // hostName returns a Host field's value without its port.
--- a/internal/fleet/receiver/writer.go
+++ b/internal/fleet/receiver/writer.go
@@ -84,7 +84,7 @@
 		return
 	}
 	_ = w.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if _, err := w.conn.Conn.Write(w.buf); err != nil {
+	if _, err := w.conn.Write(w.buf); err != nil {
 		w.broken = true
 	}
 	w.buf = w.buf[:0]
--- a/internal/fleet/runner/runner.go
+++ b/internal/fleet/runner/runner.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -197,10 +198,10 @@
 			}
 		}
 		err := drpcserver.NewWithOptions(mux, replicator.ServerOptions()).Serve(ctx, l.fleet)
-		if ctx.Err() != nil {
-			return nil
+		if err != nil && ctx.Err() == nil {
+			return eris.Wrap(err, "serve other hosts")
 		}
-		return eris.Wrap(err, "serve other hosts")
+		return nil
 	})
 	g.Go(func() error {
 		h.linker.Run(ctx)
@@ -254,7 +255,7 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
-		h.lead(now)
+		h.lead()
 		h.allocator.Advance(now, h.leads.Load())
 		if now.Sub(expired) >= expireEvery {
 			expired = now
@@ -270,7 +271,7 @@
 }
 
 // lead notes whether this host leads and tells the others when that changes.
-func (h *Runner) lead(time.Time) {
+func (h *Runner) lead() {
 	if h.keeper == nil {
 		return
 	}
@@ -288,24 +289,12 @@
 		return
 	}
 	old := *h.seeds.Load()
-	if !equal(old, s.Seeds) {
+	if !slices.Equal(old, s.Seeds) {
 		h.seeds.Store(&s.Seeds)
 		h.Log.Emit(time.Now(), logger.FleetReloaded, "", logger.F("seeds", s.Seeds))
 	}
 }
 
-func equal(a, b []string) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
 // limits returns what clients may send.
 func (h *Runner) limits() receiver.Limits {
 	c := h.catalog.Load()
--- a/internal/fleet/scheduler/copies.go
+++ b/internal/fleet/scheduler/copies.go
@@ -33,7 +33,7 @@
 		if b.report.Service != service || b.report.State != messenger.Backend_STATE_READY {
 			continue
 		}
-		used += s.used(now, b, true)
+		used += s.used(now, b)
 		room += b.engine.Tokens
 	}
 	if room == 0 {
--- a/internal/fleet/scheduler/forecast.go
+++ b/internal/fleet/scheduler/forecast.go
@@ -27,15 +27,13 @@
 	return int(req.PromptTokens) + int(growthShare*float64(expectedOutput(req)))
 }
 
-// used returns the memory that is forecast to be taken on an engine, in tokens.
-func (s *Scheduler) used(now time.Time, b *backend, copies bool) int {
+// used returns the memory that is forecast to be taken on an engine by runs and copies,
+// in tokens.
+func (s *Scheduler) used(now time.Time, b *backend) int {
 	total := 0
 	for _, r := range b.runs {
 		total += s.size(now, r)
 	}
-	if !copies {
-		return total
-	}
 	for _, r := range b.copies {
 		total += s.size(now, r)
 	}
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -86,6 +86,9 @@
 	readTokensPerMS = 7
 	// minCopied is the expected output from which on a copy is worth its memory.
 	minCopied = 160
+	// spareFill is the share of an engine's memory up to which it also serves requests
+	// that can't be on time any more.
+	spareFill = 0.6
 	// copyStart is how long after its first token a run's memory is at the other engine.
 	copyStart = 700 * time.Millisecond
 	// initialTokenTime is assumed before any was learned.
@@ -223,7 +226,7 @@
 	list := make([]*messenger.BackendLoad, 0, len(s.backends))
 	for id, b := range s.backends {
 		list = append(list, &messenger.BackendLoad{
-			Backend: id, Runs: int32(len(b.runs)), Reading: int32(b.reading()), Tokens: int32(s.used(now, b, true)),
+			Backend: id, Runs: int32(len(b.runs)), Reading: int32(b.reading()), Tokens: int32(s.used(now, b)),
 		})
 	}
 	slices.SortFunc(list, func(x, y *messenger.BackendLoad) int { return cmp.Compare(x.Backend, y.Backend) })
@@ -247,6 +250,10 @@
 	if !now.Add(readTime(int(w.req.PromptTokens))).After(w.ends()) {
 		return false
 	}
+	if b := s.spare(now, w, need); b != nil {
+		s.place(now, w, b)
+		return true
+	}
 	after := max(minRetryAfter, time.Duration(w.req.ObjectiveMs)*time.Millisecond)
 	s.Send(w.entry, Decision{Placement: &messenger.Placement{
 		Run: w.req.Run, RetryAfterMs: after.Milliseconds(), Reason: "no engine has room in time",
@@ -280,6 +287,13 @@
 	})
 }
 
+// spare returns an engine that is idle enough to serve a request late; nil if there is none.
+func (s *Scheduler) spare(now time.Time, w *waiting, need int) *backend {
+	return s.cheapest(now, w.req, need, func(b *backend, fill float64) (cost float64, ok bool) {
+		return fill, b.reading() == 0 && fill <= spareFill
+	})
+}
+
 // destination returns the engine to which a run is best moved; nil if none has room.
 func (s *Scheduler) destination(now time.Time, r *run, from *backend) *backend {
 	need := s.size(now, r)
@@ -302,7 +316,7 @@
 		if !b.takes(now, req) {
 			continue
 		}
-		used := s.used(now, b, true)
+		used := s.used(now, b)
 		if float64(used+need) > fillLimit*float64(b.engine.Tokens) {
 			continue
 		}
@@ -356,7 +370,7 @@
 		if b == at || b == r.at || b.report.Service != at.report.Service || b.report.State != messenger.Backend_STATE_READY {
 			continue
 		}
-		fill := float64(s.used(now, b, true)+need) / float64(b.engine.Tokens)
+		fill := float64(s.used(now, b)+need) / float64(b.engine.Tokens)
 		if fill > copyShare(r.req) {
 			continue
 		}
