perf: have the hub with the lowest name decide while no leader is known

Ruled out: the read forecast. Change: without a leader the linked hub with the lowest name decides; who changes the decider has the former one forget its runs.

--- a/internal/event/logger/fleetevents.go
+++ b/internal/event/logger/fleetevents.go
@@ -16,7 +16,7 @@
 	FleetMemberChanged  = Event{6103, log.InfoLevel, "membership of the replicated log changed"}
 	FleetLogFailed      = Event{6104, log.ErrorLevel, "replicated log failed"}
 	FleetBackendChanged = Event{6105, log.InfoLevel, "backend server changed"}
-	FleetLeaderChanged  = Event{6106, log.InfoLevel, "leader changed"}
+	FleetDeciderChanged = Event{6106, log.InfoLevel, "another host decides where generations run"}
 
 	// Events of the configuration.
 	FleetConfigAdopted  = Event{6201, log.InfoLevel, "configuration in force"}
@@ -43,7 +43,7 @@
 
 	fleetEvents = []Event{
 		FleetStarted, FleetStopping, FleetStopped, FleetReloaded, FleetReadiness, FleetLinked, FleetUnlinked,
-		FleetMemberChanged, FleetLogFailed, FleetBackendChanged, FleetLeaderChanged, FleetConfigAdopted,
+		FleetMemberChanged, FleetLogFailed, FleetBackendChanged, FleetDeciderChanged, FleetConfigAdopted,
 		FleetConfigDecided, FleetConfigRefused, FleetConfigRead, FleetConfigRejected, FleetReportRefused,
 		ForwardMalformed, ForwardRefused, ForwardFailed, ForwardRepeated, ForwardServed, ForwardLeft,
 		RunPlaced, RunMoving, RunMoved, RunMoveFailed, RunBrokenOff,
--- a/internal/fleet/allocator/allocator.go
+++ b/internal/fleet/allocator/allocator.go
@@ -1,5 +1,6 @@
-// Package allocator has one scheduler decide for the whole fleet. The host that leads
-// decides for all; a host that reaches no leader decides for itself with what it knows.
+// Package allocator has one scheduler decide for as many hosts as possible. The hub that
+// leads decides for all; where no leader is known, the linked hub with the lowest name
+// does; a host that reaches no hub decides for itself.
 package allocator
 
 import (
@@ -28,9 +29,11 @@
 
 		mu    sync.Mutex
 		sched *scheduler.Scheduler
-		// terms holds the term in which each linked host, or this one, says that it leads.
-		terms  map[string]uint64
-		leader string
+		// hubs holds the linked hubs, this host included if it is one, each with the term in
+		// which it says that it leads; 0 where it does not.
+		hubs map[string]uint64
+		// decider is the host that decides for this one; its own name if it does itself.
+		decider string
 		// pending holds the requests of this host that wait for a decision, by run.
 		pending  map[string]*request
 		engines  map[string]cataloger.Engine
@@ -69,10 +72,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.init()
-	if a.leader != a.Name && a.leader != "" {
-		if a.Tell(a.leader, func(m *messenger.LinkMessage) { m.Runs = append(m.Runs, state) }) {
-			return
-		}
+	if a.tellDecider(func(m *messenger.LinkMessage) { m.Runs = append(m.Runs, state) }) {
+		return
 	}
 	a.sched.Report(time.Now(), a.Name, state)
 }
@@ -96,26 +97,34 @@
 	a.sched.SetBackends(now, reports)
 }
 
-// Advance makes the decisions that are due, and takes in whether this host leads.
-func (a *Allocator) Advance(now time.Time, leads uint64) {
+// Advance makes the decisions that are due, and takes in whether this host leads. hub
+// tells whether it is a hub.
+func (a *Allocator) Advance(now time.Time, hub bool, leads uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.init()
-	a.setTerm(now, a.Name, leads)
+	if hub {
+		a.setHub(now, a.Name, leads)
+	}
 	a.sched.Advance(now)
 }
 
 // Receive takes what another host says of places and runs.
-func (a *Allocator) Receive(now time.Time, from string, m *messenger.LinkMessage) {
+func (a *Allocator) Receive(now time.Time, from *messenger.FleetHost, m *messenger.LinkMessage) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.init()
-	a.setTerm(now, from, m.Leads)
+	if from.Hub {
+		a.setHub(now, from.Name, m.Leads)
+	}
+	if m.AllRuns {
+		a.sched.Forget(now, from.Name)
+	}
 	for _, s := range m.Runs {
-		a.sched.Report(now, from, s)
+		a.sched.Report(now, from.Name, s)
 	}
 	for _, req := range m.Places {
-		a.sched.Ask(now, from, req)
+		a.sched.Ask(now, from.Name, req)
 	}
 	for _, p := range m.Placements {
 		a.decide(p)
@@ -130,7 +139,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.init()
-	a.setTerm(now, host, 0)
+	delete(a.hubs, host)
+	a.choose(now)
 	a.sched.Forget(now, host)
 }
 
@@ -138,62 +148,69 @@
 	if a.pending != nil {
 		return
 	}
-	a.pending, a.terms = make(map[string]*request), make(map[string]uint64)
-	a.renew()
-}
-
-// renew begins with an empty view. The lock is held.
-func (a *Allocator) renew() {
+	a.pending, a.hubs = make(map[string]*request), make(map[string]uint64)
+	a.decider = a.Name
 	a.sched = &scheduler.Scheduler{Send: a.send}
-	a.sched.SetEngines(a.engines)
-	a.sched.SetBackends(time.Now(), a.backends)
 }
 
-// setTerm notes in which term a host leads. When another host leads than before, it is
-// told of this host's runs and of the requests that wait. The lock is held.
-func (a *Allocator) setTerm(now time.Time, host string, term uint64) {
-	if term == 0 {
-		delete(a.terms, host)
-	} else {
-		a.terms[host] = term
+// setHub notes that a hub is linked and in which term it leads. The lock is held.
+func (a *Allocator) setHub(now time.Time, host string, term uint64) {
+	if known, ok := a.hubs[host]; ok && known == term {
+		return
 	}
-	leader, highest := "", uint64(0)
-	for name, t := range a.terms {
-		if t > highest {
-			leader, highest = name, t
+	a.hubs[host] = term
+	a.choose(now)
+}
+
+// choose finds who decides now: the hub that leads in the highest term, else the one with
+// the lowest name. The former decider is told to forget this host's runs, the new one
+// hears of them and of the requests that wait. The lock is held.
+func (a *Allocator) choose(now time.Time) {
+	decider, highest := "", uint64(0)
+	for name, term := range a.hubs {
+		if decider == "" || term > highest || term == highest && name < decider {
+			decider, highest = name, term
 		}
 	}
-	if leader == a.leader {
+	if decider == "" {
+		decider = a.Name
+	}
+	if decider == a.decider {
 		return
 	}
-	a.Log.Emit(now, logger.FleetLeaderChanged, "", logger.F("from", a.leader), logger.F("to", leader), logger.F("term", highest))
-	a.leader = leader
-	a.renew()
-	a.handOver()
+	a.Log.Emit(now, logger.FleetDeciderChanged, "", logger.F("from", a.decider), logger.F("to", decider), logger.F("term", highest))
+	if a.decider == a.Name {
+		a.sched.Forget(now, a.Name)
+	} else {
+		a.tellDecider(func(m *messenger.LinkMessage) { m.AllRuns, m.Runs, m.Places = true, nil, nil })
+	}
+	a.decider = decider
+	a.handOver(now)
 }
 
 // handOver tells who decides now of this host's runs and waiting requests. The lock is held.
-func (a *Allocator) handOver() {
+func (a *Allocator) handOver(now time.Time) {
 	runs := a.Runs()
-	now := time.Now()
-	if a.leader == "" || a.leader == a.Name {
+	if !a.tellDecider(func(m *messenger.LinkMessage) { m.AllRuns, m.Runs, m.Places = true, runs, nil }) {
 		for _, s := range runs {
 			a.sched.Report(now, a.Name, s)
 		}
-	} else {
-		a.Tell(a.leader, func(m *messenger.LinkMessage) { m.Runs = append(m.Runs, runs...) })
 	}
 	for _, r := range a.pending {
 		a.ask(now, r.req)
 	}
 }
 
+// tellDecider adds news to what goes to the host that decides; it tells whether that is
+// another one that is linked. The lock is held.
+func (a *Allocator) tellDecider(add func(m *messenger.LinkMessage)) bool {
+	return a.decider != a.Name && a.Tell(a.decider, add)
+}
+
 // ask passes a request to who decides now. The lock is held.
 func (a *Allocator) ask(now time.Time, req *messenger.PlaceRequest) {
-	if a.leader != "" && a.leader != a.Name {
-		if a.Tell(a.leader, func(m *messenger.LinkMessage) { m.Places = append(m.Places, req) }) {
-			return
-		}
+	if a.tellDecider(func(m *messenger.LinkMessage) { m.Places = append(m.Places, req) }) {
+		return
 	}
 	a.sched.Ask(now, a.Name, req)
 }
@@ -230,14 +247,14 @@
 	r.decided <- p
 }
 
-// move passes a move order on, or tells the leader that the generation has ended. The
+// move passes a move order on, or tells who decides that the generation has ended. The
 // lock is held.
 func (a *Allocator) move(now time.Time, o *messenger.MoveOrder) {
 	if a.Order(o) {
 		return
 	}
 	ended := &messenger.RunState{Run: o.Run, Phase: messenger.RunState_PHASE_ENDED}
-	if a.leader == "" || !a.Tell(a.leader, func(m *messenger.LinkMessage) { m.Runs = append(m.Runs, ended) }) {
+	if !a.tellDecider(func(m *messenger.LinkMessage) { m.Runs = append(m.Runs, ended) }) {
 		a.sched.Report(now, a.Name, ended)
 	}
 }
--- a/internal/fleet/runner/news.go
+++ b/internal/fleet/runner/news.go
@@ -190,7 +190,7 @@
 func (h *Runner) receive(from *messenger.FleetHost, m *messenger.LinkMessage) {
 	now := time.Now()
 	h.spread(now, from.Name, h.tracker.Learn(now, m.Backends))
-	h.allocator.Receive(now, from.Name, m)
+	h.allocator.Receive(now, from, m)
 	if m.ConfigVersion > h.version() && from.Hub && h.fetching.CompareAndSwap(false, true) {
 		go h.fetch(from, m.ConfigVersion)
 	}
--- a/internal/fleet/runner/runner.go
+++ b/internal/fleet/runner/runner.go
@@ -256,7 +256,7 @@
 		}
 		now := time.Now()
 		h.lead()
-		h.allocator.Advance(now, h.leads.Load())
+		h.allocator.Advance(now, h.Settings.Host.Hub, h.leads.Load())
 		if now.Sub(expired) >= expireEvery {
 			expired = now
 			h.spread(now, "", h.tracker.Expire(now))
