perf: notice a silent host after 0.8 s

Cause: with a frozen hub that decides, requests waited 1.3 s for their place. Change: a ping each 250 ms, a link counts as lost after 800 ms.

--- a/internal/fleet/linker/link.go
+++ b/internal/fleet/linker/link.go
@@ -40,8 +40,8 @@
 const (
 	// pingEvery is the longest time without a message on a link, silenceLimit the time
 	// without one after which the link counts as lost.
-	pingEvery    = 400 * time.Millisecond
-	silenceLimit = 1300 * time.Millisecond
+	pingEvery    = 250 * time.Millisecond
+	silenceLimit = 800 * time.Millisecond
 	// writeTimeout bounds a write to another host.
 	writeTimeout = time.Second
 	// maxMessageBytes bounds a message between hosts.
--- a/internal/fleet/sender/exchange.go
+++ b/internal/fleet/sender/exchange.go
@@ -171,7 +171,7 @@
 func (a *Answer) readHead(r Request) error {
 	foreign := 0
 	for {
-		resp, err := http.ReadResponse(a.conn.br, &http.Request{Method: r.Method}) //nolint:bodyclose // The connection is closed or kept by Done and Break.
+		resp, err := http.ReadResponse(a.conn.br, &http.Request{Method: r.Method})
 		if err != nil {
 			return err
 		}
