--- a/internal/fleet/keeper/keeper.go
+++ b/internal/fleet/keeper/keeper.go
@@ -23,6 +23,8 @@
 		Folder string
 		// Founders waits for the hubs of the first start; nil at any other start.
 		Founders func(ctx context.Context) ([]*messenger.FleetHost, error)
+		// QuorumOf is how many voters there are at least.
+		QuorumOf int
 		// Candidates returns the hubs that are linked to this one now, itself left out.
 		Candidates func() []*messenger.FleetHost
 		// Changed is called with each configuration that came into force here, in order.
@@ -33,7 +35,6 @@
 		version uint64
 		packed  []byte
 		running *replicator.Replicator
-		absent  map[string]time.Time
 	}
 )
 
@@ -41,12 +42,6 @@
 	// heartbeat and electionTimeout say how fast a lost leader is replaced.
 	heartbeat       = 150 * time.Millisecond
 	electionTimeout = 900 * time.Millisecond
-	// manageEvery is the pause between looks at the membership.
-	manageEvery = 500 * time.Millisecond
-	// absentFor is how long a voter must be silent before a new hub may take its place.
-	absentFor = 3 * time.Second
-	// changeTimeout bounds one change of the membership.
-	changeTimeout = 8 * time.Second
 	// handOverTimeout bounds the handing over of the leadership at a planned stop.
 	handOverTimeout = time.Second
 	// versionBytes is the length of the version before a command's body.
@@ -67,7 +62,7 @@
 	if empty && k.Founders != nil {
 		founders, err := k.Founders(ctx)
 		if err != nil {
-			return nil //nolint:nilerr // The host stops before the fleet is formed.
+			return err
 		}
 		for _, h := range founders {
 			r.Peers = append(r.Peers, replicator.Peer{Name: h.Name, Address: h.Address})
--- a/internal/fleet/keeper/membership.go
+++ b/internal/fleet/keeper/membership.go
@@ -10,8 +10,42 @@
 	"verbenareach/internal/wire/messenger"
 )
 
+type (
+	// warden decides how the membership changes. It knows no network.
+	warden struct {
+		// self is the name of the hub that leads.
+		self string
+		// quorumOf is how many voters there are at least: enough for a majority to be
+		// left after as many hubs are lost as must be borne.
+		quorumOf int
+		// absent holds since when each member has not answered, by identity.
+		absent map[string]time.Time
+		// failed holds until when a hub that could not be added is left alone, by name.
+		failed map[string]time.Time
+	}
+
+	// step is one change of the membership: a hub to add, or an identity to remove.
+	step struct {
+		add    *messenger.FleetHost
+		remove string
+	}
+)
+
+const (
+	// manageEvery is the pause between looks at the membership.
+	manageEvery = 500 * time.Millisecond
+	// absentFor is how long a voter must be silent before it is removed. A host that
+	// merely restarts is back sooner.
+	absentFor = 5 * time.Second
+	// addAgain is the wait after a hub could not be added.
+	addAgain = 2 * time.Second
+	// changeTimeout bounds one change of the membership.
+	changeTimeout = 8 * time.Second
+)
+
 // manage keeps the membership in step with the hubs while this hub leads.
 func (k *Keeper) manage(ctx context.Context, r *replicator.Replicator) {
+	w := &warden{self: k.Self.Name, quorumOf: k.QuorumOf}
 	for {
 		select {
 		case <-ctx.Done():
@@ -20,75 +54,92 @@
 		}
 		s := r.Status()
 		if s.Role != "leader" {
-			k.absent = nil
+			w.absent = nil
 			continue
 		}
-		k.noteAbsent(time.Now(), s.Members)
-		k.adjust(ctx, r, s)
+		next := w.next(time.Now(), s.Members, k.Candidates())
+		if next.add != nil || next.remove != "" {
+			k.change(ctx, r, w, next)
+		}
 	}
 }
 
-// noteAbsent keeps since when each voter has not answered.
-func (k *Keeper) noteAbsent(now time.Time, members []replicator.MemberStatus) {
-	absent := make(map[string]time.Time)
+// change makes one change of the membership.
+func (k *Keeper) change(ctx context.Context, r *replicator.Replicator, w *warden, next step) {
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	name, err := next.remove, error(nil)
+	if next.add != nil {
+		name = next.add.Name
+		err = r.Add(ctx, replicator.Peer{Name: name, Address: next.add.Address})
+	} else {
+		err = r.Remove(ctx, next.remove)
+	}
+	if err != nil {
+		w.leave(time.Now(), name)
+	}
+	k.Log.Emit(time.Now(), logger.FleetMemberChanged, "", logger.F("host", name), logger.F("added", next.add != nil),
+		logger.F("error", err))
+}
+
+// next returns the change that is due: hubs that are linked become voters, and voters that
+// have been silent for long go once enough others answer.
+func (w *warden) next(now time.Time, members []replicator.MemberStatus, candidates []*messenger.FleetHost) step {
+	w.note(now, members)
+	for _, h := range candidates {
+		if !votes(members, h.Name) && !now.Before(w.failed[h.Name]) {
+			return step{add: h}
+		}
+	}
+	voters, alive := 0, 0
+	oldest := ""
 	for _, m := range members {
-		if m.Alive || m.Name == k.Self.Name {
+		if !m.Voter {
 			continue
 		}
-		since, ok := k.absent[m.ID]
-		if !ok {
-			since = now
+		voters++
+		since, silent := w.absent[m.ID]
+		if !silent {
+			alive++
+			continue
+		}
+		if now.Sub(since) >= absentFor && (oldest == "" || since.Before(w.absent[oldest])) {
+			oldest = m.ID
 		}
-		absent[m.ID] = since
 	}
-	k.absent = absent
+	if voters > w.quorumOf && alive >= w.quorumOf && !now.Before(w.failed[oldest]) {
+		return step{remove: oldest}
+	}
+	return step{}
 }
 
-// adjust makes at most one step: it takes in a hub that is no voter yet, in the place
-// of a silent one if there is such a one.
-func (k *Keeper) adjust(ctx context.Context, r *replicator.Replicator, s replicator.Status) {
-	for _, h := range k.Candidates() {
-		if isVoter(s.Members, h) {
+// note keeps since when each member has not answered.
+func (w *warden) note(now time.Time, members []replicator.MemberStatus) {
+	absent := make(map[string]time.Time)
+	for _, m := range members {
+		if m.Alive || m.Name == w.self {
 			continue
 		}
-		ctx, cancel := context.WithTimeout(ctx, changeTimeout)
-		defer cancel()
-		old := k.replaced(time.Now(), s.Members, h)
-		err := r.Add(ctx, replicator.Peer{Name: h.Name, Address: h.Address})
-		if err == nil && old != "" {
-			err = r.Remove(ctx, old)
+		since, ok := w.absent[m.ID]
+		if !ok {
+			since = now
 		}
-		k.Log.Emit(time.Now(), logger.FleetMemberChanged, "", logger.F("host", h.Name),
-			logger.F("inPlaceOf", old), logger.F("voters", len(s.Members)), logger.F("error", err))
-		return
+		absent[m.ID] = since
 	}
+	w.absent = absent
 }
 
-// replaced returns the id of the voter whose place a new hub takes: a silent one, the
-// longest-silent one first. It is empty if all voters answer, or if the hub is no newcomer.
-func (k *Keeper) replaced(now time.Time, members []replicator.MemberStatus, h *messenger.FleetHost) string {
-	var silent []replicator.MemberStatus
-	if slices.ContainsFunc(members, func(m replicator.MemberStatus) bool { return m.Name == h.Name }) {
-		return ""
+// leave lets a change that failed rest for a while.
+func (w *warden) leave(now time.Time, name string) {
+	if w.failed == nil {
+		w.failed = make(map[string]time.Time)
 	}
-	for _, m := range members {
-		since, absent := k.absent[m.ID]
-		if m.Voter && absent && m.Name != h.Name && now.Sub(since) >= absentFor {
-			silent = append(silent, m)
-		}
-	}
-	if len(silent) == 0 {
-		return ""
-	}
-	slices.SortFunc(silent, func(a, b replicator.MemberStatus) int {
-		return k.absent[a.ID].Compare(k.absent[b.ID])
-	})
-	return silent[0].ID
+	w.failed[name] = now.Add(addAgain)
 }
 
-// isVoter tells whether a hub votes already and answers under the identity that votes.
-func isVoter(members []replicator.MemberStatus, h *messenger.FleetHost) bool {
+// votes tells whether a hub votes already and answers under the identity that votes.
+func votes(members []replicator.MemberStatus, name string) bool {
 	return slices.ContainsFunc(members, func(m replicator.MemberStatus) bool {
-		return m.Name == h.Name && m.Voter && m.Alive
+		return m.Name == name && m.Voter && m.Alive
 	})
 }
--- a/internal/fleet/runner/runner.go
+++ b/internal/fleet/runner/runner.go
@@ -178,7 +178,7 @@
 		return
 	}
 	h.keeper = &keeper.Keeper{
-		Self: s.Host, Folder: s.DataFolder, Candidates: h.linkedHubs, Changed: h.adopt, Log: h.Log,
+		Self: s.Host, Folder: s.DataFolder, QuorumOf: 2*s.LostHosts + 1, Candidates: h.linkedHubs, Changed: h.adopt, Log: h.Log,
 	}
 	if s.Bootstrap {
 		h.keeper.Founders = h.linker.AwaitFounders
@@ -226,7 +226,7 @@
 func (h *Runner) keep(ctx context.Context) error {
 	for ctx.Err() == nil {
 		err := h.keeper.Run(ctx, h.Settings.Bootstrap)
-		if err != nil {
+		if err != nil && ctx.Err() == nil {
 			h.Log.Emit(time.Now(), logger.FleetLogFailed, "", logger.F("error", err))
 		}
 		select {
--- a/internal/fleet/sender/exchange.go
+++ b/internal/fleet/sender/exchange.go
@@ -171,7 +171,7 @@
 func (a *Answer) readHead(r Request) error {
 	foreign := 0
 	for {
-		resp, err := http.ReadResponse(a.conn.br, &http.Request{Method: r.Method})
+		resp, err := http.ReadResponse(a.conn.br, &http.Request{Method: r.Method}) //nolint:bodyclose,nolintlint // Done and Break close the connection.
 		if err != nil {
 			return err
 		}
