--- a/internal/event/logger/fleetevents.go
+++ b/internal/event/logger/fleetevents.go
@@ -31,11 +31,11 @@
 	ForwardRefused   = Event{6302, log.WarnLevel, "request refused"}
 	ForwardFailed    = Event{6303, log.WarnLevel, "request failed"}
 	ForwardRepeated  = Event{6304, log.InfoLevel, "request sent to another backend server"}
-	ForwardServed    = Event{6305, log.DebugLevel, "request served"}
+	ForwardServed    = Event{6305, log.InfoLevel, "request served"}
 	ForwardLeft      = Event{6306, log.InfoLevel, "client left"}
 
 	// Events of generations.
-	RunPlaced     = Event{6401, log.DebugLevel, "generation placed"}
+	RunPlaced     = Event{6401, log.InfoLevel, "generation placed"}
 	RunMoving     = Event{6402, log.InfoLevel, "generation is to continue elsewhere"}
 	RunMoved      = Event{6403, log.InfoLevel, "generation continues elsewhere"}
 	RunMoveFailed = Event{6404, log.WarnLevel, "generation could not be moved"}
--- a/internal/fleet/forwarder/generation.go
+++ b/internal/fleet/forwarder/generation.go
@@ -120,6 +120,9 @@
 			return false
 		}
 		c.backend, c.backup = c.f.Tracker.Find(p.Backend), c.f.Tracker.Find(p.Backup)
+		c.f.Log.Emit(time.Now(), logger.RunPlaced, c.x.id, logger.F("backend", p.Backend), logger.F("copy", p.Backup),
+			logger.F("promptTokens", c.req.PromptTokens), logger.F("hintTokens", c.req.HintTokens),
+			logger.F("waited", time.Since(now).Round(time.Millisecond)))
 		if c.backend == nil {
 			c.decline(p.Backend)
 			continue
--- /dev/null
+++ b/internal/fleet/forwarder/generation_test.go
@@ -0,0 +1,291 @@
+package forwarder
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"verbenareach/internal/wire/messenger"
+)
+
+// begin sends the head of a stream.
+func begin(c net.Conn, seen seenRequest) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nT-Id: %s\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+		seen.Header.Get("T-Id"), signed)
+}
+
+func chunk(c net.Conn, text string) {
+	_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text)
+}
+
+func event(n int) string { return fmt.Sprintf("id: %d\ndata: token\n\n", n) }
+
+// events returns the events from one number to another.
+func events(from, to int) string {
+	var all strings.Builder
+	for n := from; n <= to; n++ {
+		all.WriteString(event(n))
+	}
+	return all.String()
+}
+
+func end(c net.Conn) bool {
+	_, err := io.WriteString(c, "0\r\n\r\n")
+	return err == nil
+}
+
+// streams returns a script that sends events and the end.
+func streams(from, to int) func(net.Conn, seenRequest) bool {
+	return func(c net.Conn, seen seenRequest) bool {
+		begin(c, seen)
+		for n := from; n <= to; n++ {
+			chunk(c, event(n))
+		}
+		return end(c)
+	}
+}
+
+// tears returns a script that breaks off in the middle of an event.
+func tears(whole int) func(net.Conn, seenRequest) bool {
+	return func(c net.Conn, seen seenRequest) bool {
+		begin(c, seen)
+		chunk(c, events(1, whole))
+		chunk(c, event(whole + 1)[:9])
+		time.Sleep(50 * time.Millisecond)
+		return false
+	}
+}
+
+func TestStreamIsPassedOnWhole(t *testing.T) {
+	x := newFixture(t, newStandIn(t, "e1", streams(1, 5)))
+	x.place = "e1"
+	got := x.send("/stream/a", key, "prompt")
+	if got.err != nil || got.body != events(1, 5) {
+		t.Errorf("client got %q, %v", got.body, got.err)
+	}
+	if got.header.Get("T-Signed") != "s" {
+		t.Error("answer bears no signature")
+	}
+}
+
+func TestTornStreamNeverLooksComplete(t *testing.T) {
+	x := newFixture(t, newStandIn(t, "e1", tears(3)))
+	x.place = "e1"
+	got := x.send("/stream/a", key, "prompt")
+	if got.err == nil {
+		t.Error("stream looks complete")
+	}
+	if got.body != events(1, 3) {
+		t.Errorf("client got %q, want whole events only", got.body)
+	}
+}
+
+func TestTornStreamGoesOnFromTheCopy(t *testing.T) {
+	e1 := newStandIn(t, "e1", tears(3))
+	e2 := newStandIn(t, "e2", streams(4, 6))
+	x := newFixture(t, e1, e2)
+	x.place, x.copy = "e1", "e2"
+	got := x.send("/stream/a", key, "prompt")
+	if got.err != nil || got.body != events(1, 6) {
+		t.Fatalf("client got %q, %v", got.body, got.err)
+	}
+	if to := e1.requests()[0].Header.Get("T-Backup"); to != e2.address {
+		t.Errorf("copy goes to %q", to)
+	}
+	seen := e2.requests()[0]
+	if seen.Header.Get("T-Last") != "3" || seen.Header.Get("T-Continue") != e2.address+"/id-1" {
+		t.Errorf("continues after %q from %q", seen.Header.Get("T-Last"), seen.Header.Get("T-Continue"))
+	}
+	if seen.body != "prompt" || seen.Header.Get("T-Only") != "e2" {
+		t.Errorf("%q sent for %q", seen.body, seen.Header.Get("T-Only"))
+	}
+}
+
+func TestStreamThatCannotGoOnBreaks(t *testing.T) {
+	e1 := newStandIn(t, "e1", tears(3))
+	e2 := newStandIn(t, "e2", func(c net.Conn, seen seenRequest) bool { return answer(c, seen, 503, "T-Not-Run: 1\r\n", "") })
+	x := newFixture(t, e1, e2)
+	x.place, x.copy = "e1", "e2"
+	if got := x.send("/stream/a", key, "prompt"); got.err == nil || got.body != events(1, 3) {
+		t.Errorf("client got %q, %v", got.body, got.err)
+	}
+}
+
+func TestRefusalByAnEngineFindsAnotherPlace(t *testing.T) {
+	e1 := newStandIn(t, "e1", func(c net.Conn, seen seenRequest) bool { return answer(c, seen, 503, "T-Not-Run: 1\r\n", "") })
+	x := newFixture(t, e1, newStandIn(t, "e2", streams(1, 2)))
+	place := x.forwarder.Place
+	x.place = "e1"
+	x.forwarder.Place = func(ctx context.Context, req *messenger.PlaceRequest) (*messenger.Placement, error) {
+		if len(req.Avoid) > 0 {
+			x.place = "e2"
+		}
+		return place(ctx, req)
+	}
+	if got := x.send("/stream/a", key, ""); got.body != events(1, 2) {
+		t.Errorf("client got %d %q", got.status, got.body)
+	}
+}
+
+func TestLossBeforeTheFirstEventIsNoRefusal(t *testing.T) {
+	x := newFixture(t, newStandIn(t, "e1", func(c net.Conn, seen seenRequest) bool {
+		begin(c, seen)
+		return false
+	}))
+	x.place = "e1"
+	if got := x.send("/stream/a", key, ""); got.status != http.StatusBadGateway {
+		t.Errorf("client got %d, want 502: the request may have run", got.status)
+	}
+}
+
+func TestRefusedGenerationTellsWhenToComeBack(t *testing.T) {
+	x := newFixture(t)
+	x.forwarder.Place = func(context.Context, *messenger.PlaceRequest) (*messenger.Placement, error) {
+		return &messenger.Placement{RetryAfterMs: 1500, Reason: "no engine has room in time"}, nil
+	}
+	got := x.send("/stream/a", key, "")
+	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") != "1.500" {
+		t.Errorf("client got %d, Retry-After %q", got.status, got.header.Get("Retry-After"))
+	}
+}
+
+// untilOrdered sends events until the order to move was given, and goes on until stopped.
+func untilOrdered(x **fixture, order *messenger.MoveOrder, stopped <-chan struct{}) func(net.Conn, seenRequest) bool {
+	return func(c net.Conn, seen seenRequest) bool {
+		if seen.URL.Path == "/copy" {
+			return false
+		}
+		begin(c, seen)
+		chunk(c, events(1, 3))
+		time.Sleep(50 * time.Millisecond)
+		(*x).forwarder.Order(order)
+		<-stopped
+		chunk(c, events(4, 5))
+		time.Sleep(20 * time.Millisecond)
+		return false
+	}
+}
+
+func TestOrderToMoveStopsTheRunAndTakesItsMemoryAlong(t *testing.T) {
+	var x *fixture
+	stopped := make(chan struct{})
+	run := untilOrdered(&x, &messenger.MoveOrder{Run: "id-1", From: "e1", To: "e2"}, stopped)
+	e1 := newStandIn(t, "e1", func(c net.Conn, seen seenRequest) bool {
+		if seen.URL.Path != "/copy" {
+			return run(c, seen)
+		}
+		if seen.URL.Query().Get("stop") == "true" {
+			close(stopped)
+		}
+		return answer(c, seen, 200, "", `{"ID":"handle","Events":5}`)
+	})
+	e2 := newStandIn(t, "e2", streams(6, 8))
+	x = newFixture(t, e1, e2)
+	x.place = "e1"
+	got := x.send("/stream/a", key, "prompt")
+	if got.err != nil || got.body != events(1, 8) {
+		t.Fatalf("client got %q, %v", got.body, got.err)
+	}
+	seen := e2.requests()[0]
+	if seen.Header.Get("T-Continue") != e1.address+"/handle" || seen.Header.Get("T-Last") != "5" {
+		t.Errorf("continues from %q after %q", seen.Header.Get("T-Continue"), seen.Header.Get("T-Last"))
+	}
+	var stops []string
+	for _, r := range e1.requests()[1:] {
+		stops = append(stops, r.URL.Query().Get("stop"))
+	}
+	if fmt.Sprint(stops) != "[false true]" {
+		t.Errorf("copies were asked for with stop %v", stops)
+	}
+}
+
+func TestFailedMoveLeavesTheRunWhereItIs(t *testing.T) {
+	var x *fixture
+	failed := make(chan struct{})
+	e1 := newStandIn(t, "e1", func(c net.Conn, seen seenRequest) bool {
+		if seen.URL.Path == "/copy" {
+			defer close(failed)
+			return answer(c, seen, 503, "", "no room")
+		}
+		begin(c, seen)
+		chunk(c, events(1, 3))
+		time.Sleep(50 * time.Millisecond)
+		x.forwarder.Order(&messenger.MoveOrder{Run: "id-1", From: "e1", To: "e2"})
+		<-failed
+		time.Sleep(20 * time.Millisecond)
+		chunk(c, events(4, 6))
+		return end(c)
+	})
+	x = newFixture(t, e1, newStandIn(t, "e2", streams(4, 6)))
+	x.place = "e1"
+	if got := x.send("/stream/a", key, "prompt"); got.err != nil || got.body != events(1, 6) {
+		t.Fatalf("client got %q, %v", got.body, got.err)
+	}
+	told := false
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, s := range x.states {
+		told = told || s.Phase == messenger.RunState_PHASE_MOVE_FAILED && s.Backend == "e1"
+	}
+	if !told {
+		t.Error("scheduler was not told that the move failed")
+	}
+}
+
+func TestOrderToMoveToACopyNeedsNoCall(t *testing.T) {
+	var x *fixture
+	forever := make(chan struct{})
+	t.Cleanup(func() { close(forever) })
+	e1 := newStandIn(t, "e1", untilOrdered(&x, &messenger.MoveOrder{Run: "id-1", From: "e1", To: "e2", Copied: true}, forever))
+	e2 := newStandIn(t, "e2", streams(4, 5))
+	x = newFixture(t, e1, e2)
+	x.place, x.copy = "e1", "e2"
+	if got := x.send("/stream/a", key, "prompt"); got.err != nil || got.body != events(1, 5) {
+		t.Errorf("client got %q, %v", got.body, got.err)
+	}
+	if n := len(e1.requests()); n != 1 {
+		t.Errorf("%d requests at the first engine, want 1", n)
+	}
+}
+
+func TestEventsAreCutWhole(t *testing.T) {
+	tests := []struct {
+		name   string
+		reads  []string
+		events int
+		last   string
+		torn   bool
+	}{
+		{"one read", []string{events(1, 3)}, 3, "3", false},
+		{"an event over two reads", []string{"id: 1\nda", "ta: x\n\nid: 2\n", "data: y\n\n"}, 2, "2", false},
+		{"a blank line over two reads", []string{"id: 7\ndata: x\n", "\n"}, 1, "7", false},
+		{"torn", []string{events(1, 2), "id: 3\nda"}, 2, "2", true},
+		{"no id", []string{"data: x\n\n"}, 1, "", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			readers := make([]io.Reader, 0, len(tt.reads))
+			for _, s := range tt.reads {
+				readers = append(readers, strings.NewReader(s))
+			}
+			r := &eventReader{body: io.MultiReader(readers...)}
+			count, last := 0, ""
+			var got batch
+			for got = r.next(); got.err == nil; got = r.next() {
+				count += got.count
+				last = got.last
+			}
+			if count != tt.events || last != tt.last {
+				t.Errorf("%d events, last %q, want %d and %q", count, last, tt.events, tt.last)
+			}
+			if (got.err != io.EOF) != tt.torn {
+				t.Errorf("ends with %v", got.err)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/fleet/forwarder/harness_test.go
@@ -0,0 +1,254 @@
+package forwarder
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"verbenareach/internal/fleet/budgeter"
+	"verbenareach/internal/fleet/cataloger"
+	"verbenareach/internal/fleet/receiver"
+	"verbenareach/internal/fleet/sender"
+	"verbenareach/internal/fleet/tracker"
+	"verbenareach/internal/wire/messenger"
+)
+
+type (
+	// standIn is a backend server whose answers a test scripts, byte by byte.
+	standIn struct {
+		id      string
+		address string
+		// script answers a request on its connection; it returns whether the
+		// connection stays open.
+		script func(c net.Conn, seen seenRequest) bool
+
+		mu    sync.Mutex
+		seen  []seenRequest
+		conns int
+	}
+
+	seenRequest struct {
+		*http.Request
+
+		body string
+		// n counts the requests of the stand-in, from 1.
+		n int
+	}
+
+	// fixture is a forwarder behind a receiver, before stand-ins.
+	fixture struct {
+		t         *testing.T
+		address   string
+		forwarder *Forwarder
+		tracker   *tracker.Tracker
+
+		mu     sync.Mutex
+		states []*messenger.RunState
+		// place is where the next generation runs, copy where its memory is copied.
+		place, copy string
+	}
+)
+
+// dialect has names of its own, as none of the platform's may matter here.
+var dialect = Dialect{
+	RequestID: "T-Id", Deadline: "T-Left", Expect: "T-Only", Workspace: "T-Workspace", Signature: "T-Signed",
+	NotRun: "T-Not-Run", Backup: "T-Backup", Continue: "T-Continue", LastEvent: "T-Last", Urgency: "T-Urgency",
+	Reserved: []string{"t-reserved"},
+	Demand:   func(*receiver.Request) *messenger.PlaceRequest { return &messenger.PlaceRequest{PromptTokens: 10} },
+	Copy:     copyByCall,
+}
+
+// copyByCall asks a stand-in for a copy.
+func copyByCall(ctx context.Context, pool *sender.Pool, address, run, to string, stop bool) (Handle, error) {
+	conn, err := pool.Get(ctx, time.Now(), address, 0)
+	if err != nil {
+		return Handle{}, err
+	}
+	a, err := pool.Send(ctx, conn, sender.Request{
+		Method: http.MethodPost, Target: fmt.Sprintf("/copy?run=%s&to=%s&stop=%v", run, to, stop), Host: address,
+	})
+	if err != nil {
+		return Handle{}, err
+	}
+	defer a.Done()
+	var h Handle
+	return h, json.NewDecoder(a.Body).Decode(&h)
+}
+
+func newStandIn(t *testing.T, id string, script func(c net.Conn, seen seenRequest) bool) *standIn {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &standIn{id: id, address: l.Addr().String(), script: script}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			s.conns++
+			s.mu.Unlock()
+			go s.serve(c)
+		}
+	}()
+	return s
+}
+
+func (s *standIn) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		seen := seenRequest{Request: r, body: string(body), n: len(s.seen) + 1}
+		s.seen = append(s.seen, seen)
+		s.mu.Unlock()
+		if !s.script(c, seen) {
+			return
+		}
+	}
+}
+
+func (s *standIn) requests() []seenRequest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]seenRequest(nil), s.seen...)
+}
+
+// answer writes a whole answer to a request.
+func answer(c net.Conn, seen seenRequest, status int, fields, body string) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %d X\r\nT-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s",
+		status, seen.Header.Get("T-Id"), fields, len(body), body)
+	return err == nil
+}
+
+const signed = "T-Signed: s\r\n"
+
+func well(c net.Conn, seen seenRequest) bool { return answer(c, seen, http.StatusOK, signed, "whole") }
+
+// reset closes a connection so that its peer sees a reset.
+func reset(c net.Conn) bool {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	return false
+}
+
+func newFixture(t *testing.T, standIns ...*standIn) *fixture {
+	t.Helper()
+	x := &fixture{t: t, tracker: &tracker.Tracker{Name: "host", Silence: time.Minute}}
+	x.join(standIns...)
+	service := []cataloger.Service{{Name: "plain"}, {Name: "engine", Engine: &cataloger.Engine{Stride: 4, Slots: 8, Tokens: 1000}}}
+	route := func(path string, kind cataloger.Kind, service string) cataloger.Route {
+		return cataloger.Route{
+			Name: path, Host: "h", PathPrefix: path, Kind: kind, Timeout: 2 * time.Second, Objective: time.Second,
+			Split: []cataloger.Share{{Service: service, Weight: 1}}, Attempts: 2, Public: path == "/public/",
+		}
+	}
+	routes := []cataloger.Route{
+		route("/read/", cataloger.Idempotent, "plain"), route("/once/", cataloger.Once, "plain"),
+		route("/stream/", cataloger.Stream, "engine"), route("/public/", cataloger.Idempotent, "plain"),
+	}
+	workspaces := []cataloger.Workspace{{Name: "ws", Keys: []string{"key"}}}
+	c, err := cataloger.New(1, routes, service, cataloger.Limits{}, workspaces, true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	x.forwarder = &Forwarder{
+		Dialect: dialect, Catalog: func() *cataloger.Catalog { return c }, Tracker: x.tracker,
+		Budget: &budgeter.Budgeter{Slack: 100, Window: time.Minute, Hosts: func() int { return 1 }},
+		Pool:   &sender.Pool{IdleFor: time.Minute}, Stopping: func() bool { return false },
+		Observe: func(string, string, time.Duration) {},
+		Place: func(context.Context, *messenger.PlaceRequest) (*messenger.Placement, error) {
+			return &messenger.Placement{Backend: x.place, Backup: x.copy}, nil
+		},
+		Tell: func(s *messenger.RunState) {
+			x.mu.Lock()
+			defer x.mu.Unlock()
+			x.states = append(x.states, s)
+		},
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	x.address = l.Addr().String()
+	r := &receiver.Receiver{Handle: x.forwarder.Handle, Limits: func() receiver.Limits {
+		return receiver.Limits{HeaderBytes: 4096, BodyBytes: 4096, HeaderTimeout: time.Second, IdleTimeout: time.Second}
+	}}
+	go r.Run(l)
+	t.Cleanup(func() {
+		_ = l.Close()
+		r.CloseIdle()
+	})
+	return x
+}
+
+// join makes stand-ins known as backend servers; those whose id begins with "e" are engines.
+func (x *fixture) join(standIns ...*standIn) {
+	for _, s := range standIns {
+		service := "plain"
+		if s.id[0] == 'e' {
+			service = "engine"
+		}
+		x.tracker.Heartbeat(time.Now(), &messenger.Backend{Id: s.id, Service: service, Address: s.address, Sequence: 1})
+	}
+}
+
+// reply is what a client got.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	// err is set where the answer did not come whole.
+	err error
+}
+
+// send sends a request and reads its answer. fields are further header lines.
+func (x *fixture) send(path, fields, body string) reply {
+	x.t.Helper()
+	c, err := net.Dial("tcp", x.address)
+	if err != nil {
+		x.t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	return x.sendOn(c, path, fields, body)
+}
+
+func (x *fixture) sendOn(c net.Conn, path, fields, body string) reply {
+	x.t.Helper()
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	var request bytes.Buffer
+	fmt.Fprintf(&request, "POST %s HTTP/1.1\r\nHost: h\r\nT-Id: id-1\r\n%sContent-Length: %d\r\n\r\n%s", path, fields, len(body), body)
+	if _, err := c.Write(request.Bytes()); err != nil {
+		x.t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(got), err: err}
+}
+
+const key = "Authorization: Bearer key\r\n"
--- a/internal/fleet/keeper/membership.go
+++ b/internal/fleet/keeper/membership.go
@@ -68,12 +68,13 @@
 func (k *Keeper) change(ctx context.Context, r *replicator.Replicator, w *warden, next step) {
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
-	name, err := next.remove, error(nil)
+	name := next.remove
+	var err error
 	if next.add != nil {
 		name = next.add.Name
 		err = r.Add(ctx, replicator.Peer{Name: name, Address: next.add.Address})
 	} else {
-		err = r.Remove(ctx, next.remove)
+		err = r.Remove(ctx, name)
 	}
 	if err != nil {
 		w.leave(time.Now(), name)
