--- a/internal/fleet/forwarder/call_test.go
+++ b/internal/fleet/forwarder/call_test.go
@@ -154,7 +154,7 @@
 		t.Fatalf("client got %d", got.status)
 	}
 	seen := s.requests()[0]
-	if seen.Method != "POST" || seen.RequestURI != "/once/a?b=c" || seen.body != "the body" || seen.Host != "h" {
+	if seen.Method != http.MethodPost || seen.RequestURI != "/once/a?b=c" || seen.body != "the body" || seen.Host != "h" {
 		t.Errorf("saw %s %s %q for %s", seen.Method, seen.RequestURI, seen.body, seen.Host)
 	}
 	for name, want := range map[string]string{
--- a/internal/fleet/forwarder/generation_test.go
+++ b/internal/fleet/forwarder/generation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -283,7 +284,7 @@
 			if count != tt.events || last != tt.last {
 				t.Errorf("%d events, last %q, want %d and %q", count, last, tt.events, tt.last)
 			}
-			if (got.err != io.EOF) != tt.torn {
+			if errors.Is(got.err, io.EOF) == tt.torn {
 				t.Errorf("ends with %v", got.err)
 			}
 		})
--- a/internal/fleet/receiver/receiver_test.go
+++ b/internal/fleet/receiver/receiver_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -180,7 +181,7 @@
 		t.Error("answer does not say that the connection ends")
 	}
 	s.CloseIdle()
-	if _, err := idle.Read(make([]byte, 1)); err != io.EOF {
+	if _, err := idle.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
 		t.Errorf("idle connection reads %v, want its end", err)
 	}
 }
--- /dev/null
+++ b/internal/fleet/scheduler/scheduler_test.go
@@ -0,0 +1,251 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"verbenareach/internal/fleet/cataloger"
+	"verbenareach/internal/wire/messenger"
+)
+
+// decisions collects what a scheduler decides.
+type decisions struct {
+	placed  map[string]*messenger.Placement
+	refused map[string]*messenger.Placement
+	moves   []*messenger.MoveOrder
+}
+
+var (
+	start  = time.Unix(1000, 0)
+	engine = cataloger.Engine{Slots: 8, Tokens: 10_000, TokenBytes: 300_000, LinkMbps: 40_000, Moves: true, Backups: true, Stride: 4}
+)
+
+func newScheduler(backends ...*messenger.Backend) (*Scheduler, *decisions) {
+	d := &decisions{placed: make(map[string]*messenger.Placement), refused: make(map[string]*messenger.Placement)}
+	s := &Scheduler{Send: func(_ string, got Decision) {
+		switch {
+		case got.Move != nil:
+			d.moves = append(d.moves, got.Move)
+		case got.Placement.Backend == "":
+			d.refused[got.Placement.Run] = got.Placement
+		default:
+			d.placed[got.Placement.Run] = got.Placement
+		}
+	}}
+	s.SetEngines(map[string]cataloger.Engine{"llm": engine})
+	s.SetBackends(start, backends)
+	return s, d
+}
+
+func backendAt(id, domain string) *messenger.Backend {
+	return &messenger.Backend{Id: id, Service: "llm", FailureDomain: domain, Slots: 8, Started: 1, Sequence: 1}
+}
+
+func demand(run string, prompt, output int32) *messenger.PlaceRequest {
+	return &messenger.PlaceRequest{
+		Run: run, Service: "llm", PromptTokens: prompt, HintTokens: output, MaxTokens: 4 * output,
+		FailureDomain: "a", ObjectiveMs: 1500, DeadlineMs: 30_000,
+	}
+}
+
+// streaming tells that a run has its first token.
+func streaming(s *Scheduler, now time.Time, d *decisions, run string) {
+	p := d.placed[run]
+	s.Report(now, "entry", &messenger.RunState{
+		Run: run, Backend: p.Backend, Backup: p.Backup, Phase: messenger.RunState_PHASE_STREAMING, MadeTokens: 4,
+	})
+}
+
+func TestRunsGoWhereThereIsRoomNearTheClient(t *testing.T) {
+	s, d := newScheduler(backendAt("far", "b"), backendAt("near", "a"))
+	s.Ask(start, "entry", demand("1", 3000, 100))
+	if got := d.placed["1"].GetBackend(); got != "near" {
+		t.Fatalf("first run is placed on %q", got)
+	}
+	streaming(s, start, d, "1")
+	s.Ask(start, "entry", demand("2", 3000, 100))
+	if got := d.placed["2"].GetBackend(); got != "far" {
+		t.Errorf("second run is placed on %q: the first one fills a third of the near engine", got)
+	}
+}
+
+func TestMemoryIsNeverPromisedTwice(t *testing.T) {
+	s, d := newScheduler(backendAt("e1", "a"), backendAt("e2", "a"))
+	now := start
+	for i := range 20 {
+		run := fmt.Sprint(i)
+		s.Ask(now, "entry", demand(run, 3000, 500))
+		if d.placed[run] != nil {
+			streaming(s, now, d, run)
+		}
+		now = now.Add(500 * time.Millisecond)
+		for id, b := range s.backends {
+			if used := s.used(now, b); used > engine.Tokens {
+				t.Fatalf("%d tokens promised of %d on %s", used, engine.Tokens, id)
+			}
+		}
+	}
+	if len(d.placed) == 0 || len(d.refused) == 0 {
+		t.Errorf("%d placed and %d refused of 20 that do not fit together", len(d.placed), len(d.refused))
+	}
+}
+
+func TestRequestWaitsWhileItCanStillBeOnTime(t *testing.T) {
+	s, d := newScheduler(backendAt("e1", "a"))
+	s.Ask(start, "entry", demand("1", 8000, 100))
+	streaming(s, start, d, "1")
+	s.Ask(start, "entry", demand("2", 3000, 100))
+	s.Advance(start.Add(500 * time.Millisecond))
+	if d.placed["2"] != nil || d.refused["2"] != nil {
+		t.Fatal("decided while it can still be on time")
+	}
+	s.Report(start.Add(600*time.Millisecond), "entry", &messenger.RunState{Run: "1", Phase: messenger.RunState_PHASE_ENDED})
+	if d.placed["2"] == nil {
+		t.Error("not placed when room came")
+	}
+}
+
+func TestRequestThatCannotBeOnTimeIsRefusedAtOnce(t *testing.T) {
+	s, d := newScheduler(backendAt("e1", "a"))
+	s.Ask(start, "entry", demand("1", 8000, 100))
+	streaming(s, start, d, "1")
+	s.Ask(start, "entry", demand("2", 7000, 100))
+	s.Advance(start.Add(600 * time.Millisecond))
+	refusal := d.refused["2"]
+	if refusal == nil {
+		t.Fatal("held though its prompt takes a second of the 0.9 s that are left")
+	}
+	if refusal.RetryAfterMs <= 0 {
+		t.Error("refusal does not say when to come back")
+	}
+}
+
+func TestIdleEngineServesLateWhatIsTooLongForItsObjective(t *testing.T) {
+	s, d := newScheduler(backendAt("e1", "a"))
+	long := demand("1", 9000, 10)
+	long.ObjectiveMs = 500
+	s.Ask(start, "entry", long)
+	if d.placed["1"] == nil {
+		t.Error("refused though the engine is idle")
+	}
+}
+
+func TestPromptsAreReadTwoAtATimeAtMost(t *testing.T) {
+	s, d := newScheduler(backendAt("e1", "a"))
+	for i := range 4 {
+		s.Ask(start, "entry", demand(fmt.Sprint(i), 1000, 50))
+	}
+	if len(d.placed) != maxReading {
+		t.Errorf("%d prompts are read at once", len(d.placed))
+	}
+	streaming(s, start.Add(150*time.Millisecond), d, "0")
+	if len(d.placed) != maxReading+1 {
+		t.Error("next prompt was not placed when one was read")
+	}
+}
+
+func TestCopiesAreMadeOnlyWhileMemoryIsToSpare(t *testing.T) {
+	s, d := newScheduler(backendAt("e1", "a"), backendAt("e2", "a"), backendAt("e3", "b"))
+	s.Ask(start, "entry", demand("1", 2000, 400))
+	if d.placed["1"].GetBackup() == "" {
+		t.Error("no copy though all engines are idle")
+	}
+	if d.placed["1"].GetBackup() == d.placed["1"].GetBackend() {
+		t.Error("copy lies on the engine that runs the generation")
+	}
+	s.Ask(start, "entry", demand("short", 1000, 20))
+	if d.placed["short"].GetBackup() != "" {
+		t.Error("a run that ends at once is copied")
+	}
+	now := start.Add(time.Second)
+	for i := range 8 {
+		run := fmt.Sprint("more-", i)
+		s.Ask(now, "entry", demand(run, 2000, 400))
+		if d.placed[run] != nil {
+			streaming(s, now, d, run)
+		}
+		fill := s.fleetFill(now, "llm")
+		if p := d.placed[run]; p.GetBackup() != "" && fill > maxFleetFill+0.25 {
+			t.Errorf("copied at %.2f of all memory", fill)
+		}
+	}
+}
+
+func TestLeavingEngineIsEmptiedOneRunAtATime(t *testing.T) {
+	s, d := newScheduler(backendAt("e1", "a"))
+	s.engines["llm"] = engine
+	now := start
+	for i := range 3 {
+		run := fmt.Sprint(i)
+		s.Ask(now, "entry", demand(run, 1000, 400))
+		streaming(s, now, d, run)
+	}
+	leaving := backendAt("e1", "a")
+	leaving.State, leaving.Sequence = messenger.Backend_STATE_GONE, 2
+	now = now.Add(time.Second)
+	s.SetBackends(now, []*messenger.Backend{leaving, backendAt("e2", "a"), backendAt("e3", "b")})
+	if len(d.moves) != 1 {
+		t.Fatalf("%d moves at once, want 1", len(d.moves))
+	}
+	if d.moves[0].To != "e2" {
+		t.Errorf("moves to %q, want the engine of its failure domain", d.moves[0].To)
+	}
+	s.Report(now.Add(200*time.Millisecond), "entry", &messenger.RunState{
+		Run: d.moves[0].Run, Backend: "e2", Phase: messenger.RunState_PHASE_STREAMING, MadeTokens: 100,
+	})
+	if len(d.moves) != 2 || d.moves[1].Run == d.moves[0].Run {
+		t.Errorf("%d moves after the first ended", len(d.moves))
+	}
+	s.Ask(now, "entry", demand("new", 1000, 100))
+	if d.placed["new"].GetBackend() == "e1" {
+		t.Error("a new run is placed on the engine that leaves")
+	}
+}
+
+func TestMoveThatFailedIsTriedElsewhere(t *testing.T) {
+	s, d := newScheduler(backendAt("e1", "a"))
+	s.Ask(start, "entry", demand("1", 1000, 400))
+	streaming(s, start, d, "1")
+	leaving := backendAt("e1", "a")
+	leaving.State, leaving.Sequence = messenger.Backend_STATE_DRAINING, 2
+	now := start.Add(time.Second)
+	s.SetBackends(now, []*messenger.Backend{leaving, backendAt("e2", "a"), backendAt("e3", "b")})
+	s.Report(now, "entry", &messenger.RunState{Run: "1", Backend: "e1", Phase: messenger.RunState_PHASE_MOVE_FAILED})
+	if len(d.moves) != 2 || d.moves[0].To != "e2" || d.moves[1].To != "e3" {
+		t.Errorf("moves are %v", d.moves)
+	}
+}
+
+func TestRunWithACopyGoesThereAtOnce(t *testing.T) {
+	s, d := newScheduler(backendAt("e1", "a"), backendAt("e2", "a"))
+	s.Ask(start, "entry", demand("1", 1000, 400))
+	streaming(s, start, d, "1")
+	p := d.placed["1"]
+	now := start.Add(2 * time.Second)
+	var reports []*messenger.Backend
+	for _, id := range []string{"e1", "e2"} {
+		r := backendAt(id, "a")
+		if id == p.Backend {
+			r.State, r.Sequence = messenger.Backend_STATE_GONE, 2
+		}
+		reports = append(reports, r)
+	}
+	s.SetBackends(now, reports)
+	if len(d.moves) != 1 || !d.moves[0].Copied || d.moves[0].To != p.Backup {
+		t.Errorf("moves are %v, want one to the copy on %s", d.moves, p.Backup)
+	}
+}
+
+func TestEntryThatIsGoneFreesItsPlaces(t *testing.T) {
+	s, d := newScheduler(backendAt("e1", "a"))
+	s.Ask(start, "gone", demand("1", 8000, 100))
+	s.Ask(start, "entry", demand("2", 8000, 100))
+	if d.placed["2"] != nil {
+		t.Fatal("two runs share memory for one")
+	}
+	s.Forget(start.Add(time.Millisecond), "gone")
+	if d.placed["2"] == nil {
+		t.Error("place of an entry that is gone is still held")
+	}
+}
