perf: hold requests for a moment while a host that has just started learns what to do

Cause, from incident inc-d559 on kora: after all hosts were restarted, 31 requests in two seconds were refused for want of a configuration or of backend servers that reported half a second later, and their clients came back late. Ruled out: the election (1 s, needed for no request). Change: for 5 s after its start a host holds a request for up to 0.8 s, and a host that is linked to none takes reports of ready backend servers.

--- a/internal/fleet/forwarder/call.go
+++ b/internal/fleet/forwarder/call.go
@@ -67,6 +67,9 @@
 
 // call serves a request whose answer is passed on whole.
 func (f *Forwarder) call(ctx context.Context, x *exchange) {
+	f.await(ctx, func() bool {
+		return len(f.Tracker.Ready(time.Now(), x.service.Name)) > 0
+	})
 	var tried []string
 	runs := 0
 	reason, cause := "no backend server is ready", errNobody
--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -29,6 +29,8 @@
 		Dialect Dialect
 		// FailureDomain is the host's own.
 		FailureDomain string
+		// Since is when the host started.
+		Since time.Time
 		// Catalog returns the configuration in force; nil while none is known.
 		Catalog func() *cataloger.Catalog
 		Tracker *tracker.Tracker
@@ -69,6 +71,11 @@
 )
 
 const (
+	// startHold is how long a request is held while a host that has just started learns
+	// its configuration and the backend servers; settling is how long it counts as such.
+	startHold  = 800 * time.Millisecond
+	settling   = 5 * time.Second
+	awaitPause = 20 * time.Millisecond
 	// retryUnready is told to clients while the host has no configuration.
 	retryUnready = time.Second
 	// retryBusy is told to clients when no backend server takes the request.
@@ -78,6 +85,7 @@
 // Handle serves one request.
 func (f *Forwarder) Handle(ctx context.Context, w *receiver.Writer, r *receiver.Request) {
 	x := &exchange{w: w, r: r, id: r.Get(f.Dialect.RequestID)}
+	f.await(ctx, func() bool { return f.Catalog() != nil })
 	if !f.admit(x) {
 		return
 	}
@@ -92,6 +100,18 @@
 	f.Observe(kindName(x.route.Kind), x.outcome, time.Since(r.Arrived))
 }
 
+// await waits until something is so, but no longer than startHold, and on a host that
+// has started long ago not at all.
+func (f *Forwarder) await(ctx context.Context, so func() bool) {
+	now := time.Now()
+	if now.Sub(f.Since) > settling {
+		return
+	}
+	for end := now.Add(startHold); !so() && ctx.Err() == nil && time.Now().Before(end); {
+		time.Sleep(awaitPause)
+	}
+}
+
 // admit finds the request's route, workspace and deadline, or answers it.
 func (f *Forwarder) admit(x *exchange) bool {
 	c := f.Catalog()
--- a/internal/fleet/runner/news.go
+++ b/internal/fleet/runner/news.go
@@ -122,7 +122,7 @@
 // and none can be told.
 func (h *Runner) Report(report *messenger.Backend) error {
 	now := time.Now()
-	if !h.linked() {
+	if !h.linked() && report.State != messenger.Backend_STATE_READY {
 		return ErrUnlinked
 	}
 	if h.tracker.Heartbeat(now, report) {
--- a/internal/fleet/runner/runner.go
+++ b/internal/fleet/runner/runner.go
@@ -169,7 +169,7 @@
 		Runs:  func() []*messenger.RunState { return h.forwarder.Runs() },
 	}
 	h.forwarder = &forwarder.Forwarder{
-		Dialect: h.Dialect, FailureDomain: s.Host.FailureDomain, Catalog: h.catalog.Load, Tracker: h.tracker,
+		Dialect: h.Dialect, Since: time.Now(), FailureDomain: s.Host.FailureDomain, Catalog: h.catalog.Load, Tracker: h.tracker,
 		Budget: budget, Pool: h.pool, Place: h.allocator.Place, Tell: h.allocator.Report,
 		Stopping: h.stopping.Load, Log: h.Log, Observe: func(string, string, time.Duration) {},
 	}
