fix: never overrun the first backend server that is known, and rest engines that lose runs

Ruled out: connections of the former processes (they had ended). Change: a host has at most as many requests at a backend server as that has places, others wait until their objective ends; a backend server that reset is avoided for 0.5 s; an engine that lost a run for 0.5 s, doubling up to 4 s.

--- a/internal/fleet/forwarder/call.go
+++ b/internal/fleet/forwarder/call.go
@@ -39,6 +39,7 @@
 	errNobody   = errors.New("no backend server is ready")
 	errDeclined = errors.New("backend server declined")
 	errTooLarge = errors.New("answer is too large")
+	errFull     = errors.New("this host has as many requests as each takes")
 )
 
 const (
@@ -58,6 +59,9 @@
 	failingHalfLife = 3 * time.Second
 	// failingCost is what a failing backend server costs beside an outstanding request.
 	failingCost = 20
+	// minOutstanding is how many requests one host may have at a backend server at least;
+	// beyond its places it would only queue them.
+	minOutstanding = 4
 	// farCost is what another failure domain costs beside an outstanding request.
 	farCost = 0.5
 	// freshOnce bounds how long a connection may have been idle that carries a request
@@ -75,23 +79,33 @@
 	reason, cause := "no backend server is ready", errNobody
 	for len(tried) < maxPlaces && ctx.Err() == nil {
 		now := time.Now()
-		b := f.choose(now, x.service.Name, tried)
+		b, done, full := f.choose(now, x.service.Name, tried)
+		if full && now.Sub(x.r.Arrived) < x.route.Objective {
+			time.Sleep(awaitPause)
+			continue
+		}
+		if full {
+			reason, cause = "all backend servers are full", errFull
+		}
 		if b == nil {
 			break
 		}
 		if len(tried) > 0 && runs > 0 && !f.Budget.Repeat(now, x.service.Name) {
+			done(false)
 			break
 		}
 		tried = append(tried, b.Id)
-		answer, err := f.attempt(ctx, x, b)
+		answer, err := f.attempt(ctx, x, b, done)
 		if err == nil {
 			f.deliver(x, b, answer)
 			return
 		}
 		reason, cause = "no backend server gave an answer", err
-		if unsent := new(sender.UnsentError); errors.As(err, &unsent) {
-			f.Tracker.Avoid(b.Id, now.Add(avoidUnreachable))
-		} else {
+		unsent, lostAnswer := new(sender.UnsentError), new(sender.LostError)
+		if errors.As(err, &unsent) || errors.As(err, &lostAnswer) && ctx.Err() == nil {
+			f.Tracker.Avoid(b.Id, time.Now().Add(avoidUnreachable))
+		}
+		if !errors.As(err, &unsent) {
 			runs++
 		}
 		lost := !errors.Is(err, errDeclined) && runs > 0
@@ -107,13 +121,15 @@
 	f.giveUp(ctx, x, reason, cause)
 }
 
-// attempt sends the request to one backend server and reads its whole answer.
-func (f *Forwarder) attempt(ctx context.Context, x *exchange, b *messenger.Backend) (*whole, error) {
+// attempt sends the request to one backend server and reads its whole answer. It calls
+// done with whether the backend server failed.
+func (f *Forwarder) attempt(
+	ctx context.Context, x *exchange, b *messenger.Backend, done func(failed bool),
+) (*whole, error) {
 	fresh := time.Duration(0)
 	if x.route.Kind != cataloger.Idempotent {
 		fresh = freshOnce
 	}
-	done := f.begin(b.Id)
 	now := time.Now()
 	conn, err := f.Pool.Get(ctx, now, b.Address, fresh)
 	if err != nil {
@@ -188,16 +204,23 @@
 	}
 }
 
-// choose returns the backend server that is expected to answer first; nil if none is ready.
-func (f *Forwarder) choose(now time.Time, service string, tried []string) *messenger.Backend {
+// choose returns the backend server that is expected to answer first and counts a request
+// there until done is called; nil if none is ready. full tells that all that are ready
+// have as much of this host as they take.
+func (f *Forwarder) choose(
+	now time.Time, service string, tried []string,
+) (best *messenger.Backend, done func(failed bool), full bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var best *messenger.Backend
 	bestCost := math.Inf(1)
 	for _, b := range f.Tracker.Ready(now, service) {
 		if slices.Contains(tried, b.Id) {
 			continue
 		}
+		if l := f.loads[b.Id]; l != nil && l.outstanding >= max(int(b.Slots), minOutstanding) {
+			full = true
+			continue
+		}
 		cost := rand.Float64() * 0.1 //nolint:gosec // Breaks ties.
 		if l := f.loads[b.Id]; l != nil {
 			cost += float64(l.outstanding) + failingCost*max(0, l.failingAt(now)-ordinaryFailing)
@@ -209,13 +232,14 @@
 			best, bestCost = b, cost
 		}
 	}
-	return best
+	if best == nil {
+		return nil, nil, full
+	}
+	return best, f.count(best.Id), false
 }
 
-// begin counts a request at a backend server; what it returns ends it.
-func (f *Forwarder) begin(backend string) (done func(failed bool)) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+// count counts a request at a backend server; what it returns ends it. The lock is held.
+func (f *Forwarder) count(backend string) (done func(failed bool)) {
 	if f.loads == nil {
 		f.loads = make(map[string]*load)
 	}
--- a/internal/fleet/forwarder/call_test.go
+++ b/internal/fleet/forwarder/call_test.go
@@ -60,8 +60,8 @@
 				bad := newStandIn(t, "bad", tt.script)
 				good := newStandIn(t, "good", well)
 				x := newFixture(t, bad)
-				x.forwarder.begin("good")
-				x.forwarder.begin("good")
+				x.forwarder.count("good")
+				x.forwarder.count("good")
 				x.join(good)
 				got := x.send(path, key, "body")
 				if got.err != nil || got.status != want {
@@ -95,8 +95,8 @@
 	_ = l.Close()
 	good := newStandIn(t, "good", well)
 	x := newFixture(t, gone)
-	x.forwarder.begin("good")
-	x.forwarder.begin("good")
+	x.forwarder.count("good")
+	x.forwarder.count("good")
 	x.join(good)
 	if got := x.send("/once/a", key, ""); got.status != http.StatusOK {
 		t.Errorf("client got %d, want 200", got.status)
--- a/internal/fleet/forwarder/generation.go
+++ b/internal/fleet/forwarder/generation.go
@@ -137,10 +137,11 @@
 		reason, cause = "no engine took the request", err
 		c.f.Log.Emit(time.Now(), logger.ForwardRepeated, c.x.id, logger.F("backend", c.backend.Id),
 			logger.F("cause", err), logger.F("mayHaveRun", c.x.mayHaveRun))
-		c.decline(c.backend.Id)
 		if c.x.mayHaveRun {
+			c.lose(ctx)
 			break
 		}
+		c.decline(c.backend.Id)
 	}
 	c.f.giveUp(ctx, c.x, reason, cause)
 	return false
@@ -152,6 +153,16 @@
 	c.f.Tell(&messenger.RunState{Run: c.x.id, Backend: backend, Phase: messenger.RunState_PHASE_ENDED})
 }
 
+// lose gives back a place whose engine broke off before its first token. That a client
+// left or its time ended is not the engine's fault.
+func (c *course) lose(ctx context.Context) {
+	phase := messenger.RunState_PHASE_LOST
+	if ctx.Err() != nil {
+		phase = messenger.RunState_PHASE_ENDED
+	}
+	c.f.Tell(&messenger.RunState{Run: c.x.id, Backend: c.backend.Id, Phase: phase})
+}
+
 // send sends the request to its first engine and awaits the head of the answer.
 func (c *course) send(ctx context.Context) error {
 	answer, err := c.open(ctx, c.backend, 0, c.backupField()...)
--- /dev/null
+++ b/internal/fleet/forwarder/load_test.go
@@ -0,0 +1,85 @@
+package forwarder
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+// TestOnlyBackendServerIsNotOverrun plays what comes after a restart of all hosts: many
+// requests wait, and one backend server is known before the others.
+func TestOnlyBackendServerIsNotOverrun(t *testing.T) {
+	const clients = 40
+	var (
+		mu            sync.Mutex
+		running, most int
+	)
+	s := newStandIn(t, "s", func(c net.Conn, seen seenRequest) bool {
+		mu.Lock()
+		running++
+		most = max(most, running)
+		mu.Unlock()
+		time.Sleep(20 * time.Millisecond)
+		mu.Lock()
+		running--
+		mu.Unlock()
+		return well(c, seen)
+	})
+	x := newFixture(t, s)
+	var wg sync.WaitGroup
+	served := make(chan int, clients)
+	for range clients {
+		wg.Go(func() { served <- x.send("/once/a", key, "").status })
+	}
+	wg.Wait()
+	close(served)
+	for status := range served {
+		if status != http.StatusOK {
+			t.Errorf("client got %d", status)
+		}
+	}
+	if most > minOutstanding {
+		t.Errorf("%d requests at once at a backend server that takes %d of this host", most, minOutstanding)
+	}
+}
+
+func TestRequestThatFindsAllFullIsRefusedWhenItsObjectiveEnds(t *testing.T) {
+	release := make(chan struct{})
+	s := newStandIn(t, "s", func(c net.Conn, seen seenRequest) bool {
+		<-release
+		return well(c, seen)
+	})
+	x := newFixture(t, s)
+	var wg sync.WaitGroup
+	for range minOutstanding {
+		wg.Go(func() { x.send("/once/a", key, "") })
+	}
+	time.Sleep(100 * time.Millisecond)
+	begun := time.Now()
+	got := x.send("/once/a", key, "")
+	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+		t.Errorf("client got %d, Retry-After %q", got.status, got.header.Get("Retry-After"))
+	}
+	if took := time.Since(begun); took < 800*time.Millisecond || took > 1500*time.Millisecond {
+		t.Errorf("refused after %v with an objective of 1 s", took)
+	}
+	close(release)
+	wg.Wait()
+}
+
+func TestBackendServerThatResetsIsAvoidedForAWhile(t *testing.T) {
+	bad := newStandIn(t, "bad", func(c net.Conn, _ seenRequest) bool { return reset(c) })
+	good := newStandIn(t, "good", well)
+	x := newFixture(t, bad, good)
+	failed := 0
+	for range 10 {
+		if x.send("/once/a", key, "").status != http.StatusOK {
+			failed++
+		}
+	}
+	if failed > 1 {
+		t.Errorf("%d requests lost at a backend server that resets, want 1 at most", failed)
+	}
+}
--- a/internal/fleet/scheduler/forecast.go
+++ b/internal/fleet/scheduler/forecast.go
@@ -75,6 +75,12 @@
 		len(b.runs) < b.slots() && !now.Before(b.avoid) && !slices.Contains(req.Avoid, b.report.Id)
 }
 
+// lose notes that the engine lost a run.
+func (b *backend) lose(now time.Time) {
+	b.avoid = now.Add(avoidAfterLoss << min(b.losses, maxAvoidDoublings))
+	b.losses++
+}
+
 func (b *backend) slots() int {
 	if b.engine.Slots > 0 {
 		return b.engine.Slots
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -45,8 +45,10 @@
 		leaving time.Time
 		// moving is the run that is being copied away, arriving the one being copied here.
 		moving, arriving string
-		// avoid is until when nothing is placed here after a failure.
-		avoid time.Time
+		// avoid is until when nothing is placed here after a failure; losses counts the
+		// runs lost here since the last one that streamed.
+		avoid  time.Time
+		losses int
 		// linkBusy is until when the link on which memory moves is expected to be busy.
 		linkBusy time.Time
 	}
@@ -101,6 +103,10 @@
 	maxMoveFailures = 4
 	// avoidAfterFailure is how long an engine that refused a run gets no other.
 	avoidAfterFailure = 300 * time.Millisecond
+	// avoidAfterLoss is how long an engine that lost a run gets no other; it doubles with
+	// each further loss, maxAvoidDoublings times at most.
+	avoidAfterLoss    = 500 * time.Millisecond
+	maxAvoidDoublings = 3
 	// minRetryAfter is the shortest wait told to a refused client.
 	minRetryAfter = 400 * time.Millisecond
 )
@@ -167,7 +173,8 @@
 	s.init()
 	r := s.runs[state.Run]
 	if r == nil {
-		if state.Phase == messenger.RunState_PHASE_ENDED || state.Request == nil {
+		ended := state.Phase == messenger.RunState_PHASE_ENDED || state.Phase == messenger.RunState_PHASE_LOST
+		if ended || state.Request == nil {
 			return
 		}
 		r = s.adopt(now, entry, state)
@@ -179,6 +186,9 @@
 	case messenger.RunState_PHASE_ENDED:
 		s.learn(now, r, int(state.MadeTokens))
 		s.end(r.id)
+	case messenger.RunState_PHASE_LOST:
+		r.at.lose(now)
+		s.end(r.id)
 	case messenger.RunState_PHASE_STREAMING:
 		s.stream(now, r, state)
 	case messenger.RunState_PHASE_MOVE_FAILED:
@@ -413,6 +423,7 @@
 	r.first, r.made = now, int(state.MadeTokens)
 	s.settleMove(r)
 	s.relocate(r, state)
+	r.at.losses = 0
 }
 
 // relocate notes where a run and its copy are.
--- a/internal/fleet/scheduler/scheduler_test.go
+++ b/internal/fleet/scheduler/scheduler_test.go
@@ -249,3 +249,23 @@
 		t.Error("place of an entry that is gone is still held")
 	}
 }
+
+func TestEngineThatLosesRunsIsAvoidedForLongerEachTime(t *testing.T) {
+	s, d := newScheduler(backendAt("e1", "a"), backendAt("e2", "b"))
+	now := start
+	for i, wait := range []time.Duration{avoidAfterLoss, 2 * avoidAfterLoss, 4 * avoidAfterLoss} {
+		run := fmt.Sprint("lost-", i)
+		s.Ask(now, "entry", demand(run, 1000, 20))
+		if got := d.placed[run].GetBackend(); got != "e1" {
+			t.Fatalf("run %d is placed on %q, want the near engine again", i, got)
+		}
+		s.Report(now, "entry", &messenger.RunState{Run: run, Backend: "e1", Phase: messenger.RunState_PHASE_LOST})
+		other := fmt.Sprint("other-", i)
+		s.Ask(now.Add(wait-time.Millisecond), "entry", demand(other, 1000, 20))
+		if got := d.placed[other].GetBackend(); got != "e2" {
+			t.Errorf("placed on %q while the engine that lost a run is to be avoided", got)
+		}
+		s.Report(now.Add(wait), "entry", &messenger.RunState{Run: other, Backend: "e2", Phase: messenger.RunState_PHASE_ENDED})
+		now = now.Add(wait)
+	}
+}
