--- a/internal/fleet/linker/linker.go
+++ b/internal/fleet/linker/linker.go
@@ -38,7 +38,9 @@
 		Receive func(from *messenger.FleetHost, m *messenger.LinkMessage)
 		Log     *logger.Logger
 
-		pool *dialer.Pool
+		// pool holds the connections for calls, made when the first one is needed.
+		pool     *dialer.Pool
+		makePool sync.Once
 
 		mu sync.Mutex
 		// hubs holds the hubs that this host knows, by name.
@@ -84,8 +86,7 @@
 
 // Run keeps the links until ctx ends.
 func (l *Linker) Run(ctx context.Context) {
-	l.pool = dialer.New()
-	defer func() { _ = l.pool.Close() }()
+	defer func() { _ = l.connections().Close() }()
 	if l.Self.Hub {
 		l.learnHubs(time.Now(), []*messenger.FleetHost{l.Self})
 	}
@@ -166,7 +167,7 @@
 func (l *Linker) Call(ctx context.Context, address string, call func(ctx context.Context, c messenger.DRPCFleetClient) error) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	conn := l.pool.Conn(ctx, address)
+	conn := l.connections().Conn(ctx, address)
 	err := call(ctx, messenger.NewDRPCFleetClient(conn))
 	if closeErr := conn.Close(); err == nil {
 		err = closeErr
@@ -174,6 +175,12 @@
 	return err
 }
 
+// connections returns the pool of connections for calls.
+func (l *Linker) connections() *dialer.Pool {
+	l.makePool.Do(func() { l.pool = dialer.New() })
+	return l.pool
+}
+
 // Introduced takes another host's introduction.
 func (l *Linker) Introduced(now time.Time, req *messenger.IntroduceRequest) *messenger.IntroduceReply {
 	if req.Host.GetHub() {
@@ -318,16 +325,24 @@
 	}
 }
 
+// hub returns a hub that this host knows; nil if it does not.
+func (l *Linker) hub(name string) *messenger.FleetHost {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if h := l.hubs[name]; h != nil {
+		return h.host
+	}
+	return nil
+}
+
 // keepLink keeps the link to a hub up until ctx ends or the hub is forgotten.
 func (l *Linker) keepLink(ctx context.Context, name string) {
 	for ctx.Err() == nil {
-		l.mu.Lock()
-		h := l.hubs[name]
-		l.mu.Unlock()
-		if h == nil {
+		host := l.hub(name)
+		if host == nil {
 			return
 		}
-		l.dialLink(ctx, h.host)
+		l.dialLink(ctx, host)
 		select {
 		case <-ctx.Done():
 		case <-time.After(redialPause):
