--- a/internal/event/meter/meter.go
+++ b/internal/event/meter/meter.go
@@ -110,6 +110,16 @@
 	return m.scope.Gauge(name)
 }
 
+// Request counts the time from a request's arrival to the end of its answer, by the kind
+// of its route and how it ended.
+func (m *Meter) Request(kind, outcome string, d time.Duration) {
+	if m == nil {
+		return
+	}
+	tags := map[string]string{"kind": kind, "outcome": outcome}
+	m.scope.Tagged(tags).Histogram("request_seconds", firstTokenBuckets()).RecordDuration(d)
+}
+
 // Tokens counts tokens delivered to callers.
 func (m *Meter) Tokens(n int) {
 	if m != nil {
--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -45,6 +45,10 @@
 		Log      *logger.Logger
 		// Observe hears of each finished request: its kind, outcome and duration.
 		Observe func(kind, outcome string, took time.Duration)
+		// FirstToken hears of the time from each generation's arrival to its first event,
+		// Gap of the time between two deliveries to one client.
+		FirstToken func(d time.Duration)
+		Gap        func(d time.Duration)
 
 		mu sync.Mutex
 		// loads holds what this host has outstanding at each backend server.
--- a/internal/fleet/forwarder/generation.go
+++ b/internal/fleet/forwarder/generation.go
@@ -28,6 +28,8 @@
 	// last is the id of the newest event that the client has, made the events passed on.
 	last string
 	made int
+	// delivered is when the client got its newest events.
+	delivered time.Time
 	// orders holds moves that the scheduler wants, copied the outcome of one under way.
 	orders chan *messenger.MoveOrder
 	copied chan copyOutcome
@@ -291,6 +293,13 @@
 	if !c.x.w.Write(b.bytes) {
 		return false
 	}
+	now := time.Now()
+	if first {
+		c.f.FirstToken(now.Sub(c.x.r.Arrived))
+	} else {
+		c.f.Gap(now.Sub(c.delivered))
+	}
+	c.delivered = now
 	c.made += b.count
 	if b.last != "" {
 		c.last = b.last
--- a/internal/fleet/runner/runner.go
+++ b/internal/fleet/runner/runner.go
@@ -171,7 +171,8 @@
 	h.forwarder = &forwarder.Forwarder{
 		Dialect: h.Dialect, Since: time.Now(), FailureDomain: s.Host.FailureDomain, Catalog: h.catalog.Load, Tracker: h.tracker,
 		Budget: budget, Pool: h.pool, Place: h.allocator.Place, Tell: h.allocator.Report,
-		Stopping: h.stopping.Load, Log: h.Log, Observe: func(string, string, time.Duration) {},
+		Stopping: h.stopping.Load, Log: h.Log, Observe: h.meter.Request,
+		FirstToken: h.meter.FirstToken, Gap: h.meter.Gap,
 	}
 	h.receiver = &receiver.Receiver{Handle: h.forwarder.Handle, Limits: h.limits, Refused: h.malformed}
 	if !s.Host.Hub {
