perf: place fewer runs on engines that read slowly

Change: each engine's reading time is measured against the forecast; what is half again slower than all costs, and is forgotten by half every 3 s.

--- /dev/null
+++ b/internal/fleet/allocator/allocator_test.go
@@ -0,0 +1,153 @@
+package allocator
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"verbenareach/internal/fleet/cataloger"
+	"verbenareach/internal/wire/messenger"
+)
+
+// network collects what a host tells others; hosts that are down take nothing.
+type network struct {
+	told map[string]*messenger.LinkMessage
+	down map[string]bool
+}
+
+func newAllocator(runs ...*messenger.RunState) (*Allocator, *network) {
+	n := &network{told: make(map[string]*messenger.LinkMessage), down: make(map[string]bool)}
+	a := &Allocator{
+		Name: "self",
+		Tell: func(host string, add func(m *messenger.LinkMessage)) bool {
+			if n.down[host] {
+				return false
+			}
+			if n.told[host] == nil {
+				n.told[host] = &messenger.LinkMessage{}
+			}
+			add(n.told[host])
+			return true
+		},
+		Order: func(*messenger.MoveOrder) bool { return false },
+		Runs:  func() []*messenger.RunState { return runs },
+	}
+	a.SetEngines(map[string]cataloger.Engine{"llm": {Slots: 4, Tokens: 10_000}})
+	a.SetBackends(time.Now(), []*messenger.Backend{{Id: "e1", Service: "llm", Started: 1}})
+	return a, n
+}
+
+func hub(name string) *messenger.FleetHost { return &messenger.FleetHost{Name: name, Hub: true} }
+
+func demand(run string) *messenger.PlaceRequest {
+	return &messenger.PlaceRequest{Run: run, Service: "llm", PromptTokens: 100, ObjectiveMs: 1000}
+}
+
+// place asks for run "1" in the background and returns where the decision arrives.
+func place(t *testing.T, a *Allocator) <-chan *messenger.Placement {
+	t.Helper()
+	decided := make(chan *messenger.Placement, 1)
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	t.Cleanup(cancel)
+	go func() {
+		p, err := a.Place(ctx, demand("1"))
+		if err == nil {
+			decided <- p
+		}
+	}()
+	return decided
+}
+
+func await(t *testing.T, decided <-chan *messenger.Placement) *messenger.Placement {
+	t.Helper()
+	select {
+	case p := <-decided:
+		return p
+	case <-time.After(2 * time.Second):
+		t.Fatal("no decision")
+		return nil
+	}
+}
+
+// asked waits until a request has reached a host.
+func asked(t *testing.T, a *Allocator, n *network, host string) {
+	t.Helper()
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		a.mu.Lock()
+		got := len(n.told[host].GetPlaces())
+		a.mu.Unlock()
+		if got > 0 {
+			return
+		}
+	}
+	t.Fatalf("%s was not asked", host)
+}
+
+func TestHostWithoutHubsDecidesForItself(t *testing.T) {
+	a, _ := newAllocator()
+	if p := await(t, place(t, a)); p.Backend != "e1" {
+		t.Errorf("placed on %q", p.Backend)
+	}
+}
+
+func TestTheHubThatLeadsDecides(t *testing.T) {
+	a, n := newAllocator()
+	now := time.Now()
+	a.Receive(now, hub("hub-a"), &messenger.LinkMessage{})
+	a.Receive(now, hub("hub-b"), &messenger.LinkMessage{Leads: 3})
+	decided := place(t, a)
+	asked(t, a, n, "hub-b")
+	a.Receive(now, hub("hub-b"), &messenger.LinkMessage{Leads: 3, Placements: []*messenger.Placement{{Run: "1", Backend: "e9"}}})
+	if p := await(t, decided); p.Backend != "e9" {
+		t.Errorf("placed on %q", p.Backend)
+	}
+}
+
+func TestWithoutALeaderTheLowestLinkedHubDecides(t *testing.T) {
+	a, n := newAllocator()
+	now := time.Now()
+	a.Receive(now, hub("hub-b"), &messenger.LinkMessage{})
+	a.Receive(now, hub("hub-a"), &messenger.LinkMessage{})
+	place(t, a)
+	asked(t, a, n, "hub-a")
+}
+
+func TestWaitingRequestsAndRunsFollowTheDecider(t *testing.T) {
+	a, n := newAllocator(&messenger.RunState{Run: "old", Backend: "e1", Request: demand("old")})
+	now := time.Now()
+	a.Receive(now, hub("hub-b"), &messenger.LinkMessage{Leads: 3})
+	decided := place(t, a)
+	asked(t, a, n, "hub-b")
+	a.Receive(now, hub("hub-a"), &messenger.LinkMessage{Leads: 4})
+	asked(t, a, n, "hub-a")
+	if got := n.told["hub-a"]; !got.AllRuns || len(got.Runs) != 1 {
+		t.Errorf("new decider is told of %d runs", len(got.Runs))
+	}
+	if got := n.told["hub-b"]; !got.AllRuns || len(got.Runs) != 0 || len(got.Places) != 0 {
+		t.Error("former decider is not told to forget")
+	}
+	n.down["hub-a"], n.down["hub-b"] = true, true
+	a.Left(now, "hub-a")
+	a.Left(now, "hub-b")
+	if p := await(t, decided); p.Backend != "e1" {
+		t.Errorf("placed on %q once no hub is linked", p.Backend)
+	}
+}
+
+func TestRunsOfAHostThatLeftAreForgotten(t *testing.T) {
+	a, _ := newAllocator()
+	now := time.Now()
+	other := &messenger.FleetHost{Name: "other"}
+	full := &messenger.RunState{Run: "big", Backend: "e1", Request: &messenger.PlaceRequest{Run: "big", Service: "llm", PromptTokens: 9500}}
+	a.Receive(now, other, &messenger.LinkMessage{Runs: []*messenger.RunState{full}})
+	decided := place(t, a)
+	select {
+	case p := <-decided:
+		t.Fatalf("placed on %q beside a run that fills the engine", p.Backend)
+	case <-time.After(50 * time.Millisecond):
+	}
+	a.Left(time.Now(), "other")
+	if p := await(t, decided); p.Backend != "e1" {
+		t.Errorf("placed on %q", p.Backend)
+	}
+}
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -27,6 +27,8 @@
 		queue []*waiting
 		// tokenTime is the learned time to generate one token.
 		tokenTime time.Duration
+		// pace is how long prompts take to read on all engines against the forecast.
+		pace float64
 	}
 
 	// Decision is a placement, a refusal or an order to move; one field is set.
@@ -49,6 +51,9 @@
 		// runs lost here since the last one that streamed.
 		avoid  time.Time
 		losses int
+		// pace is how long prompts take to read here against the forecast, as of paced.
+		pace  float64
+		paced time.Time
 		// linkBusy is until when the link on which memory moves is expected to be busy.
 		linkBusy time.Time
 	}
@@ -60,6 +65,8 @@
 		at     *backend
 		copied *backend
 		placed time.Time
+		// read is when its prompt was forecast to be read.
+		read time.Time
 		// first is when its first token came; zero before.
 		first time.Time
 		// made is how many tokens it had made at the time first.
@@ -246,6 +253,7 @@
 func (s *Scheduler) init() {
 	if s.backends == nil {
 		s.backends, s.runs = make(map[string]*backend), make(map[string]*run)
+		s.pace = 1
 		s.tokenTime = initialTokenTime
 	}
 }
@@ -272,7 +280,7 @@
 }
 
 func (s *Scheduler) place(now time.Time, w *waiting, b *backend) {
-	r := &run{id: w.req.Run, entry: w.entry, req: w.req, at: b, placed: now}
+	r := &run{id: w.req.Run, entry: w.entry, req: w.req, at: b, placed: now, read: now.Add(b.readTime(w.req))}
 	s.runs[r.id] = r
 	b.runs[r.id] = r
 	p := &messenger.Placement{Run: r.id, Backend: b.report.Id}
@@ -289,7 +297,7 @@
 		if b.reading() >= maxReading || !s.readsInTime(now, b, w) {
 			return 0, false
 		}
-		cost = fill + float64(b.reading())
+		cost = fill + float64(b.reading()) + s.slowness(now, b)
 		if w.req.FailureDomain != b.report.FailureDomain {
 			cost += farCost
 		}
@@ -350,13 +358,7 @@
 // readsInTime tells whether a prompt that is placed now is expected to be read before
 // the objective of its request ends.
 func (s *Scheduler) readsInTime(now time.Time, b *backend, w *waiting) bool {
-	tokens := int(w.req.PromptTokens)
-	for _, r := range b.runs {
-		if r.first.IsZero() {
-			tokens += int(r.req.PromptTokens)
-		}
-	}
-	return !now.Add(readTime(tokens)).After(w.ends())
+	return !now.Add(b.readTime(w.req)).After(w.ends())
 }
 
 // readTime returns how long an engine is expected to read a prompt of some tokens.
@@ -420,6 +422,9 @@
 
 // stream notes that a run streams, on the backend server that the entry names.
 func (s *Scheduler) stream(now time.Time, r *run, state *messenger.RunState) {
+	if r.first.IsZero() && r.at.report.Id == state.Backend {
+		s.learnPace(now, r)
+	}
 	r.first, r.made = now, int(state.MadeTokens)
 	s.settleMove(r)
 	s.relocate(r, state)
--- a/internal/fleet/scheduler/scheduler_test.go
+++ b/internal/fleet/scheduler/scheduler_test.go
@@ -269,3 +269,29 @@
 		now = now.Add(wait)
 	}
 }
+
+func TestEngineThatReadsSlowlyGetsFewerRunsUntilItIsTriedAgain(t *testing.T) {
+	s, d := newScheduler(backendAt("slow", "a"), backendAt("sound", "b"))
+	now := start
+	for i := range 6 {
+		run := fmt.Sprint(i)
+		s.Ask(now, "entry", demand(run, 1400, 20))
+		took := 200 * time.Millisecond
+		if d.placed[run].GetBackend() == "slow" {
+			took *= 5
+		}
+		now = now.Add(took)
+		streaming(s, now, d, run)
+		s.Report(now, "entry", &messenger.RunState{Run: run, Phase: messenger.RunState_PHASE_ENDED})
+	}
+	s.Ask(now, "entry", demand("next", 1400, 20))
+	if got := d.placed["next"].GetBackend(); got != "sound" {
+		t.Errorf("placed on %q though the near engine reads five times slower", got)
+	}
+	s.Report(now, "entry", &messenger.RunState{Run: "next", Phase: messenger.RunState_PHASE_ENDED})
+	now = now.Add(20 * time.Second)
+	s.Ask(now, "entry", demand("later", 1400, 20))
+	if got := d.placed["later"].GetBackend(); got != "slow" {
+		t.Errorf("placed on %q, want the near engine tried again after a while", got)
+	}
+}
