--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -40,8 +40,8 @@
 		Place func(ctx context.Context, req *messenger.PlaceRequest) (*messenger.Placement, error)
 		// Tell passes on how a generation stands.
 		Tell func(state *messenger.RunState)
-		// Stopping tells whether the host is about to stop.
-		Stopping func() bool
+		// Stopping tells whether the host is about to stop, and how long it still serves.
+		Stopping func() (left time.Duration, stopping bool)
 		Log      *logger.Logger
 		// Observe hears of each finished request: its kind, outcome and duration.
 		Observe func(kind, outcome string, took time.Duration)
--- a/internal/fleet/forwarder/generation.go
+++ b/internal/fleet/forwarder/generation.go
@@ -79,12 +79,13 @@
 
 // generate serves a generation.
 func (f *Forwarder) generate(ctx context.Context, x *exchange) {
-	if f.Stopping() {
+	req := f.Dialect.Demand(x.r)
+	if left, stopping := f.Stopping(); stopping && expectedTime(req) > left {
 		f.refuse(x, http.StatusServiceUnavailable, "host is about to stop", retryStopping)
 		return
 	}
 	c := &course{
-		f: f, x: x, req: f.Dialect.Demand(x.r), orders: make(chan *messenger.MoveOrder, ordersAhead),
+		f: f, x: x, req: req, orders: make(chan *messenger.MoveOrder, ordersAhead),
 		copied: make(chan copyOutcome, 1),
 	}
 	c.req.Run, c.req.Service, c.req.Priority, c.req.Workspace = x.id, x.service.Name, int32(x.priority), x.workspace
@@ -99,8 +100,28 @@
 	f.mu.Unlock()
 }
 
-// retryStopping is told to clients of a host that is about to stop: another one takes them.
-const retryStopping = 50 * time.Millisecond
+const (
+	// retryStopping is told to clients of a host that is about to stop: another one takes them.
+	retryStopping = 50 * time.Millisecond
+	// usualStart and usualToken are how long a generation usually takes to its first token
+	// and for each token, usualOutput how many it has if its request does not say.
+	usualStart  = time.Second
+	usualToken  = 12 * time.Millisecond
+	usualOutput = 1000
+)
+
+// expectedTime returns how long a generation is expected to last. Half of all last longer
+// than their client's estimate, so twice that is taken.
+func expectedTime(req *messenger.PlaceRequest) time.Duration {
+	tokens := usualOutput
+	if req.HintTokens > 0 {
+		tokens = 2 * int(req.HintTokens)
+	}
+	if req.MaxTokens > 0 {
+		tokens = min(tokens, int(req.MaxTokens))
+	}
+	return usualStart + time.Duration(tokens)*usualToken
+}
 
 // start has the generation run somewhere; if it can't, it answers the client.
 func (c *course) start(ctx context.Context) bool {
--- a/internal/fleet/forwarder/harness_test.go
+++ b/internal/fleet/forwarder/harness_test.go
@@ -176,7 +176,7 @@
 	x.forwarder = &Forwarder{
 		Dialect: dialect, Catalog: func() *cataloger.Catalog { return c }, Tracker: x.tracker,
 		Budget: &budgeter.Budgeter{Slack: 100, Window: time.Minute, Hosts: func() int { return 1 }},
-		Pool:   &sender.Pool{IdleFor: time.Minute}, Stopping: func() bool { return false },
+		Pool:   &sender.Pool{IdleFor: time.Minute}, Stopping: func() (time.Duration, bool) { return 0, false },
 		Observe: func(string, string, time.Duration) {}, FirstToken: func(time.Duration) {}, Gap: func(time.Duration) {},
 		Place: func(context.Context, *messenger.PlaceRequest) (*messenger.Placement, error) {
 			return &messenger.Placement{Backend: x.place, Backup: x.copy}, nil
--- /dev/null
+++ b/internal/fleet/forwarder/stop_test.go
@@ -0,0 +1,41 @@
+package forwarder
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"verbenareach/internal/fleet/receiver"
+	"verbenareach/internal/wire/messenger"
+)
+
+func TestStoppingHostServesWhatStillEndsInTime(t *testing.T) {
+	tests := []struct {
+		name   string
+		tokens int32
+		left   time.Duration
+		want   int
+	}{
+		{"a short one", 20, 5 * time.Second, http.StatusOK},
+		{"a long one", 900, 5 * time.Second, http.StatusServiceUnavailable},
+		{"a short one at the end", 20, 500 * time.Millisecond, http.StatusServiceUnavailable},
+		{"one of unknown length", 0, 5 * time.Second, http.StatusServiceUnavailable},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			x := newFixture(t, newStandIn(t, "e1", streams(1, 3)))
+			x.place = "e1"
+			x.forwarder.Stopping = func() (time.Duration, bool) { return tt.left, true }
+			x.forwarder.Dialect.Demand = func(*receiver.Request) *messenger.PlaceRequest {
+				return &messenger.PlaceRequest{PromptTokens: 10, HintTokens: tt.tokens}
+			}
+			got := x.send("/stream/a", key, "")
+			if got.status != tt.want {
+				t.Errorf("client got %d, want %d", got.status, tt.want)
+			}
+			if tt.want != http.StatusOK && got.header.Get("Retry-After") == "" {
+				t.Error("client is not told to come back")
+			}
+		})
+	}
+}
--- a/internal/fleet/runner/drain.go
+++ b/internal/fleet/runner/drain.go
@@ -22,6 +22,8 @@
 // drain stops serving clients: the host is no longer ready, each connection ends with
 // its next answer, and what is in progress goes on until the grace is over.
 func (h *Runner) drain(client net.Listener) {
+	stopBy := time.Now().Add(h.Settings.Grace - graceMargin)
+	h.stopBy.Store(&stopBy)
 	h.stopping.Store(true)
 	h.noteReady(time.Now())
 	h.Log.Emit(time.Now(), logger.FleetStopping, "", logger.F("grace", h.Settings.Grace))
@@ -55,6 +57,14 @@
 	}
 }
 
+// timeLeft tells whether the host is about to stop, and how long it still serves.
+func (h *Runner) timeLeft() (left time.Duration, stopping bool) {
+	if !h.stopping.Load() {
+		return 0, false
+	}
+	return time.Until(*h.stopBy.Load()), true
+}
+
 // serveReady tells the balancer whether this host takes new connections.
 func (h *Runner) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !h.isReady() {
--- a/internal/fleet/runner/runner.go
+++ b/internal/fleet/runner/runner.go
@@ -60,8 +60,10 @@
 		seeds    atomic.Pointer[[]string]
 		catalog  atomic.Pointer[cataloger.Catalog]
 		stopping atomic.Bool
-		ready    atomic.Bool
-		leads    atomic.Uint64
+		// stopBy is when the process ends; set before stopping is.
+		stopBy atomic.Pointer[time.Time]
+		ready  atomic.Bool
+		leads  atomic.Uint64
 
 		// adoptLock is held while a configuration comes into force; packed is that one.
 		adoptLock sync.Mutex
@@ -171,7 +173,7 @@
 	h.forwarder = &forwarder.Forwarder{
 		Dialect: h.Dialect, Since: time.Now(), FailureDomain: s.Host.FailureDomain, Catalog: h.catalog.Load, Tracker: h.tracker,
 		Budget: budget, Pool: h.pool, Place: h.allocator.Place, Tell: h.allocator.Report,
-		Stopping: h.stopping.Load, Log: h.Log, Observe: h.meter.Request,
+		Stopping: h.timeLeft, Log: h.Log, Observe: h.meter.Request,
 		FirstToken: h.meter.FirstToken, Gap: h.meter.Gap,
 	}
 	h.receiver = &receiver.Receiver{Handle: h.forwarder.Handle, Limits: h.limits, Refused: h.malformed}
--- a/internal/fleet/scheduler/copies.go
+++ b/internal/fleet/scheduler/copies.go
@@ -41,3 +41,41 @@
 	}
 	return float64(used) / float64(room)
 }
+
+// copyTarget picks where the memory of a run on an engine is copied as it grows; nil if
+// no other has the room, or if the run is expected to end soon.
+func (s *Scheduler) copyTarget(now time.Time, r *run, at *backend) *backend {
+	if !at.engine.Backups || expectedOutput(r.req) < minCopied {
+		return nil
+	}
+	if s.fleetFill(now, at.report.Service) > maxFleetFill {
+		return nil
+	}
+	var best *backend
+	bestCost := 0.0
+	need := s.need(r.req)
+	for _, b := range s.backends {
+		if b == at || b == r.at || b.report.Service != at.report.Service || b.report.State != messenger.Backend_STATE_READY {
+			continue
+		}
+		fill := float64(s.used(now, b)+need) / float64(b.engine.Tokens)
+		if fill > copyShare(r.req) {
+			continue
+		}
+		fill += max(0, b.linkBusy.Sub(now).Seconds())
+		if b.report.FailureDomain != at.report.FailureDomain {
+			fill += farCopyCost
+		}
+		if best == nil || fill < bestCost {
+			best, bestCost = b, fill
+		}
+	}
+	if best != nil {
+		best.copies[r.id] = r
+		r.copied = best
+		// The copy begins as the prompt is read.
+		begin := now.Add(readTime(int(r.req.PromptTokens)))
+		s.occupy(begin, at, best, need)
+	}
+	return best
+}
