fix: streams of services without engines are passed on as they come; founders outlive the first seed

A streaming route whose share goes to a plain service was answered only when whole; its test fails before. The first seed's word on the founders was lost with it before every hub had heard; the other seeds pass it on now.

--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -96,7 +96,7 @@
 	ctx, cancel := context.WithDeadline(ctx, x.until)
 	defer cancel()
 	f.Budget.Request(r.Arrived, x.service.Name)
-	if x.service.Engine != nil && x.route.Kind == cataloger.Stream {
+	if x.route.Kind == cataloger.Stream {
 		f.generate(ctx, x)
 	} else {
 		f.call(ctx, x)
--- a/internal/fleet/forwarder/generation.go
+++ b/internal/fleet/forwarder/generation.go
@@ -16,8 +16,11 @@
 // course is one generation on its way to its client. Its goroutine alone uses it, but
 // for the orders channel.
 type course struct {
-	f      *Forwarder
-	x      *exchange
+	f *Forwarder
+	x *exchange
+	// place finds where it runs; leave is called once it runs there no more.
+	place  func(ctx context.Context, req *messenger.PlaceRequest) (*messenger.Placement, error)
+	leave  func()
 	req    *messenger.PlaceRequest
 	answer *sender.Answer
 	events <-chan batch
@@ -85,11 +88,15 @@
 		return
 	}
 	c := &course{
-		f: f, x: x, req: req, orders: make(chan *messenger.MoveOrder, ordersAhead),
+		f: f, x: x, req: req, place: f.Place, leave: func() {}, orders: make(chan *messenger.MoveOrder, ordersAhead),
 		copied: make(chan copyOutcome, 1),
 	}
 	c.req.Run, c.req.Service, c.req.Priority, c.req.Workspace = x.id, x.service.Name, int32(x.priority), x.workspace
 	c.req.FailureDomain = f.FailureDomain
+	if x.service.Engine == nil {
+		c.place = c.placeHere
+	}
+	defer func() { c.leave() }()
 	if !c.start(ctx) {
 		return
 	}
@@ -133,7 +140,7 @@
 		now := time.Now()
 		c.req.ObjectiveMs = max(c.x.route.Objective-now.Sub(c.x.r.Arrived), 0).Milliseconds()
 		c.req.DeadlineMs = c.x.until.Sub(now).Milliseconds()
-		p, err := c.f.Place(ctx, c.req)
+		p, err := c.place(ctx, c.req)
 		if err != nil {
 			cause = err
 			break
@@ -170,6 +177,18 @@
 	return false
 }
 
+// placeHere finds a place at a service without engines, by what this host has there.
+func (c *course) placeHere(context.Context, *messenger.PlaceRequest) (*messenger.Placement, error) {
+	c.leave()
+	c.leave = func() {}
+	b, done, _ := c.f.choose(time.Now(), c.x.service.Name, c.req.Avoid)
+	if b == nil {
+		return &messenger.Placement{RetryAfterMs: retryBusy.Milliseconds(), Reason: "no backend server is ready"}, nil
+	}
+	c.leave = func() { done(c.x.outcome == "failed" || c.x.outcome == "broken") }
+	return &messenger.Placement{Backend: b.Id}, nil
+}
+
 // decline gives back a place that could not be used.
 func (c *course) decline(backend string) {
 	c.req.Avoid = append(c.req.Avoid, backend)
@@ -388,12 +407,20 @@
 func (c *course) note(phase messenger.RunState_Phase) *messenger.RunState {
 	s := &messenger.RunState{
 		Run: c.x.id, Backend: c.backend.GetId(), Backup: c.backup.GetId(), Phase: phase,
-		MadeTokens: int32(c.made * max(c.x.service.Engine.Stride, 1)), Request: c.req,
+		MadeTokens: int32(c.made * c.x.stride()), Request: c.req,
 	}
 	c.snapshot.Store(s)
 	return s
 }
 
+// stride returns how many tokens one event of the request's service holds.
+func (x *exchange) stride() int {
+	if x.service.Engine == nil {
+		return 1
+	}
+	return max(x.service.Engine.Stride, 1)
+}
+
 // backupField returns the field that has the memory copied; none without a backup.
 func (c *course) backupField() []sender.Field {
 	if c.backup == nil {
--- a/internal/fleet/forwarder/generation_test.go
+++ b/internal/fleet/forwarder/generation_test.go
@@ -290,3 +290,36 @@
 		})
 	}
 }
+
+func TestStreamOfAServiceWithoutEnginesIsPassedOnAsItComes(t *testing.T) {
+	release := make(chan struct{})
+	s := newStandIn(t, "s", func(c net.Conn, seen seenRequest) bool {
+		begin(c, seen)
+		chunk(c, event(1))
+		<-release
+		chunk(c, event(2))
+		return end(c)
+	})
+	x := newFixture(t, s)
+	c, err := net.Dial("tcp", x.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(3 * time.Second))
+	_, _ = io.WriteString(c, "POST /plain-stream/a HTTP/1.1\r\nHost: h\r\nT-Id: id-1\r\n"+key+"Content-Length: 0\r\n\r\n")
+	var got strings.Builder
+	buf := make([]byte, 1024)
+	for !strings.Contains(got.String(), event(1)) {
+		n, err := c.Read(buf)
+		if err != nil {
+			t.Fatalf("first event did not come before the second was made: %v", err)
+		}
+		got.Write(buf[:n])
+	}
+	close(release)
+	rest, _ := io.ReadAll(io.LimitReader(c, int64(len(event(2)))))
+	if !strings.Contains(string(rest), "id: 2") {
+		t.Errorf("then came %q", rest)
+	}
+}
--- a/internal/fleet/forwarder/harness_test.go
+++ b/internal/fleet/forwarder/harness_test.go
@@ -166,7 +166,7 @@
 	}
 	routes := []cataloger.Route{
 		route("/read/", cataloger.Idempotent, "plain"), route("/once/", cataloger.Once, "plain"),
-		route("/stream/", cataloger.Stream, "engine"), route("/public/", cataloger.Idempotent, "plain"),
+		route("/stream/", cataloger.Stream, "engine"), route("/plain-stream/", cataloger.Stream, "plain"), route("/public/", cataloger.Idempotent, "plain"),
 	}
 	workspaces := []cataloger.Workspace{{Name: "ws", Keys: []string{"key"}}}
 	c, err := cataloger.New(1, routes, service, cataloger.Limits{}, workspaces, true)
--- a/internal/fleet/linker/linker.go
+++ b/internal/fleet/linker/linker.go
@@ -187,9 +187,15 @@
 		l.learnHubs(now, []*messenger.FleetHost{req.Host})
 	}
 	reply := &messenger.IntroduceReply{Hubs: l.Hubs()}
-	if req.Bootstrap && l.decides() {
-		reply.Founders = l.gather(now, req.Host)
+	if !req.Bootstrap {
+		return reply
 	}
+	if l.decides() {
+		l.gather(now, req.Host)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	reply.Founders = l.gathering.decided
 	return reply
 }
 
@@ -214,17 +220,22 @@
 	if l.decides() {
 		return l.Introduced(time.Now(), req).Founders
 	}
-	seeds := l.sortedSeeds()
-	if len(seeds) == 0 {
-		return nil
-	}
-	// A seed that does not answer yet is asked again.
-	_ = l.Call(ctx, seeds[0], func(ctx context.Context, c messenger.DRPCFleetClient) error {
-		reply, err := c.Introduce(ctx, req)
-		founders = reply.GetFounders()
-		return err
-	})
-	return founders
+	// The first seed decides; the others pass on what it told them, should it be gone.
+	for _, seed := range l.sortedSeeds() {
+		// A seed that does not answer yet is asked again.
+		_ = l.Call(ctx, seed, func(ctx context.Context, c messenger.DRPCFleetClient) error {
+			reply, err := c.Introduce(ctx, req)
+			founders = reply.GetFounders()
+			return err
+		})
+		if len(founders) > 0 {
+			l.mu.Lock()
+			l.gathering.decided = founders
+			l.mu.Unlock()
+			return founders
+		}
+	}
+	return nil
 }
 
 // decides tells whether this host decides who founds the log: the first seed does.
@@ -233,13 +244,13 @@
 	return l.Bootstrap && len(seeds) > 0 && seeds[0] == l.Self.Address
 }
 
-// gather takes a host into the founders in the making and returns them once decided.
-func (l *Linker) gather(now time.Time, host *messenger.FleetHost) []*messenger.FleetHost {
+// gather takes a host into the founders in the making and decides on them when it is time.
+func (l *Linker) gather(now time.Time, host *messenger.FleetHost) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	g := &l.gathering
 	if len(g.decided) > 0 {
-		return g.decided
+		return
 	}
 	if g.hosts == nil {
 		g.hosts, g.started, g.newest = make(map[string]*messenger.FleetHost), now, now
@@ -250,13 +261,12 @@
 	}
 	enough := len(g.hosts) >= l.Founders || now.Sub(g.started) > fewFounders
 	if len(g.hosts) == 0 || !enough || now.Sub(g.newest) < settleFounders {
-		return nil
+		return
 	}
 	for _, h := range g.hosts {
 		g.decided = append(g.decided, h)
 	}
 	slices.SortFunc(g.decided, func(a, b *messenger.FleetHost) int { return cmp.Compare(a.Name, b.Name) })
-	return g.decided
 }
 
 // introduce tells hosts that may know hubs of this one.
