--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -92,7 +92,7 @@
 	// pauses of all streams there.
 	maxReading = 2
 	// readTokensPerMS is how fast a prompt is read beside the streams of others.
-	readTokensPerMS = 7
+	readTokensPerMS = 6
 	// minCopied is the expected output from which on a copy is worth its memory.
 	minCopied = 160
 	// spareFill is the share of an engine's memory up to which it also serves requests
