--- /dev/null
+++ b/internal/fleet/budgeter/budgeter_test.go
@@ -0,0 +1,47 @@
+package budgeter
+
+import (
+	"testing"
+	"time"
+)
+
+func TestRepeatsStayWithinTheBudget(t *testing.T) {
+	start := time.Unix(1000, 0)
+	tests := []struct {
+		name     string
+		requests int
+		hosts    int
+		// most is how many repeats any window may hold by the settings alone.
+		most float64
+	}{
+		{"slack alone", 0, 1, 60},
+		{"slack shared by hosts", 0, 8, 60.0 / 8},
+		{"requests and slack", 100, 8, 0.2*100 + 60.0/8},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := &Budgeter{Ratio: 0.2, Slack: 60, Window: 10 * time.Second, Hosts: func() int { return tt.hosts }}
+			for range tt.requests {
+				b.Request(start, "service")
+			}
+			allowed := 0
+			for range 1000 {
+				if b.Repeat(start.Add(time.Second), "service") {
+					allowed++
+				}
+			}
+			if allowed == 0 || float64(allowed) > tt.most {
+				t.Errorf("%d repeats allowed, want 1 to %.1f", allowed, tt.most)
+			}
+			if b.Repeat(start.Add(9*time.Second), "service") {
+				t.Error("more allowed within the window")
+			}
+			if !b.Repeat(start.Add(12*time.Second), "service") {
+				t.Error("none allowed once the window has passed")
+			}
+			if !b.Repeat(start.Add(time.Second), "other") {
+				t.Error("another service has no budget of its own")
+			}
+		})
+	}
+}
--- a/internal/fleet/forwarder/call.go
+++ b/internal/fleet/forwarder/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net/http"
@@ -57,6 +58,8 @@
 	// failingHalfLife is how long a backend server that gets no requests keeps half of its
 	// share of failures.
 	failingHalfLife = 3 * time.Second
+	// maxLoads bounds the backend servers that are remembered without a request there.
+	maxLoads = 1024
 	// failingCost is what a failing backend server costs beside an outstanding request.
 	failingCost = 20
 	// minOutstanding is how many requests one host may have at a backend server at least;
@@ -243,6 +246,9 @@
 	if f.loads == nil {
 		f.loads = make(map[string]*load)
 	}
+	if len(f.loads) > maxLoads {
+		maps.DeleteFunc(f.loads, func(_ string, l *load) bool { return l.outstanding == 0 })
+	}
 	l := f.loads[backend]
 	if l == nil {
 		l = &load{}
--- a/internal/fleet/forwarder/dialect.go
+++ b/internal/fleet/forwarder/dialect.go
@@ -30,24 +30,19 @@
 		Backup    string
 		Continue  string
 		LastEvent string
-		// Urgency ranks a generation on its engine.
-		Urgency string
 		// Reserved are further fields that clients may not set, in lower case.
 		Reserved []string
 
 		// Demand reads what a generation asks for from its request.
 		Demand func(r *receiver.Request) *messenger.PlaceRequest
 		// Copy has the engine at address copy the memory of a run to another engine. With
-		// stop the run ends there. It returns the handle of the copy and how many events
-		// the run has made.
+		// stop the run ends there. It returns the handle of the copy.
 		Copy func(ctx context.Context, pool *sender.Pool, address, run, to string, stop bool) (Handle, error)
 	}
 
-	// Handle names a copy of a run's memory at the engine that it was copied from.
-	Handle struct {
-		ID     string
-		Events int
-	}
+	// Handle names a copy of a run's memory at the engine that it was copied from; it is
+	// empty where there is none.
+	Handle string
 )
 
 // hopByHop are the header fields that concern one connection only, or framing.
@@ -59,7 +54,7 @@
 
 // reserved tells whether the system sets a header field itself.
 func (d Dialect) reserved(name string) bool {
-	own := []string{d.Deadline, d.Expect, d.Workspace, d.Backup, d.Continue, d.Urgency, d.LastEvent}
+	own := []string{d.Deadline, d.Expect, d.Workspace, d.Backup, d.Continue, d.LastEvent}
 	return slices.Contains(d.Reserved, name) ||
 		slices.ContainsFunc(own, func(o string) bool { return strings.EqualFold(o, name) })
 }
--- a/internal/fleet/forwarder/generation_test.go
+++ b/internal/fleet/forwarder/generation_test.go
@@ -183,7 +183,7 @@
 		if seen.URL.Query().Get("stop") == "true" {
 			close(stopped)
 		}
-		return answer(c, seen, 200, "", `{"ID":"handle","Events":5}`)
+		return answer(c, seen, 200, "", `{"ID":"handle"}`)
 	})
 	e2 := newStandIn(t, "e2", streams(6, 8))
 	x = newFixture(t, e1, e2)
--- a/internal/fleet/forwarder/harness_test.go
+++ b/internal/fleet/forwarder/harness_test.go
@@ -60,7 +60,7 @@
 // dialect has names of its own, as none of the platform's may matter here.
 var dialect = Dialect{
 	RequestID: "T-Id", Deadline: "T-Left", Expect: "T-Only", Workspace: "T-Workspace", Signature: "T-Signed",
-	NotRun: "T-Not-Run", Backup: "T-Backup", Continue: "T-Continue", LastEvent: "T-Last", Urgency: "T-Urgency",
+	NotRun: "T-Not-Run", Backup: "T-Backup", Continue: "T-Continue", LastEvent: "T-Last",
 	Reserved: []string{"t-reserved"},
 	Demand:   func(*receiver.Request) *messenger.PlaceRequest { return &messenger.PlaceRequest{PromptTokens: 10} },
 	Copy:     copyByCall,
@@ -70,17 +70,18 @@
 func copyByCall(ctx context.Context, pool *sender.Pool, address, run, to string, stop bool) (Handle, error) {
 	conn, err := pool.Get(ctx, time.Now(), address, 0)
 	if err != nil {
-		return Handle{}, err
+		return "", err
 	}
 	a, err := pool.Send(ctx, conn, sender.Request{
 		Method: http.MethodPost, Target: fmt.Sprintf("/copy?run=%s&to=%s&stop=%v", run, to, stop), Host: address,
 	})
 	if err != nil {
-		return Handle{}, err
+		return "", err
 	}
 	defer a.Done()
-	var h Handle
-	return h, json.NewDecoder(a.Body).Decode(&h)
+	var reply struct{ ID Handle }
+	err = json.NewDecoder(a.Body).Decode(&reply)
+	return reply.ID, err
 }
 
 func newStandIn(t *testing.T, id string, script func(c net.Conn, seen seenRequest) bool) *standIn {
--- a/internal/fleet/forwarder/move.go
+++ b/internal/fleet/forwarder/move.go
@@ -56,7 +56,7 @@
 		return copyOutcome{err: err}
 	}
 	handle, err := f.Dialect.Copy(ctx, f.Pool, from, run, to, true)
-	return copyOutcome{handle: handle, err: err, stopped: handle.ID != ""}
+	return copyOutcome{handle: handle, err: err, stopped: handle != ""}
 }
 
 // settle continues a run whose memory was copied; it tells whether the stream goes on.
@@ -75,7 +75,7 @@
 	if !c.drain(ctx) {
 		return false
 	}
-	source := c.backend.Address + "/" + o.handle.ID
+	source := c.backend.Address + "/" + string(o.handle)
 	// A copy that did not arrive is taken up where it was made.
 	places := []string{m.To, m.From}
 	if o.err != nil {
--- a/internal/fleet/linker/linker.go
+++ b/internal/fleet/linker/linker.go
@@ -13,7 +13,6 @@
 
 	"storj.io/drpc/drpcconn"
 
-	"verbenareach/internal/event/logger"
 	"verbenareach/internal/wire/dialer"
 	"verbenareach/internal/wire/messenger"
 )
@@ -36,7 +35,6 @@
 		Left   func(host *messenger.FleetHost)
 		// Receive takes a message; those of one host come one after the other.
 		Receive func(from *messenger.FleetHost, m *messenger.LinkMessage)
-		Log     *logger.Logger
 
 		// pool holds the connections for calls, made when the first one is needed.
 		pool     *dialer.Pool
--- a/internal/fleet/runner/runner.go
+++ b/internal/fleet/runner/runner.go
@@ -161,7 +161,7 @@
 	h.tracker = &tracker.Tracker{Name: s.Host.Name, Silence: time.Duration(silentBeats * float64(s.Heartbeat))}
 	h.linker = &linker.Linker{
 		Self: s.Host, Seeds: func() []string { return *h.seeds.Load() }, Bootstrap: s.Bootstrap,
-		Founders: 2*s.LostHosts + 1, Fill: h.fill, Joined: h.joined, Left: h.left, Receive: h.receive, Log: h.Log,
+		Founders: 2*s.LostHosts + 1, Fill: h.fill, Joined: h.joined, Left: h.left, Receive: h.receive,
 	}
 	h.pool = &sender.Pool{IdleFor: idleConnections}
 	budget := &budgeter.Budgeter{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow, Hosts: h.hosts}
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -234,22 +234,6 @@
 	s.queue = kept
 }
 
-// Waiting returns how many requests wait.
-func (s *Scheduler) Waiting() int { return len(s.queue) }
-
-// Loads returns what is placed on each backend server.
-func (s *Scheduler) Loads(now time.Time) []*messenger.BackendLoad {
-	s.init()
-	list := make([]*messenger.BackendLoad, 0, len(s.backends))
-	for id, b := range s.backends {
-		list = append(list, &messenger.BackendLoad{
-			Backend: id, Runs: int32(len(b.runs)), Reading: int32(b.reading()), Tokens: int32(s.used(now, b)),
-		})
-	}
-	slices.SortFunc(list, func(x, y *messenger.BackendLoad) int { return cmp.Compare(x.Backend, y.Backend) })
-	return list
-}
-
 func (s *Scheduler) init() {
 	if s.backends == nil {
 		s.backends, s.runs = make(map[string]*backend), make(map[string]*run)
--- a/internal/fleet/sender/exchange.go
+++ b/internal/fleet/sender/exchange.go
@@ -126,9 +126,6 @@
 	_ = a.conn.Close()
 }
 
-// Interrupt makes a blocked read of the body return, without ending the answer.
-func (a *Answer) Interrupt() { _ = a.conn.SetReadDeadline(time.Unix(1, 0)) }
-
 // write sends the request; a long body is sent while the answer is awaited, as a
 // backend server may answer before it has read all of it.
 func (a *Answer) write(r Request) error {
--- a/internal/fleet/sender/sender.go
+++ b/internal/fleet/sender/sender.go
@@ -20,8 +20,6 @@
 	Pool struct {
 		// IdleFor bounds how long an idle connection is kept.
 		IdleFor time.Duration
-		// Dialed hears of each new connection.
-		Dialed func()
 
 		mu   sync.Mutex
 		idle map[string][]*Conn
@@ -83,9 +81,6 @@
 	if err != nil {
 		return nil, err
 	}
-	if p.Dialed != nil {
-		p.Dialed()
-	}
 	return &Conn{Conn: raw, address: address, br: bufio.NewReaderSize(raw, readBuffer)}, nil
 }
 
