fix: give back a place that the repeat budget does not allow

Found in the read of the diff: a generation that one engine had declined and whose repeat the budget refused kept its second place at the scheduler for good. Test fails before.

--- a/internal/fleet/forwarder/generation.go
+++ b/internal/fleet/forwarder/generation.go
@@ -158,6 +158,7 @@
 			continue
 		}
 		if len(c.req.Avoid) > 0 && !c.f.Budget.Repeat(now, c.x.service.Name) {
+			c.decline(p.Backend)
 			break
 		}
 		err = c.send(ctx)
--- a/internal/fleet/forwarder/generation_test.go
+++ b/internal/fleet/forwarder/generation_test.go
@@ -323,3 +323,26 @@
 		t.Errorf("then came %q", rest)
 	}
 }
+
+func TestPlaceThatTheBudgetDoesNotAllowIsGivenBack(t *testing.T) {
+	e1 := newStandIn(t, "e1", func(c net.Conn, seen seenRequest) bool { return answer(c, seen, 503, "T-Not-Run: 1\r\n", "") })
+	x := newFixture(t, e1, newStandIn(t, "e2", streams(1, 2)))
+	x.forwarder.Budget.Slack = 0
+	x.forwarder.Place = func(_ context.Context, req *messenger.PlaceRequest) (*messenger.Placement, error) {
+		if len(req.Avoid) > 0 {
+			return &messenger.Placement{Backend: "e2"}, nil
+		}
+		return &messenger.Placement{Backend: "e1"}, nil
+	}
+	if got := x.send("/stream/a", key, ""); got.status != http.StatusServiceUnavailable {
+		t.Fatalf("client got %d, want 503", got.status)
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, s := range x.states {
+		if s.Backend == "e2" && s.Phase == messenger.RunState_PHASE_ENDED {
+			return
+		}
+	}
+	t.Error("the second place is held for good")
+}
--- a/internal/fleet/scheduler/moves.go
+++ b/internal/fleet/scheduler/moves.go
@@ -21,7 +21,7 @@
 }
 
 // movable returns the runs to move away from an engine, in the order of moving: those
-// whose copy lies elsewhere first, then the smallest, of which most are saved.
+// whose copy lies elsewhere first, then those that are worth most for their size.
 func (s *Scheduler) movable(now time.Time, b *backend) []*run {
 	var list []*run
 	for _, r := range b.runs {
