--- a/internal/fleet/linker/link.go
+++ b/internal/fleet/linker/link.go
@@ -18,6 +18,8 @@
 	// link is an open connection to another host, with the news that wait to leave.
 	link struct {
 		host *messenger.FleetHost
+		// dropped is set once the link has ended; both are guarded by Linker.mu.
+		dropped bool
 		// wake holds a token while news wait.
 		wake chan struct{}
 
@@ -136,16 +138,22 @@
 			if m.Host.GetName() == "" {
 				return
 			}
-			l.join(k, m)
+			if !l.join(k, m) {
+				return
+			}
 		}
 		l.learnHubs(time.Now(), m.Hubs)
 		l.Receive(k.host, m)
 	}
 }
 
-// join makes the link the one to its host.
-func (l *Linker) join(k *link, m *messenger.LinkMessage) {
+// join makes the link the one to its host, unless it has ended already.
+func (l *Linker) join(k *link, m *messenger.LinkMessage) bool {
 	l.mu.Lock()
+	if k.dropped {
+		l.mu.Unlock()
+		return false
+	}
 	k.host = m.Host
 	if l.links == nil {
 		l.links = make(map[string]*link)
@@ -153,11 +161,13 @@
 	l.links[m.Host.Name] = k
 	l.mu.Unlock()
 	l.Joined(m.Host)
+	return true
 }
 
 // drop forgets a link that ended, unless a newer one has taken its place.
 func (l *Linker) drop(k *link) {
 	l.mu.Lock()
+	k.dropped = true
 	host := k.host
 	current := host != nil && l.links[host.Name] == k
 	if current {
