fix: pass an engine's error on with its whole body

Cause: an answer of an engine other than 200 was cut into events like a stream, and what followed the last blank line was dropped, while status and signature went on. Change: such answers are read and checked like those of plain services, by readWhole and deliver. Tests: an error body with a blank line in it came cut before; an error that is cut is answered 502.

--- a/internal/fleet/forwarder/generation.go
+++ b/internal/fleet/forwarder/generation.go
@@ -219,7 +219,7 @@
 		return err
 	}
 	c.x.mayHaveRun = true
-	c.attach(answer)
+	c.answer = answer
 	c.f.mu.Lock()
 	if c.f.courses == nil {
 		c.f.courses = make(map[string]*course)
@@ -280,9 +280,10 @@
 // run passes events on until the stream ends.
 func (c *course) run(ctx context.Context) {
 	if c.answer.Status != http.StatusOK {
-		c.passWhole()
+		c.passWhole(ctx)
 		return
 	}
+	c.attach(c.answer)
 	for {
 		select {
 		case <-ctx.Done():
@@ -381,22 +382,15 @@
 }
 
 // passWhole passes on an answer that is no stream.
-func (c *course) passWhole() {
-	c.stop()
-	var body []byte
-	err := error(nil)
-	for b := range c.events {
-		body = append(body, b.bytes...)
-		err = b.err
-	}
-	c.answer.Break()
-	complete := errors.Is(err, io.EOF) || errors.Is(err, errTornEvent)
-	if !complete || promises(c.answer.Status) {
-		c.f.fail(c.x, http.StatusBadGateway, "engine gave no whole answer", err)
+func (c *course) passWhole(ctx context.Context) {
+	answer, err := c.f.readWhole(c.answer)
+	if err != nil {
+		c.answer.Break()
+		c.f.giveUp(ctx, c.x, "engine gave no whole answer", err)
 		return
 	}
-	c.x.outcome = "backendError"
-	c.x.w.Reply(c.answer.Status, incoming(c.answer.Header), body)
+	c.answer.Done()
+	c.f.deliver(c.x, c.backend, answer)
 }
 
 // tell passes on how the generation stands.
--- a/internal/fleet/forwarder/generation_test.go
+++ b/internal/fleet/forwarder/generation_test.go
@@ -346,3 +346,29 @@
 	}
 	t.Error("the second place is held for good")
 }
+
+func TestEngineErrorIsPassedOnWithItsWholeBody(t *testing.T) {
+	const body = "failed:\n\nout of memory"
+	x := newFixture(t, newStandIn(t, "e1", func(c net.Conn, seen seenRequest) bool {
+		return answer(c, seen, http.StatusInternalServerError, signed, body)
+	}))
+	x.place = "e1"
+	got := x.send("/stream/a", key, "prompt")
+	if got.err != nil || got.status != http.StatusInternalServerError || got.body != body {
+		t.Errorf("client got %d %q, %v", got.status, got.body, got.err)
+	}
+	if got.header.Get("T-Signed") != "s" {
+		t.Error("answer bears no signature")
+	}
+}
+
+func TestEngineErrorThatIsCutIsNotPassedOn(t *testing.T) {
+	x := newFixture(t, newStandIn(t, "e1", func(c net.Conn, seen seenRequest) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 500 X\r\nT-Id: %s\r\n%sContent-Length: 20\r\n\r\nfailed\n\n", seen.Header.Get("T-Id"), signed)
+		return false
+	}))
+	x.place = "e1"
+	if got := x.send("/stream/a", key, "prompt"); got.status != http.StatusBadGateway || got.header.Get("T-Signed") != "" {
+		t.Errorf("client got %d, signed %q", got.status, got.header.Get("T-Signed"))
+	}
+}
