perf: repeat a read that a backend server answers with 500 at another one at once

Cause: 13 in 100 reads end with a backend server's own 500. Most that fail twice fail at the client's retry too. Change: within max-attempts and the repeat budget the next backend server gets the read at once; the 500 is passed on where none serves it.

--- a/internal/fleet/forwarder/call.go
+++ b/internal/fleet/forwarder/call.go
@@ -32,6 +32,20 @@
 		header http.Header
 		body   []byte
 	}
+
+	// trials are what was tried for one request.
+	trials struct {
+		// tried holds the backend servers that were chosen, runs counts those of them that
+		// the request may have reached.
+		tried []string
+		runs  int
+		// failure is the newest failure that a backend server answered, backend that server.
+		failure *whole
+		backend *messenger.Backend
+		// reason and cause tell why there is no answer yet.
+		reason string
+		cause  error
+	}
 )
 
 var (
@@ -40,6 +54,7 @@
 	errNobody   = errors.New("no backend server is ready")
 	errDeclined = errors.New("backend server declined")
 	errTooLarge = errors.New("answer is too large")
+	errInternal = errors.New("backend server failed by itself")
 	errFull     = errors.New("this host has as many requests as each takes")
 )
 
@@ -77,51 +92,73 @@
 	f.await(ctx, func() bool {
 		return len(f.Tracker.Ready(time.Now(), x.service.Name)) > 0
 	})
-	var tried []string
-	runs := 0
-	reason, cause := "no backend server is ready", errNobody
-	for len(tried) < maxPlaces && ctx.Err() == nil {
+	t := &trials{reason: "no backend server is ready", cause: errNobody}
+	for len(t.tried) < maxPlaces && ctx.Err() == nil {
 		now := time.Now()
-		b, done, full := f.choose(now, x.service.Name, tried)
+		b, done, full := f.choose(now, x.service.Name, t.tried)
 		if full && now.Sub(x.r.Arrived) < x.route.Objective {
 			time.Sleep(awaitPause)
 			continue
 		}
 		if full {
-			reason, cause = "all backend servers are full", errFull
+			t.reason, t.cause = "all backend servers are full", errFull
 		}
 		if b == nil {
 			break
 		}
-		if len(tried) > 0 && runs > 0 && !f.Budget.Repeat(now, x.service.Name) {
+		if t.runs > 0 && !f.Budget.Repeat(now, x.service.Name) {
 			done(false)
 			break
 		}
-		tried = append(tried, b.Id)
+		t.tried = append(t.tried, b.Id)
 		answer, err := f.attempt(ctx, x, b, done)
-		if err == nil {
+		if err == nil && !t.failed(x, b, answer) {
 			f.deliver(x, b, answer)
 			return
 		}
-		reason, cause = "no backend server gave an answer", err
-		unsent, lostAnswer := new(sender.UnsentError), new(sender.LostError)
-		if errors.As(err, &unsent) || errors.As(err, &lostAnswer) && ctx.Err() == nil {
-			f.Tracker.Avoid(b.Id, time.Now().Add(avoidUnreachable))
-		}
-		if !errors.As(err, &unsent) {
-			runs++
-		}
-		lost := !errors.Is(err, errDeclined) && runs > 0
-		f.Log.Emit(time.Now(), logger.ForwardRepeated, x.id, logger.F("backend", b.Id), logger.F("cause", err),
-			logger.F("tried", len(tried)), logger.F("mayHaveRun", x.mayHaveRun))
-		if lost && (x.route.Kind != cataloger.Idempotent || runs >= x.route.Attempts) {
-			break
+		if err == nil {
+			err = errInternal
 		}
-		if runs > max(x.route.Attempts, 1) {
+		if !f.goesOn(ctx, x, t, b, err) {
 			break
 		}
 	}
-	f.giveUp(ctx, x, reason, cause)
+	if t.failure != nil && !errors.Is(ctx.Err(), context.Canceled) {
+		f.deliver(x, t.backend, t.failure)
+		return
+	}
+	f.giveUp(ctx, x, t.reason, t.cause)
+}
+
+// goesOn takes in that a backend server gave no usable answer; it tells whether another
+// one may get the request.
+func (f *Forwarder) goesOn(ctx context.Context, x *exchange, t *trials, b *messenger.Backend, err error) bool {
+	t.reason, t.cause = "no backend server gave an answer", err
+	unsent, lost := new(sender.UnsentError), new(sender.LostError)
+	if errors.As(err, &unsent) || errors.As(err, &lost) && ctx.Err() == nil {
+		f.Tracker.Avoid(b.Id, time.Now().Add(avoidUnreachable))
+	}
+	if !errors.As(err, &unsent) {
+		t.runs++
+	}
+	f.Log.Emit(time.Now(), logger.ForwardRepeated, x.id, logger.F("backend", b.Id), logger.F("cause", err),
+		logger.F("tried", len(t.tried)), logger.F("mayHaveRun", x.mayHaveRun))
+	mayHaveRun := !errors.Is(err, errDeclined) && t.runs > 0
+	if mayHaveRun && (x.route.Kind != cataloger.Idempotent || t.runs >= x.route.Attempts) {
+		return false
+	}
+	return t.runs <= max(x.route.Attempts, 1)
+}
+
+// failed tells whether an answer is a failure after which another backend server may
+// serve the request, and keeps it: it is passed on if none does.
+func (t *trials) failed(x *exchange, b *messenger.Backend, answer *whole) bool {
+	repeatable := x.route.Kind == cataloger.Idempotent && t.runs+1 < x.route.Attempts
+	if answer.status != http.StatusInternalServerError || !repeatable {
+		return false
+	}
+	t.backend, t.failure = b, answer
+	return true
 }
 
 // attempt sends the request to one backend server and reads its whole answer. It calls
