feat: tell first token, longest gap and what engines lacked in the lines of generations

Cause: a late stream could be a late first token or a pause, and a refusal could be for memory, reading or resting engines; no line told which.

--- a/internal/fleet/forwarder/generation.go
+++ b/internal/fleet/forwarder/generation.go
@@ -31,8 +31,10 @@
 	// last is the id of the newest event that the client has, made the events passed on.
 	last string
 	made int
-	// delivered is when the client got its newest events.
-	delivered time.Time
+	// begun and delivered are when the client got its first and its newest events, longest
+	// is the longest pause between them.
+	begun, delivered time.Time
+	longest          time.Duration
 	// orders holds moves that the scheduler wants, copied the outcome of one under way.
 	orders chan *messenger.MoveOrder
 	copied chan copyOutcome
@@ -152,6 +154,7 @@
 		c.backend, c.backup = c.f.Tracker.Find(p.Backend), c.f.Tracker.Find(p.Backup)
 		c.f.Log.Emit(time.Now(), logger.RunPlaced, c.x.id, logger.F("backend", p.Backend), logger.F("copy", p.Backup),
 			logger.F("promptTokens", c.req.PromptTokens), logger.F("hintTokens", c.req.HintTokens),
+			logger.F("maxTokens", c.req.MaxTokens),
 			logger.F("waited", time.Since(now).Round(time.Millisecond)))
 		if c.backend == nil {
 			c.decline(p.Backend)
@@ -337,9 +340,12 @@
 	}
 	now := time.Now()
 	if first {
+		c.begun = now
 		c.f.FirstToken(now.Sub(c.x.r.Arrived))
 	} else {
-		c.f.Gap(now.Sub(c.delivered))
+		gap := now.Sub(c.delivered)
+		c.longest = max(c.longest, gap)
+		c.f.Gap(gap)
 	}
 	c.delivered = now
 	c.made += b.count
@@ -362,7 +368,8 @@
 	c.answer.Done()
 	c.x.outcome = "served"
 	c.f.Log.Emit(time.Now(), logger.ForwardServed, c.x.id, logger.F("backend", c.backend.Id),
-		logger.F("events", c.made), logger.F("after", time.Since(c.x.r.Arrived).Round(time.Millisecond)))
+		logger.F("events", c.made), logger.F("firstToken", c.firstToken()), logger.F("longestGap", c.longest.Round(time.Millisecond)),
+		logger.F("after", time.Since(c.x.r.Arrived).Round(time.Millisecond)))
 }
 
 // finish ends a stream that is not whole. The client sees that it is not.
@@ -376,7 +383,8 @@
 		c.x.outcome = "left"
 	}
 	c.f.Log.Emit(time.Now(), logger.RunBrokenOff, c.x.id, logger.F("backend", c.backend.Id), logger.F("events", c.made),
-		logger.F("outcome", c.x.outcome), logger.F("cause", cause),
+		logger.F("outcome", c.x.outcome), logger.F("cause", cause), logger.F("firstToken", c.firstToken()),
+		logger.F("longestGap", c.longest.Round(time.Millisecond)), logger.F("copy", c.backup.GetId()),
 		logger.F("after", time.Since(c.x.r.Arrived).Round(time.Millisecond)))
 	c.x.w.Abort()
 }
@@ -393,6 +401,14 @@
 	c.f.deliver(c.x, c.backend, answer)
 }
 
+// firstToken returns how long the client waited for its first event; 0 if there is none.
+func (c *course) firstToken() time.Duration {
+	if c.begun.IsZero() {
+		return 0
+	}
+	return c.begun.Sub(c.x.r.Arrived).Round(time.Millisecond)
+}
+
 // tell passes on how the generation stands.
 func (c *course) tell(phase messenger.RunState_Phase) {
 	c.f.Tell(c.note(phase))
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -258,7 +258,7 @@
 	}
 	after := max(minRetryAfter, time.Duration(w.req.ObjectiveMs)*time.Millisecond)
 	s.Send(w.entry, Decision{Placement: &messenger.Placement{
-		Run: w.req.Run, RetryAfterMs: after.Milliseconds(), Reason: "no engine has room in time",
+		Run: w.req.Run, RetryAfterMs: after.Milliseconds(), Reason: s.shortage(now, w, need).String(),
 	}})
 	return true
 }
