feat: forecast engines' memory on the fleet by learned lengths, as agents do

Cause: hosts of a fleet took a client's estimate for the length and seven tenths of the growth for the peak. Change: the forecast of the agents' admitter becomes a package (length/forecaster), and the fleet's scheduler uses it; estimator.Corrector learns lengths given estimates; a run tells whether it came to its own end, so that only those are learned from.

--- a/internal/agent/admitter/admitter.go
+++ b/internal/agent/admitter/admitter.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"verbenareach/internal/length/estimator"
+	"verbenareach/internal/length/forecaster"
 	"verbenareach/internal/prompt/hasher"
 )
 
@@ -99,7 +100,7 @@
 		used     int
 		prefill  int
 		computed time.Time
-		running  forecast
+		running  forecaster.Forecast
 		head     head
 	}
 
@@ -250,20 +251,20 @@
 }
 
 // include adds a work that is not admitted to a forecast.
-func (a *Admitter) include(f *forecast, w Work) {
-	var alive [len(horizons)]float64
+func (a *Admitter) include(f *forecaster.Forecast, w Work) {
+	var alive forecaster.Chances
 	a.chances(w, &alive)
-	f.add(a.candidate(w), atMost(w, w.Resumed), &alive)
+	f.Add(a.candidate(w), atMost(w, w.Resumed), &alive)
 }
 
-func (a *Admitter) chances(w Work, alive *[len(horizons)]float64) {
+func (a *Admitter) chances(w Work, alive *forecaster.Chances) {
 	curve := a.lengths.Curve(estimator.Key{Workspace: w.Workspace, Kind: w.Kind})
-	curve.Chances(w.Resumed, horizons[:], alive[:])
+	curve.Chances(w.Resumed, forecaster.Horizons[:], alive[:])
 }
 
 // judge decides on a work without changing anything.
 func (a *Admitter) judge(now time.Time, w Work) Reason {
-	var alive [len(horizons)]float64
+	var alive forecaster.Chances
 	a.chances(w, &alive)
 	prompt := a.candidate(w)
 	bound := float64(a.settings.MemoryTokens - a.prefixes.tokens())
@@ -271,8 +272,8 @@
 	if w.Resumed > 0 {
 		risk = math.Pow(risk, resumeExponent)
 	}
-	fits := func(f *forecast) bool {
-		return f.fits(prompt, atMost(w, w.Resumed), &alive, risk, bound)
+	fits := func(f *forecaster.Forecast) bool {
+		return f.Fits(prompt, atMost(w, w.Resumed), &alive, risk, bound)
 	}
 	switch {
 	case len(a.order) >= a.settings.MaxBatch:
@@ -307,8 +308,7 @@
 
 // peak returns the quantile of the memory at its peak.
 func (a *Admitter) peak() int {
-	z := probit(1 - a.settings.Risk)
-	return int(math.Ceil(a.running.peak(z))) + a.prefixes.tokens()
+	return int(math.Ceil(a.running.Peak(a.settings.Risk))) + a.prefixes.tokens()
 }
 
 // refresh computes the forecast anew when it is too old.
@@ -316,11 +316,11 @@
 	if !a.computed.IsZero() && now.Sub(a.computed) < refreshAfter {
 		return
 	}
-	a.running = forecast{}
-	var alive [len(horizons)]float64
+	a.running = forecaster.Forecast{}
+	var alive forecaster.Chances
 	for _, g := range a.order {
-		g.tracker.Curve().Chances(g.tokens, horizons[:], alive[:])
-		a.running.add(g.memory(), atMost(g.Work, g.tokens), &alive)
+		g.tracker.Curve().Chances(g.tokens, forecaster.Horizons[:], alive[:])
+		a.running.Add(g.memory(), atMost(g.Work, g.tokens), &alive)
 	}
 	a.computed = now
 }
--- a/internal/fleet/forwarder/generation.go
+++ b/internal/fleet/forwarder/generation.go
@@ -418,7 +418,7 @@
 func (c *course) note(phase messenger.RunState_Phase) *messenger.RunState {
 	s := &messenger.RunState{
 		Run: c.x.id, Backend: c.backend.GetId(), Backup: c.backup.GetId(), Phase: phase,
-		MadeTokens: int32(c.made * c.x.stride()), Request: c.req,
+		MadeTokens: int32(c.made * c.x.stride()), Request: c.req, Whole: c.x.outcome == "served",
 	}
 	c.snapshot.Store(s)
 	return s
--- a/internal/fleet/scheduler/copies.go
+++ b/internal/fleet/scheduler/copies.go
@@ -20,8 +20,8 @@
 
 // copyShare returns the share of an engine's memory up to which a run is copied there. A
 // long run is worth most and is most likely to meet the end of its engine.
-func copyShare(req *messenger.PlaceRequest) float64 {
-	long := min(float64(expectedOutput(req))/longOutput, 1)
+func copyShare(r *run) float64 {
+	long := min(float64(r.spread.Remaining(0))/longOutput, 1)
 	return minCopyShare + (maxCopyShare-minCopyShare)*long
 }
 
@@ -45,7 +45,7 @@
 // copyTarget picks where the memory of a run on an engine is copied as it grows; nil if
 // no other has the room, or if the run is expected to end soon.
 func (s *Scheduler) copyTarget(now time.Time, r *run, at *backend) *backend {
-	if !at.engine.Backups || expectedOutput(r.req) < minCopied {
+	if !at.engine.Backups || r.spread.Remaining(0) < minCopied {
 		return nil
 	}
 	if s.fleetFill(now, at.report.Service) > maxFleetFill {
@@ -53,13 +53,13 @@
 	}
 	var best *backend
 	bestCost := 0.0
-	need := s.need(r.req)
+	need := s.claim(now, r).peak
 	for _, b := range s.backends {
 		if b == at || b == r.at || b.report.Service != at.report.Service || b.report.State != messenger.Backend_STATE_READY {
 			continue
 		}
 		fill := float64(s.used(now, b)+need) / float64(b.engine.Tokens)
-		if fill > copyShare(r.req) {
+		if fill > copyShare(r) {
 			continue
 		}
 		fill += max(0, b.linkBusy.Sub(now).Seconds())
@@ -71,7 +71,7 @@
 		}
 	}
 	if best != nil {
-		best.copies[r.id] = r
+		best.add(r, true)
 		r.copied = best
 		// The copy begins as the prompt is read.
 		begin := now.Add(readTime(int(r.req.PromptTokens)))
--- a/internal/fleet/scheduler/moves.go
+++ b/internal/fleet/scheduler/moves.go
@@ -28,7 +28,7 @@
 		if r.first.IsZero() || r.moveFailed >= maxMoveFailures {
 			continue
 		}
-		left := time.Duration(remaining(r.req, s.made(now, r))) * s.tokenTime
+		left := time.Duration(r.spread.Remaining(s.made(now, r))) * s.tokenTime
 		if left < endsSoon && now.Sub(b.leaving) < endsSoon {
 			continue
 		}
@@ -47,7 +47,7 @@
 // density returns what a run is worth for each token that has to move.
 func (s *Scheduler) density(now time.Time, r *run) float64 {
 	made := s.made(now, r)
-	output := made + remaining(r.req, made)
+	output := made + r.spread.Remaining(made)
 	return float64(int(r.req.PromptTokens)+10*output) / float64(int(r.req.PromptTokens)+made)
 }
 
@@ -85,18 +85,18 @@
 // taken to be there at once; another one is expected there.
 func (s *Scheduler) order(now time.Time, from, to *backend, r *run, copied bool) {
 	if r.copied != nil {
-		delete(r.copied.copies, r.id)
+		r.copied.remove(r, true)
 		r.copied = nil
 	}
 	m := &messenger.MoveOrder{Run: r.id, From: from.report.Id, To: to.report.Id, Copied: copied}
 	if copied {
-		delete(from.runs, r.id)
+		from.remove(r, false)
 		r.at = to
-		to.runs[r.id] = r
+		to.add(r, false)
 	} else {
 		to.arriving = r.id
-		to.copies[r.id] = r
-		s.occupy(now, from, to, s.size(now, r))
+		to.add(r, true)
+		s.occupy(now, from, to, s.claim(now, r).held)
 	}
 	if c := s.copyTarget(now, r, to); c != nil {
 		m.Backup = c.report.Id
--- a/internal/fleet/scheduler/runs.go
+++ b/internal/fleet/scheduler/runs.go
@@ -12,12 +12,12 @@
 	if b == nil {
 		return nil
 	}
-	r := &run{id: state.Run, entry: entry, req: state.Request, at: b, placed: now}
+	r := &run{id: state.Run, entry: entry, req: state.Request, at: b, placed: now, spread: s.expect(state.Request)}
 	s.runs[r.id] = r
-	b.runs[r.id] = r
+	b.add(r, false)
 	if c := s.backends[state.Backup]; c != nil {
 		r.copied = c
-		c.copies[r.id] = r
+		c.add(r, true)
 	}
 	return r
 }
@@ -36,17 +36,17 @@
 // relocate notes where a run and its copy are.
 func (s *Scheduler) relocate(r *run, state *messenger.RunState) {
 	if b := s.backends[state.Backend]; b != nil && b != r.at {
-		delete(r.at.runs, r.id)
+		r.at.remove(r, false)
 		r.at = b
-		b.runs[r.id] = r
+		b.add(r, false)
 	}
 	c := s.backends[state.Backup]
 	if r.copied != nil && r.copied != c {
-		delete(r.copied.copies, r.id)
+		r.copied.remove(r, true)
 	}
 	r.copied = c
 	if c != nil {
-		c.copies[r.id] = r
+		c.add(r, true)
 	}
 }
 
@@ -67,7 +67,7 @@
 		}
 		if b.arriving == r.id {
 			b.arriving = ""
-			delete(b.copies, r.id)
+			b.remove(r, true)
 		}
 	}
 }
@@ -79,15 +79,19 @@
 		return
 	}
 	s.settleMove(r)
-	delete(r.at.runs, id)
+	r.at.remove(r, false)
 	if r.copied != nil {
-		delete(r.copied.copies, id)
+		r.copied.remove(r, true)
 	}
 	delete(s.runs, id)
 }
 
-// learn takes the time for a token from a run that ended.
-func (s *Scheduler) learn(now time.Time, r *run, made int) {
+// learn takes the length of a run that came to its own end, and its time for a token.
+func (s *Scheduler) learn(now time.Time, r *run, state *messenger.RunState) {
+	made := int(state.MadeTokens)
+	if state.Whole {
+		s.lengths.Finished(lengthKind(r.req), estimate(r.req), made)
+	}
 	grown := made - r.made
 	if r.first.IsZero() || grown < minCopied {
 		return
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"verbenareach/internal/fleet/cataloger"
+	"verbenareach/internal/length/estimator"
 	"verbenareach/internal/wire/messenger"
 )
 
@@ -25,6 +26,8 @@
 		runs     map[string]*run
 		// queue holds the requests that wait, most urgent first.
 		queue []*waiting
+		// lengths learns how long outputs are.
+		lengths estimator.Corrector
 		// tokenTime is the learned time to generate one token.
 		tokenTime time.Duration
 		// pace is how long prompts take to read on all engines against the forecast.
@@ -52,8 +55,9 @@
 		avoid  time.Time
 		losses int
 		// pace is how long prompts take to read here against the forecast, as of paced.
-		pace  float64
-		paced time.Time
+		pace    float64
+		paced   time.Time
+		outlook outlook
 		// linkBusy is until when the link on which memory moves is expected to be busy.
 		linkBusy time.Time
 	}
@@ -65,6 +69,8 @@
 		at     *backend
 		copied *backend
 		placed time.Time
+		// spread is what was expected of the length of its output.
+		spread estimator.Spread
 		// read is when its prompt was forecast to be read.
 		read time.Time
 		// first is when its first token came; zero before.
@@ -84,10 +90,7 @@
 
 const (
 	// fillLimit is the share of an engine's memory that forecasts may fill.
-	fillLimit = 0.92
-	// growthShare is the part of the expected growth that is reserved: runs on one
-	// engine do not reach their ends together.
-	growthShare = 0.7
+	fillLimit = 0.96
 	// maxReading bounds the prompts that one engine reads at once: each lengthens the
 	// pauses of all streams there.
 	maxReading = 2
@@ -191,7 +194,7 @@
 	}
 	switch state.Phase {
 	case messenger.RunState_PHASE_ENDED:
-		s.learn(now, r, int(state.MadeTokens))
+		s.learn(now, r, state)
 		s.end(r.id)
 	case messenger.RunState_PHASE_LOST:
 		r.at.lose(now)
@@ -244,29 +247,31 @@
 
 // decide places or refuses a request; it tells whether it did either.
 func (s *Scheduler) decide(now time.Time, w *waiting) bool {
-	need := s.need(w.req)
-	if b := s.best(now, w, need); b != nil {
+	need := claimOf(w.req, s.expect(w.req), 0)
+	if b := s.best(now, w, &need); b != nil {
 		s.place(now, w, b)
 		return true
 	}
 	if !now.Add(readTime(int(w.req.PromptTokens))).After(w.ends()) {
 		return false
 	}
-	if b := s.spare(now, w, need); b != nil {
+	if b := s.spare(now, w, &need); b != nil {
 		s.place(now, w, b)
 		return true
 	}
 	after := max(minRetryAfter, time.Duration(w.req.ObjectiveMs)*time.Millisecond)
 	s.Send(w.entry, Decision{Placement: &messenger.Placement{
-		Run: w.req.Run, RetryAfterMs: after.Milliseconds(), Reason: s.shortage(now, w, need).String(),
+		Run: w.req.Run, RetryAfterMs: after.Milliseconds(), Reason: s.shortage(now, w, &need).String(),
 	}})
 	return true
 }
 
 func (s *Scheduler) place(now time.Time, w *waiting, b *backend) {
-	r := &run{id: w.req.Run, entry: w.entry, req: w.req, at: b, placed: now, read: now.Add(b.readTime(w.req))}
+	r := &run{
+		id: w.req.Run, entry: w.entry, req: w.req, at: b, placed: now, read: now.Add(b.readTime(w.req)), spread: s.expect(w.req),
+	}
 	s.runs[r.id] = r
-	b.runs[r.id] = r
+	b.add(r, false)
 	p := &messenger.Placement{Run: r.id, Backend: b.report.Id}
 	if c := s.copyTarget(now, r, b); c != nil {
 		p.Backup = c.report.Id
@@ -276,7 +281,7 @@
 
 // best returns the engine on which a request is best placed now; nil if none has room
 // and reads its prompt in time.
-func (s *Scheduler) best(now time.Time, w *waiting, need int) *backend {
+func (s *Scheduler) best(now time.Time, w *waiting, need *claim) *backend {
 	return s.cheapest(now, w.req, need, func(b *backend, fill float64) (cost float64, ok bool) {
 		if b.reading() >= maxReading || !s.readsInTime(now, b, w) {
 			return 0, false
@@ -290,7 +295,7 @@
 }
 
 // spare returns an engine that is idle enough to serve a request late; nil if there is none.
-func (s *Scheduler) spare(now time.Time, w *waiting, need int) *backend {
+func (s *Scheduler) spare(now time.Time, w *waiting, need *claim) *backend {
 	return s.cheapest(now, w.req, need, func(b *backend, fill float64) (cost float64, ok bool) {
 		return fill, b.reading() == 0 && fill <= spareFill
 	})
@@ -298,31 +303,27 @@
 
 // destination returns the engine to which a run is best moved; nil if none has room.
 func (s *Scheduler) destination(now time.Time, r *run, from *backend) *backend {
-	need := s.size(now, r)
-	return s.cheapest(now, r.req, need, func(b *backend, fill float64) (cost float64, ok bool) {
+	need := s.claim(now, r)
+	return s.cheapest(now, r.req, &need, func(b *backend, fill float64) (cost float64, ok bool) {
 		if b == from || b.arriving != "" {
 			return 0, false
 		}
-		return fillWeight*(fill+float64(b.reading())) + s.moveEnd(now, from, b, need).Sub(now).Seconds(), true
+		return fillWeight*(fill+float64(b.reading())) + s.moveEnd(now, from, b, need.held).Sub(now).Seconds(), true
 	})
 }
 
 // cheapest returns the engine with room whose cost is the lowest. What rates an engine
 // gets the share of its memory that is taken.
 func (s *Scheduler) cheapest(
-	now time.Time, req *messenger.PlaceRequest, need int, rate func(b *backend, fill float64) (cost float64, ok bool),
+	now time.Time, req *messenger.PlaceRequest, need *claim, rate func(b *backend, fill float64) (cost float64, ok bool),
 ) *backend {
 	var best *backend
 	bestCost := 0.0
 	for _, b := range s.backends {
-		if !b.takes(now, req) {
-			continue
-		}
-		used := s.used(now, b)
-		if float64(used+need) > fillLimit*float64(b.engine.Tokens) {
+		if !b.takes(now, req) || !s.fits(now, b, need) {
 			continue
 		}
-		cost, ok := rate(b, float64(used)/float64(b.engine.Tokens))
+		cost, ok := rate(b, float64(s.used(now, b))/float64(b.engine.Tokens))
 		if ok && (best == nil || cost < bestCost || cost == bestCost && b.report.Id < best.report.Id) {
 			best, bestCost = b, cost
 		}
--- a/internal/fleet/scheduler/shortage.go
+++ b/internal/fleet/scheduler/shortage.go
@@ -27,8 +27,8 @@
 }
 
 // shortage counts what the engines of a request's service lack now.
-func (s *Scheduler) shortage(now time.Time, w *waiting, need int) shortage {
-	lack := shortage{need: need, fill: s.fleetFill(now, w.req.Service)}
+func (s *Scheduler) shortage(now time.Time, w *waiting, need *claim) shortage {
+	lack := shortage{need: need.peak, fill: s.fleetFill(now, w.req.Service)}
 	for _, b := range s.backends {
 		if b.report.Service != w.req.Service || b.report.State != messenger.Backend_STATE_READY {
 			continue
@@ -45,8 +45,3 @@
 	}
 	return lack
 }
-
-// fits tells whether an engine is forecast to have memory for need more tokens.
-func (s *Scheduler) fits(now time.Time, b *backend, need int) bool {
-	return float64(s.used(now, b)+need) <= fillLimit*float64(b.engine.Tokens)
-}
--- a/internal/agent/admitter/forecast.go
+++ b/internal/length/forecaster/forecast.go
@@ -1,10 +1,12 @@
-package admitter
+// Package forecaster forecasts the memory that a set of generations will take together,
+// from what each holds now and the chances that it still runs some tokens later.
+package forecaster
 
 import "math"
 
-// horizons are how many tokens ahead the memory is forecast: all running
+// Horizons are how many tokens ahead the memory is forecast: all running
 // generations grow by one token in each step of the engine.
-var horizons = [...]int{4, 32, 64, 128, 256, 512, 1024, 2048, 4096, 8192}
+var Horizons = [...]int{4, 32, 64, 128, 256, 512, 1024, 2048, 4096, 8192}
 
 // maxSkew bounds the correction for skewness, beyond which the expansion does
 // not hold.
@@ -18,16 +20,19 @@
 		third float64
 	}
 
-	// forecast is the distribution of the memory of a set of generations at
+	// Forecast is the distribution of the memory of a set of generations at
 	// each horizon. Each of them is either over by then, and holds nothing, or
 	// has grown by the horizon.
-	forecast [len(horizons)]moments
+	Forecast [len(Horizons)]moments
+
+	// Chances are the probabilities that a generation still runs at each horizon.
+	Chances [len(Horizons)]float64
 )
 
-// add includes a generation that holds memory tokens now, may grow by atMost,
+// Add includes a generation that holds memory tokens now, may grow by atMost,
 // and reaches horizon i with chance alive[i].
-func (f *forecast) add(memory, atMost int, alive *[len(horizons)]float64) {
-	for i, ahead := range horizons {
+func (f *Forecast) Add(memory, atMost int, alive *Chances) {
+	for i, ahead := range Horizons {
 		if ahead > atMost {
 			return
 		}
@@ -40,12 +45,12 @@
 	}
 }
 
-// fits tells whether a work may join the generations of the forecast: at no
+// Fits tells whether a work may join the generations of the forecast: at no
 // horizon is the chance that it still runs, and that memory is over bound then,
 // higher than risk. A work that is over soon does not answer for a shortage
 // that others may bring later.
-func (f *forecast) fits(memory, atMost int, alive *[len(horizons)]float64, risk, bound float64) bool {
-	for i, ahead := range horizons {
+func (f *Forecast) Fits(memory, atMost int, alive *Chances, risk, bound float64) bool {
+	for i, ahead := range Horizons {
 		if ahead > atMost || alive[i] <= risk {
 			return true
 		}
@@ -57,8 +62,10 @@
 	return true
 }
 
-// peak returns the highest quantile over all horizons.
-func (f *forecast) peak(z float64) float64 {
+// Peak returns the highest memory over all horizons that is not exceeded there but
+// with the chance risk.
+func (f *Forecast) Peak(risk float64) float64 {
+	z := probit(1 - risk)
 	highest := 0.0
 	for i := range f {
 		highest = max(highest, f[i].quantile(z))
