perf: place generations by the pace at which engines read of late, overdue prompts included

Change: whether a prompt is read in time is told by the learned pace; an engine's overdue prompt counts as a sample of its pace before it is read; 20 ms are left for the way to the client.

--- a/internal/fleet/scheduler/pace.go
+++ b/internal/fleet/scheduler/pace.go
@@ -16,6 +16,8 @@
 	ordinaryPace = 1.5
 	// paceHalfLife is how long an engine that gets no runs keeps half of its slowness.
 	paceHalfLife = 3 * time.Second
+	// deliveryTime is what passes between client and host, host and engine, both ways.
+	deliveryTime = 20 * time.Millisecond
 )
 
 // readTime returns how long the engine is expected to read a request's prompt, behind
@@ -30,6 +32,28 @@
 	return readTime(tokens)
 }
 
+// readEnd returns when an engine is expected to have read a request's prompt and its
+// first token to be with the client, at the pace at which engines read of late.
+func (s *Scheduler) readEnd(now time.Time, b *backend, req *messenger.PlaceRequest) time.Time {
+	return now.Add(time.Duration(float64(b.readTime(req))*s.paceAt(now, b)) + deliveryTime)
+}
+
+// paceAt returns how long prompts take to read on an engine against the forecast: as long
+// as on all engines, but for those that were slower themselves of late or whose prompts
+// are overdue now.
+func (s *Scheduler) paceAt(now time.Time, b *backend) float64 {
+	pace := s.pace
+	if !b.paced.IsZero() && b.pace > pace {
+		pace += (b.pace - pace) * math.Exp2(-float64(now.Sub(b.paced))/float64(paceHalfLife))
+	}
+	for _, r := range b.runs {
+		if forecast := r.read.Sub(r.placed); r.first.IsZero() && forecast > 0 {
+			pace = max(pace, float64(now.Sub(r.placed))/float64(forecast))
+		}
+	}
+	return pace
+}
+
 // learnPace takes the time that a run's prompt took to read.
 func (s *Scheduler) learnPace(now time.Time, r *run) {
 	forecast := r.read.Sub(r.placed)
@@ -48,9 +72,5 @@
 
 // slowness returns what it costs that an engine is slower than the others.
 func (s *Scheduler) slowness(now time.Time, b *backend) float64 {
-	if b.paced.IsZero() {
-		return 0
-	}
-	excess := max(0, b.pace/s.pace-ordinaryPace)
-	return excess * math.Exp2(-float64(now.Sub(b.paced))/float64(paceHalfLife))
+	return max(0, s.paceAt(now, b)/s.pace-ordinaryPace)
 }
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -252,7 +252,8 @@
 		s.place(now, w, b)
 		return true
 	}
-	if !now.Add(readTime(int(w.req.PromptTokens))).After(w.ends()) {
+	reading := time.Duration(float64(readTime(int(w.req.PromptTokens))) * s.pace)
+	if !now.Add(reading + deliveryTime).After(w.ends()) {
 		return false
 	}
 	if b := s.spare(now, w, &need); b != nil {
@@ -343,7 +344,7 @@
 // readsInTime tells whether a prompt that is placed now is expected to be read before
 // the objective of its request ends.
 func (s *Scheduler) readsInTime(now time.Time, b *backend, w *waiting) bool {
-	return !now.Add(b.readTime(w.req)).After(w.ends())
+	return !s.readEnd(now, b, w.req).After(w.ends())
 }
 
 // readTime returns how long an engine is expected to read a prompt of some tokens.
--- a/internal/fleet/scheduler/scheduler_test.go
+++ b/internal/fleet/scheduler/scheduler_test.go
@@ -299,3 +299,35 @@
 		t.Errorf("placed on %q, want the near engine tried again after a while", got)
 	}
 }
+
+func TestEngineWhosePromptIsOverdueGetsNoMore(t *testing.T) {
+	s, d := newScheduler(backendAt("e1", "a"))
+	s.Ask(start, "entry", demand("1", 1000, 50))
+	s.SetBackends(start, []*messenger.Backend{backendAt("e1", "a"), backendAt("e2", "b")})
+	later := start.Add(1200 * time.Millisecond)
+	s.Ask(later, "entry", demand("2", 1000, 50))
+	if got := d.placed["2"].GetBackend(); got != "e2" {
+		t.Errorf("placed on %q: e1 reads 1000 tokens for 1.2 s by now", got)
+	}
+}
+
+func TestReadingIsForecastAtThePaceOfLate(t *testing.T) {
+	s, d := newScheduler(backendAt("e1", "a"))
+	now := start
+	for i := range 60 {
+		run := fmt.Sprint("slow", i)
+		s.Ask(now, "entry", demand(run, 3000, 50))
+		now = now.Add(time.Second)
+		streaming(s, now, d, run)
+		s.Report(now, "entry", &messenger.RunState{Run: run, Phase: messenger.RunState_PHASE_ENDED})
+	}
+	if got := s.readEnd(now, s.backends["e1"], demand("next", 3000, 50)).Sub(now); got < 900*time.Millisecond {
+		t.Errorf("a prompt of 3000 tokens is to be read in %v, while all of late took a second", got)
+	}
+	busy := demand("busy", 6000, 50)
+	s.Ask(now, "entry", busy)
+	s.Ask(now, "entry", demand("behind", 3000, 50))
+	if d.placed["busy"] == nil || d.placed["behind"] != nil {
+		t.Error("placed behind 6000 tokens, which take two seconds, for an objective of 1.5 s")
+	}
+}
