fix: drop messages of a link that has been given up

Ruled out: an election (no VR1401 then) and a new link (no VR6101 then). Change: a message counts only while its link is the one to its host, and the called side ends its stream when it gives a link up. Tests: a message after the silence, and one on a link that was replaced; both counted before.

--- a/internal/fleet/linker/link.go
+++ b/internal/fleet/linker/link.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcwire"
@@ -39,6 +40,8 @@
 	}
 )
 
+var errLinkEnded = eris.New("link has ended")
+
 const (
 	// pingEvery is the longest time without a message on a link, silenceLimit the time
 	// without one after which the link counts as lost.
@@ -50,10 +53,11 @@
 	maxMessageBytes = 16 << 20
 )
 
-// Accept serves a link that another host opened, until it ends.
+// Accept serves a link that another host opened, until it ends. It always returns an
+// error, which ends the stream for both sides.
 func (l *Linker) Accept(stream messenger.DRPCFleet_LinkStream) error {
 	l.serve(stream.Context(), stream, nil)
-	return nil
+	return errLinkEnded
 }
 
 // Write writes within the time allowed.
@@ -134,13 +138,11 @@
 		case heard <- struct{}{}:
 		default:
 		}
-		if k.host == nil {
-			if m.Host.GetName() == "" {
-				return
-			}
-			if !l.join(k, m) {
-				return
-			}
+		if k.host == nil && (m.Host.GetName() == "" || !l.join(k, m)) {
+			return
+		}
+		if !l.current(k) {
+			return
 		}
 		l.learnHubs(time.Now(), m.Hubs)
 		l.Receive(k.host, m)
@@ -164,6 +166,14 @@
 	return true
 }
 
+// current tells whether the link is the one to its host: what was sent before a cut may
+// arrive on a link that has been given up.
+func (l *Linker) current(k *link) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !k.dropped && l.links[k.host.Name] == k
+}
+
 // drop forgets a link that ended, unless a newer one has taken its place.
 func (l *Linker) drop(k *link) {
 	l.mu.Lock()
--- a/internal/fleet/linker/link_test.go
+++ b/internal/fleet/linker/link_test.go
@@ -3,26 +3,24 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"verbenareach/internal/wire/messenger"
 )
 
-// lateStream gives its first message only once released, and then no more.
+// lateStream gives a message for each release, and ends when release is closed.
 type lateStream struct {
 	release chan struct{}
-	given   bool
 }
 
 func (s *lateStream) Send(*messenger.LinkMessage) error { return nil }
 
 func (s *lateStream) Recv() (*messenger.LinkMessage, error) {
-	<-s.release
-	if s.given {
+	if _, open := <-s.release; !open {
 		return nil, errors.New("stream has ended")
 	}
-	s.given = true
 	return &messenger.LinkMessage{Host: &messenger.FleetHost{Name: "late"}}, nil
 }
 
@@ -36,10 +34,11 @@
 
 func TestLinkThatEndedBeforeItsFirstMessageIsNoLink(t *testing.T) {
 	l := newBareLinker()
-	s := &lateStream{release: make(chan struct{})}
+	s := &lateStream{release: make(chan struct{}, 1)}
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	l.serve(ctx, s, nil)
+	s.release <- struct{}{}
 	close(s.release)
 	time.Sleep(50 * time.Millisecond)
 	if n := len(l.Linked()); n != 0 {
@@ -65,3 +64,45 @@
 	}
 	close(s.release)
 }
+
+func TestMessageOfALinkThatHasEndedIsDropped(t *testing.T) {
+	l := newBareLinker()
+	received := make(chan struct{}, 8)
+	l.Receive = func(*messenger.FleetHost, *messenger.LinkMessage) { received <- struct{}{} }
+	s := &lateStream{release: make(chan struct{}, 2)}
+	s.release <- struct{}{}
+	// It returns once the link has been silent for long.
+	l.serve(context.Background(), s, nil)
+	<-received
+	// A cut that heals delivers what was sent before it.
+	s.release <- struct{}{}
+	close(s.release)
+	select {
+	case <-received:
+		t.Error("a message of the link that was given up counts")
+	case <-time.After(100 * time.Millisecond):
+	}
+}
+
+func TestMessageOfALinkThatWasReplacedIsDropped(t *testing.T) {
+	l := newBareLinker()
+	var n atomic.Int32
+	l.Receive = func(*messenger.FleetHost, *messenger.LinkMessage) { n.Add(1) }
+	older, newer := &lateStream{release: make(chan struct{}, 2)}, &lateStream{release: make(chan struct{}, 2)}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for i, s := range []*lateStream{older, newer} {
+		go l.serve(ctx, s, nil)
+		s.release <- struct{}{}
+		for n.Load() != int32(i+1) {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	older.release <- struct{}{}
+	time.Sleep(50 * time.Millisecond)
+	if got := n.Load(); got != 2 {
+		t.Errorf("%d messages count, want one of each link", got)
+	}
+	close(older.release)
+	close(newer.release)
+}
