perf: copy the next run away once the links are free, not once the former one streams again

Cause: an engine that leaves in 1.5 to 2.1 s copies one run after another; between two copies its link idled for the last events, the new engine's answer (12 to 48 ms) and the report of it. Change: a host tells when all memory of a run is at its destination, and the next move is ordered then.

--- a/internal/fleet/forwarder/move.go
+++ b/internal/fleet/forwarder/move.go
@@ -97,6 +97,9 @@
 		c.failMove(o.released)
 		return true
 	}
+	if o.err == nil {
+		c.tell(messenger.RunState_PHASE_COPIED)
+	}
 	if !c.drain(ctx) {
 		return false
 	}
--- a/internal/fleet/scheduler/runs.go
+++ b/internal/fleet/scheduler/runs.go
@@ -80,11 +80,29 @@
 	if r.destination == nil {
 		return
 	}
-	r.source.moving, r.destination.arriving = nil, nil
+	if r.source != nil {
+		r.source.moving = nil
+	}
+	r.destination.arriving = nil
 	r.destination.remove(r, true)
 	r.source, r.destination = nil, nil
 }
 
+// freeLinks notes that all of a run's memory is at its destination: the next one may be
+// copied away while this one is continued.
+func (s *Scheduler) freeLinks(now time.Time, r *run) {
+	if r.source == nil {
+		return
+	}
+	for _, b := range []*backend{r.source, r.destination} {
+		if b.linkBusy.After(now) {
+			b.linkBusy = now
+		}
+	}
+	r.source.moving = nil
+	r.source = nil
+}
+
 // end forgets a run. Unless it is whole, the engine with its copy keeps that for a while.
 func (s *Scheduler) end(now time.Time, id string, whole bool) {
 	r := s.runs[id]
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -80,8 +80,8 @@
 		first time.Time
 		// made is how many tokens it had made at the time first.
 		made int
-		// source and destination are the engines between which its memory is copied in
-		// order to move it; nil while it stays.
+		// source and destination are the engines between which it moves; nil while it
+		// stays. source is nil once all of its memory has been copied.
 		source, destination *backend
 		// moveFailed counts the moves that failed.
 		moveFailed int
@@ -211,6 +211,8 @@
 		r.moveFailed++
 		s.failMove(now, r, state)
 		s.relocate(now, r, state)
+	case messenger.RunState_PHASE_COPIED:
+		s.freeLinks(now, r)
 	case messenger.RunState_PHASE_PLACED:
 	}
 	s.Advance(now)
--- a/internal/fleet/scheduler/scheduler_test.go
+++ b/internal/fleet/scheduler/scheduler_test.go
@@ -378,3 +378,32 @@
 		})
 	}
 }
+
+func TestNextRunIsCopiedOnceTheLinksAreFree(t *testing.T) {
+	s, d := newScheduler(backendAt("e1", "a"))
+	for _, run := range []string{"1", "2"} {
+		s.Ask(start, "entry", demand(run, 2000, 800))
+		streaming(s, start, d, run)
+	}
+	draining := backendAt("e1", "a")
+	draining.State, draining.Sequence = messenger.Backend_STATE_DRAINING, 2
+	s.SetBackends(start, []*messenger.Backend{draining, backendAt("e2", "a"), backendAt("e3", "a")})
+	if len(d.moves) != 1 {
+		t.Fatalf("%d moves at once from one engine", len(d.moves))
+	}
+	first := d.moves[0]
+	s.Report(start, "entry", &messenger.RunState{Run: first.Run, Backend: "e1", Phase: messenger.RunState_PHASE_COPIED, MadeTokens: 8})
+	if len(d.moves) != 2 || d.moves[1].Run == first.Run {
+		t.Fatalf("moves %v: the second run waits though the links are free", d.moves)
+	}
+	if used := s.used(start, s.backends[first.To]); used < 2000 {
+		t.Errorf("%d tokens taken at the destination of a run that is about to continue there", used)
+	}
+	s.Report(start, "entry", &messenger.RunState{Run: first.Run, Backend: first.To, Phase: messenger.RunState_PHASE_STREAMING, MadeTokens: 8})
+	if n := len(s.backends[first.To].runs); n != 1 {
+		t.Errorf("%d runs at the destination", n)
+	}
+	if s.backends["e1"].moving == nil {
+		t.Error("the second move is forgotten with the first one's end")
+	}
+}
