perf: hosts tell each other of lost answers and shun backend servers that lose many

Ruled out: connections that were idle for long (the resets came on fresh ones too). Change: choosing a backend server is a package of its own (fleet/balancer, no network, time as an argument); a host tells the others of each lost answer, and losses weigh more than answers that are failures, which some requests get wherever they run.

--- a/internal/fleet/forwarder/call.go
+++ b/internal/fleet/forwarder/call.go
@@ -4,28 +4,17 @@
 	"context"
 	"errors"
 	"io"
-	"maps"
-	"math"
-	"math/rand/v2"
 	"net/http"
-	"slices"
 	"time"
 
 	"verbenareach/internal/event/logger"
+	"verbenareach/internal/fleet/balancer"
 	"verbenareach/internal/fleet/cataloger"
 	"verbenareach/internal/fleet/sender"
 	"verbenareach/internal/wire/messenger"
 )
 
 type (
-	// load is what this host knows of a backend server from its own requests.
-	load struct {
-		outstanding int
-		// failing is the recent share of requests that failed there, as of sampled.
-		failing float64
-		sampled time.Time
-	}
-
 	// whole is an answer that was read to its end.
 	whole struct {
 		status int
@@ -66,22 +55,6 @@
 	avoidUnreachable = 500 * time.Millisecond
 	// maxAnswerBytes bounds an answer that is read whole before it is passed on.
 	maxAnswerBytes = 16 << 20
-	// failingRate is the weight of a new sample of a backend server's failures;
-	// ordinaryFailing is the share below which it costs nothing.
-	failingRate     = 0.15
-	ordinaryFailing = 0.25
-	// failingHalfLife is how long a backend server that gets no requests keeps half of its
-	// share of failures.
-	failingHalfLife = 3 * time.Second
-	// maxLoads bounds the backend servers that are remembered without a request there.
-	maxLoads = 1024
-	// failingCost is what a failing backend server costs beside an outstanding request.
-	failingCost = 20
-	// minOutstanding is how many requests one host may have at a backend server at least;
-	// beyond its places it would only queue them.
-	minOutstanding = 4
-	// farCost is what another failure domain costs beside an outstanding request.
-	farCost = 0.5
 	// freshOnce bounds how long a connection may have been idle that carries a request
 	// which may not be repeated: an older one may be closed already.
 	freshOnce = 3 * time.Second
@@ -95,7 +68,7 @@
 	t := &trials{reason: "no backend server is ready", cause: errNobody}
 	for len(t.tried) < maxPlaces && ctx.Err() == nil {
 		now := time.Now()
-		b, done, full := f.choose(now, x.service.Name, t.tried)
+		b, done, full := f.Balancer.Choose(now, f.Tracker.Ready(now, x.service.Name), t.tried)
 		if full && now.Sub(x.r.Arrived) < x.route.Objective {
 			time.Sleep(awaitPause)
 			continue
@@ -107,7 +80,7 @@
 			break
 		}
 		if t.runs > 0 && !f.Budget.Repeat(now, x.service.Name) {
-			done(false)
+			done(now, balancer.Answered)
 			break
 		}
 		t.tried = append(t.tried, b.Id)
@@ -162,10 +135,15 @@
 }
 
 // attempt sends the request to one backend server and reads its whole answer. It calls
-// done with whether the backend server failed.
-func (f *Forwarder) attempt(
-	ctx context.Context, x *exchange, b *messenger.Backend, done func(failed bool),
-) (*whole, error) {
+// done with how that ended.
+func (f *Forwarder) attempt(ctx context.Context, x *exchange, b *messenger.Backend, done balancer.Done) (*whole, error) {
+	answer, err := f.exchange(ctx, x, b)
+	done(time.Now(), outcome(ctx, answer, err))
+	return answer, err
+}
+
+// exchange sends the request to one backend server and reads its whole answer.
+func (f *Forwarder) exchange(ctx context.Context, x *exchange, b *messenger.Backend) (*whole, error) {
 	fresh := time.Duration(0)
 	if x.route.Kind != cataloger.Idempotent {
 		fresh = freshOnce
@@ -173,33 +151,44 @@
 	now := time.Now()
 	conn, err := f.Pool.Get(ctx, now, b.Address, fresh)
 	if err != nil {
-		done(true)
 		return nil, &sender.UnsentError{Cause: err}
 	}
 	a, err := f.Pool.Send(ctx, conn, f.outgoing(x, now, b.Id))
 	if err != nil {
 		unsent := new(sender.UnsentError)
 		x.mayHaveRun = x.mayHaveRun || !errors.As(err, &unsent)
-		done(!errors.Is(ctx.Err(), context.Canceled))
 		return nil, err
 	}
 	answer, err := f.readWhole(a)
 	if err != nil {
 		a.Break()
 		x.mayHaveRun = x.mayHaveRun || !errors.Is(err, errDeclined)
-		done(!errors.Is(ctx.Err(), context.Canceled))
 		return nil, err
 	}
 	a.Done()
 	if f.notRun(a) {
-		done(true)
 		return nil, errDeclined
 	}
 	x.mayHaveRun = true
-	done(answer.status >= http.StatusInternalServerError)
 	return answer, nil
 }
 
+// outcome tells what the end of an exchange says of the backend server. That a client
+// left or its time ended says nothing.
+func outcome(ctx context.Context, answer *whole, err error) balancer.Outcome {
+	lost := new(sender.LostError)
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return balancer.Answered
+	case errors.As(err, &lost) && ctx.Err() == nil:
+		return balancer.Lost
+	case err != nil || answer.status >= http.StatusInternalServerError:
+		return balancer.Failed
+	default:
+		return balancer.Answered
+	}
+}
+
 // readWhole reads an answer to its end and checks that it is one.
 func (f *Forwarder) readWhole(a *sender.Answer) (*whole, error) {
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes+1))
@@ -243,71 +232,3 @@
 		return false
 	}
 }
-
-// choose returns the backend server that is expected to answer first and counts a request
-// there until done is called; nil if none is ready. full tells that all that are ready
-// have as much of this host as they take.
-func (f *Forwarder) choose(
-	now time.Time, service string, tried []string,
-) (best *messenger.Backend, done func(failed bool), full bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	bestCost := math.Inf(1)
-	for _, b := range f.Tracker.Ready(now, service) {
-		if slices.Contains(tried, b.Id) {
-			continue
-		}
-		if l := f.loads[b.Id]; l != nil && l.outstanding >= max(int(b.Slots), minOutstanding) {
-			full = true
-			continue
-		}
-		cost := rand.Float64() * 0.1 //nolint:gosec // Breaks ties.
-		if l := f.loads[b.Id]; l != nil {
-			cost += float64(l.outstanding) + failingCost*max(0, l.failingAt(now)-ordinaryFailing)
-		}
-		if b.FailureDomain != f.FailureDomain {
-			cost += farCost
-		}
-		if cost < bestCost {
-			best, bestCost = b, cost
-		}
-	}
-	if best == nil {
-		return nil, nil, full
-	}
-	return best, f.count(best.Id), false
-}
-
-// count counts a request at a backend server; what it returns ends it. The lock is held.
-func (f *Forwarder) count(backend string) (done func(failed bool)) {
-	if f.loads == nil {
-		f.loads = make(map[string]*load)
-	}
-	if len(f.loads) > maxLoads {
-		maps.DeleteFunc(f.loads, func(_ string, l *load) bool { return l.outstanding == 0 })
-	}
-	l := f.loads[backend]
-	if l == nil {
-		l = &load{}
-		f.loads[backend] = l
-	}
-	l.outstanding++
-	return func(failed bool) {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		l.outstanding--
-		sample := 0.0
-		if failed {
-			sample = 1
-		}
-		now := time.Now()
-		l.failing = l.failingAt(now)
-		l.failing += failingRate * (sample - l.failing)
-		l.sampled = now
-	}
-}
-
-// failingAt returns the share of failures, less for each moment since the last sample.
-func (l *load) failingAt(now time.Time) float64 {
-	return l.failing * math.Exp2(-float64(now.Sub(l.sampled))/float64(failingHalfLife))
-}
--- a/internal/fleet/forwarder/call_test.go
+++ b/internal/fleet/forwarder/call_test.go
@@ -60,8 +60,8 @@
 				bad := newStandIn(t, "bad", tt.script)
 				good := newStandIn(t, "good", well)
 				x := newFixture(t, bad)
-				x.forwarder.count("good")
-				x.forwarder.count("good")
+				x.occupy("good")
+				x.occupy("good")
 				x.join(good)
 				got := x.send(path, key, "body")
 				if got.err != nil || got.status != want {
@@ -99,7 +99,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			first, second := newStandIn(t, "first", fails), newStandIn(t, "second", tt.second)
 			x := newFixture(t, first)
-			x.forwarder.count("second")
+			x.occupy("second")
 			x.join(second)
 			got := x.send("/read/a", key, "")
 			if got.err != nil || got.status != http.StatusInternalServerError || got.body != "failed" {
@@ -125,8 +125,8 @@
 	_ = l.Close()
 	good := newStandIn(t, "good", well)
 	x := newFixture(t, gone)
-	x.forwarder.count("good")
-	x.forwarder.count("good")
+	x.occupy("good")
+	x.occupy("good")
 	x.join(good)
 	if got := x.send("/once/a", key, ""); got.status != http.StatusOK {
 		t.Errorf("client got %d, want 200", got.status)
--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"verbenareach/internal/event/logger"
+	"verbenareach/internal/fleet/balancer"
 	"verbenareach/internal/fleet/budgeter"
 	"verbenareach/internal/fleet/cataloger"
 	"verbenareach/internal/fleet/receiver"
@@ -29,6 +30,8 @@
 		Dialect Dialect
 		// FailureDomain is the host's own.
 		FailureDomain string
+		// Balancer chooses backend servers of services without engines.
+		Balancer *balancer.Balancer
 		// Since is when the host started.
 		Since time.Time
 		// Catalog returns the configuration in force; nil while none is known.
@@ -51,8 +54,6 @@
 		Gap        func(d time.Duration)
 
 		mu sync.Mutex
-		// loads holds what this host has outstanding at each backend server.
-		loads map[string]*load
 		// courses holds the generations in progress, by run.
 		courses map[string]*course
 	}
--- a/internal/fleet/forwarder/generation.go
+++ b/internal/fleet/forwarder/generation.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"verbenareach/internal/event/logger"
+	"verbenareach/internal/fleet/balancer"
 	"verbenareach/internal/fleet/sender"
 	"verbenareach/internal/wire/messenger"
 )
@@ -209,11 +210,18 @@
 func (c *course) placeHere(context.Context, *messenger.PlaceRequest) (*messenger.Placement, error) {
 	c.leave()
 	c.leave = func() {}
-	b, done, _ := c.f.choose(time.Now(), c.x.service.Name, c.req.Avoid)
+	now := time.Now()
+	b, done, _ := c.f.Balancer.Choose(now, c.f.Tracker.Ready(now, c.x.service.Name), c.req.Avoid)
 	if b == nil {
 		return &messenger.Placement{RetryAfterMs: retryBusy.Milliseconds(), Reason: "no backend server is ready"}, nil
 	}
-	c.leave = func() { done(c.x.outcome == "failed" || c.x.outcome == "broken") }
+	c.leave = func() {
+		ended := balancer.Answered
+		if c.x.outcome == "failed" || c.x.outcome == "broken" {
+			ended = balancer.Lost
+		}
+		done(time.Now(), ended)
+	}
 	return &messenger.Placement{Backend: b.Id}, nil
 }
 
--- a/internal/fleet/forwarder/harness_test.go
+++ b/internal/fleet/forwarder/harness_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"verbenareach/internal/fleet/balancer"
 	"verbenareach/internal/fleet/budgeter"
 	"verbenareach/internal/fleet/cataloger"
 	"verbenareach/internal/fleet/receiver"
@@ -189,7 +190,7 @@
 		t.Fatal(err)
 	}
 	x.forwarder = &Forwarder{
-		Dialect: dialect, Catalog: func() *cataloger.Catalog { return c }, Tracker: x.tracker,
+		Dialect: dialect, Balancer: &balancer.Balancer{Hosts: func() int { return 1 }, TellLoss: func(string) {}}, Catalog: func() *cataloger.Catalog { return c }, Tracker: x.tracker,
 		Budget: &budgeter.Budgeter{Slack: 100, Window: time.Minute, Hosts: func() int { return 1 }},
 		Pool:   &sender.Pool{IdleFor: time.Minute}, Stopping: func() (time.Duration, bool) { return 0, false },
 		Observe: func(string, string, time.Duration) {}, FirstToken: func(time.Duration) {}, Gap: func(time.Duration) {},
@@ -229,6 +230,11 @@
 	}
 }
 
+// occupy has a request outstanding at a backend server.
+func (x *fixture) occupy(id string) {
+	x.forwarder.Balancer.Choose(time.Now(), []*messenger.Backend{{Id: id}}, nil)
+}
+
 // reply is what a client got.
 type reply struct {
 	status int
--- a/internal/fleet/forwarder/load_test.go
+++ b/internal/fleet/forwarder/load_test.go
@@ -6,6 +6,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"verbenareach/internal/fleet/balancer"
 )
 
 // TestOnlyBackendServerIsNotOverrun plays what comes after a restart of all hosts: many
@@ -40,8 +42,8 @@
 			t.Errorf("client got %d", status)
 		}
 	}
-	if most > minOutstanding {
-		t.Errorf("%d requests at once at a backend server that takes %d of this host", most, minOutstanding)
+	if most > balancer.MinOutstanding {
+		t.Errorf("%d requests at once at a backend server that takes %d of this host", most, balancer.MinOutstanding)
 	}
 }
 
@@ -53,7 +55,7 @@
 	})
 	x := newFixture(t, s)
 	var wg sync.WaitGroup
-	for range minOutstanding {
+	for range balancer.MinOutstanding {
 		wg.Go(func() { x.send("/once/a", key, "") })
 	}
 	time.Sleep(100 * time.Millisecond)
--- a/internal/fleet/runner/news.go
+++ b/internal/fleet/runner/news.go
@@ -191,6 +191,7 @@
 	now := time.Now()
 	h.spread(now, from.Name, h.tracker.Learn(now, m.Backends))
 	h.allocator.Receive(now, from, m)
+	h.takeLosses(now, from, m.Losses)
 	if m.ConfigVersion > h.version() && from.Hub && h.fetching.CompareAndSwap(false, true) {
 		go h.fetch(from, m.ConfigVersion)
 	}
@@ -257,3 +258,31 @@
 	}
 	return 0
 }
+
+// tellLoss tells the other hosts that a backend server lost an answer. Only hubs are
+// linked to all hosts, so another host has one of them pass it on.
+func (h *Runner) tellLoss(backend string) {
+	relay := !h.Settings.Host.Hub
+	h.linker.TellAll("", func(m *messenger.LinkMessage) {
+		m.Losses = append(m.Losses, &messenger.Loss{Backend: backend, Relay: relay})
+		relay = false
+	})
+}
+
+// takeLosses takes what another host says of lost answers.
+func (h *Runner) takeLosses(now time.Time, from *messenger.FleetHost, losses []*messenger.Loss) {
+	for _, loss := range losses {
+		h.balancer.LostElsewhere(now, loss.Backend)
+		if !loss.Relay {
+			continue
+		}
+		for _, host := range h.linker.Linked() {
+			if host.Hub || host.Name == from.Name {
+				continue
+			}
+			h.linker.Tell(host.Name, func(m *messenger.LinkMessage) {
+				m.Losses = append(m.Losses, &messenger.Loss{Backend: loss.Backend})
+			})
+		}
+	}
+}
--- a/internal/fleet/runner/runner.go
+++ b/internal/fleet/runner/runner.go
@@ -22,6 +22,7 @@
 	"verbenareach/internal/event/logger"
 	"verbenareach/internal/event/meter"
 	"verbenareach/internal/fleet/allocator"
+	"verbenareach/internal/fleet/balancer"
 	"verbenareach/internal/fleet/budgeter"
 	"verbenareach/internal/fleet/cataloger"
 	"verbenareach/internal/fleet/forwarder"
@@ -52,6 +53,7 @@
 		linker    *linker.Linker
 		keeper    *keeper.Keeper
 		allocator *allocator.Allocator
+		balancer  *balancer.Balancer
 		forwarder *forwarder.Forwarder
 		receiver  *receiver.Receiver
 		pool      *sender.Pool
@@ -170,8 +172,9 @@
 		Order: func(m *messenger.MoveOrder) bool { return h.forwarder.Order(m) },
 		Runs:  func() []*messenger.RunState { return h.forwarder.Runs() },
 	}
+	h.balancer = &balancer.Balancer{FailureDomain: s.Host.FailureDomain, Hosts: h.hosts, TellLoss: h.tellLoss}
 	h.forwarder = &forwarder.Forwarder{
-		Dialect: h.Dialect, Since: time.Now(), FailureDomain: s.Host.FailureDomain, Catalog: h.catalog.Load, Tracker: h.tracker,
+		Dialect: h.Dialect, Balancer: h.balancer, Since: time.Now(), FailureDomain: s.Host.FailureDomain, Catalog: h.catalog.Load, Tracker: h.tracker,
 		Budget: budget, Pool: h.pool, Place: h.allocator.Place, Tell: h.allocator.Report,
 		Stopping: h.timeLeft, Log: h.Log, Observe: h.meter.Request,
 		FirstToken: h.meter.FirstToken, Gap: h.meter.Gap,
