--- a/internal/event/logger/fleetevents.go
+++ b/internal/event/logger/fleetevents.go
@@ -4,11 +4,12 @@
 
 // Events of the hosts of a fleet.
 var (
-	FleetStarted   = Event{6001, log.InfoLevel, "fleet host started"}
-	FleetStopping  = Event{6002, log.InfoLevel, "fleet host stops"}
-	FleetStopped   = Event{6003, log.InfoLevel, "fleet host stopped"}
-	FleetReloaded  = Event{6004, log.InfoLevel, "settings read again"}
-	FleetReadiness = Event{6005, log.InfoLevel, "readiness changed"}
+	FleetStarted    = Event{6001, log.InfoLevel, "fleet host started"}
+	FleetStopping   = Event{6002, log.InfoLevel, "fleet host stops"}
+	FleetStopped    = Event{6003, log.InfoLevel, "fleet host stopped"}
+	FleetReloaded   = Event{6004, log.InfoLevel, "settings read again"}
+	FleetReadiness  = Event{6005, log.InfoLevel, "readiness changed"}
+	FleetStoodStill = Event{6006, log.WarnLevel, "host stood still"}
 
 	// Events of what a host believes of the others.
 	FleetLinked         = Event{6101, log.InfoLevel, "link to a host is up"}
@@ -44,7 +45,7 @@
 	RunCopyReleased = Event{6406, log.InfoLevel, "copy of a generation given back"}
 
 	fleetEvents = []Event{
-		FleetStarted, FleetStopping, FleetStopped, FleetReloaded, FleetReadiness, FleetLinked, FleetUnlinked,
+		FleetStarted, FleetStopping, FleetStopped, FleetReloaded, FleetReadiness, FleetStoodStill, FleetLinked, FleetUnlinked,
 		FleetMemberChanged, FleetLogFailed, FleetBackendChanged, FleetDeciderChanged, FleetConfigAdopted,
 		FleetConfigDecided, FleetConfigRefused, FleetConfigRead, FleetConfigRejected, FleetReportRefused,
 		ForwardMalformed, ForwardRefused, ForwardFailed, ForwardRepeated, ForwardServed, ForwardLeft,
--- a/internal/fleet/runner/runner.go
+++ b/internal/fleet/runner/runner.go
@@ -250,7 +250,7 @@
 func (h *Runner) tend(ctx context.Context) {
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
-	expired, reloaded := time.Now(), time.Now()
+	last, expired, reloaded := time.Now(), time.Now(), time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -261,6 +261,8 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
+		h.notePause(last, now)
+		last = now
 		h.lead()
 		h.allocator.Advance(now, h.Settings.Host.Hub, h.leads.Load())
 		if now.Sub(expired) >= expireEvery {
