--- a/internal/control/replicator/transport.go
+++ b/internal/control/replicator/transport.go
@@ -14,6 +14,7 @@
 	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcwire"
 
+	"verbenareach/internal/wire/dialer"
 	"verbenareach/internal/wire/messenger"
 )
 
@@ -41,12 +42,6 @@
 		conn *drpcconn.Conn
 		open messenger.DRPCPeers_ExchangeClient
 	}
-
-	// timedConn bounds the time that a write may take.
-	timedConn struct {
-		net.Conn
-		timeout time.Duration
-	}
 )
 
 var _ messenger.DRPCPeersServer = &Service{}
@@ -155,14 +150,6 @@
 	}
 }
 
-// Write writes within the timeout.
-func (c timedConn) Write(data []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(c.timeout)); err != nil {
-		return 0, err
-	}
-	return c.Conn.Write(data)
-}
-
 func (s *stream) close() error {
 	if s.conn == nil {
 		return nil
@@ -182,7 +169,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return drpcconn.NewWithOptions(timedConn{conn, timeout}, drpcconn.Options{Manager: managerOptions()}), nil
+	return drpcconn.NewWithOptions(dialer.TimedConn{Conn: conn, Timeout: timeout}, drpcconn.Options{Manager: managerOptions()}), nil
 }
 
 // openStream opens a stream that lives on after the message it is opened for; ctx is
--- a/internal/fleet/linker/link.go
+++ b/internal/fleet/linker/link.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"sync"
 	"time"
 
@@ -33,11 +32,6 @@
 		Send(m *messenger.LinkMessage) error
 		Recv() (*messenger.LinkMessage, error)
 	}
-
-	// timedConn bounds the time that a write may take.
-	timedConn struct {
-		net.Conn
-	}
 )
 
 var errLinkEnded = eris.New("link has ended")
@@ -60,14 +54,6 @@
 	return errLinkEnded
 }
 
-// Write writes within the time allowed.
-func (c *timedConn) Write(p []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return 0, err
-	}
-	return c.Conn.Write(p)
-}
-
 // serve runs a link until it ends or falls silent.
 func (l *Linker) serve(ctx context.Context, stream messageStream, closer io.Closer) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/fleet/linker/linker.go
+++ b/internal/fleet/linker/linker.go
@@ -399,5 +399,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return &timedConn{Conn: raw}, nil
+	return dialer.TimedConn{Conn: raw, Timeout: writeTimeout}, nil
 }
--- /dev/null
+++ b/internal/wire/dialer/timed_test.go
@@ -0,0 +1,21 @@
+package dialer
+
+import (
+	"errors"
+	"net"
+	"os"
+	"testing"
+	"time"
+)
+
+func TestWriteToAPeerThatReadsNothingEnds(t *testing.T) {
+	a, b := net.Pipe()
+	defer func() {
+		_ = a.Close()
+		_ = b.Close()
+	}()
+	_, err := TimedConn{Conn: a, Timeout: 20 * time.Millisecond}.Write([]byte("x"))
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("write ended with %v", err)
+	}
+}
