fix: count and give back the copy of a run that ends while it is moved

A run that came to its own end while its memory was copied left that copy at the destination for handle-s: the scheduler dropped it at once, and the host ended the copying call with the request, so that it never learned how to name the copy. Change: a copy in progress goes on when its request ends, and is released then; the scheduler counts it for a second. Tests: both seen to fail before.

--- a/internal/fleet/forwarder/generation_test.go
+++ b/internal/fleet/forwarder/generation_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"verbenareach/internal/fleet/sender"
 	"verbenareach/internal/wire/messenger"
 )
 
@@ -443,3 +444,48 @@
 		t.Error("destination keeps the copy")
 	}
 }
+
+func TestCopyOfARunThatEndsMeanwhileIsGivenBack(t *testing.T) {
+	var x *fixture
+	copying, ended, released := make(chan struct{}), make(chan struct{}), make(chan string, 1)
+	e1 := newStandIn(t, "e1", func(c net.Conn, seen seenRequest) bool {
+		switch {
+		case seen.URL.Path != "/copy":
+			begin(c, seen)
+			chunk(c, event(1))
+			time.Sleep(50 * time.Millisecond)
+			x.forwarder.Order(&messenger.MoveOrder{Run: "id-1", From: "e1", To: "e2"})
+			<-copying
+			chunk(c, event(2))
+			return end(c)
+		default:
+			close(copying)
+			<-ended
+			return answer(c, seen, 200, "", `{"ID":"handle"}`)
+		}
+	})
+	e2 := newStandIn(t, "e2", func(c net.Conn, seen seenRequest) bool {
+		released <- seen.URL.Path
+		return answer(c, seen, 200, "", "")
+	})
+	x = newFixture(t, e1, e2)
+	x.forwarder.Dialect.Copy = func(ctx context.Context, pool *sender.Pool, address, run, to string, stop bool) (Handle, error) {
+		if stop {
+			return "", errDeclined
+		}
+		return copyByCall(ctx, pool, address, run, to, stop)
+	}
+	x.place = "e1"
+	if got := x.send("/stream/a", key, "prompt"); got.err != nil || got.body != events(1, 2) {
+		t.Fatalf("client got %q, %v", got.body, got.err)
+	}
+	close(ended)
+	select {
+	case got := <-released:
+		if got != "/release/handle" {
+			t.Errorf("destination got %q", got)
+		}
+	case <-time.After(2 * time.Second):
+		t.Error("destination keeps the copy of a run that has ended")
+	}
+}
--- a/internal/fleet/forwarder/move.go
+++ b/internal/fleet/forwarder/move.go
@@ -54,8 +54,9 @@
 }
 
 // copyAway copies a run's memory while it goes on, and then stops it and copies the rest.
+// It goes on when the request has ended, as only a copy that is complete can be given back.
 func (f *Forwarder) copyAway(ctx context.Context, from, run, to string) copyOutcome {
-	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), copyTimeout)
 	defer cancel()
 	begun, err := f.Dialect.Copy(ctx, f.Pool, from, run, to, false)
 	if err != nil {
--- a/internal/fleet/scheduler/leftovers.go
+++ b/internal/fleet/scheduler/leftovers.go
@@ -14,18 +14,28 @@
 	until time.Time
 }
 
-// leftoverMargin is how long beyond its time an engine may keep a copy.
-const leftoverMargin = time.Second
+const (
+	// leftoverMargin is how long beyond its time an engine may keep a copy.
+	leftoverMargin = time.Second
+	// releaseTime is how long a host may take to give back the copy of a run that ended
+	// while it was moved: it learns how to name the copy when that is complete.
+	releaseTime = time.Second
+)
 
 // leave notes that an engine keeps a copy of what a run holds now, though nobody uses it
-// any more.
+// any more, until it gives that up by itself.
 func (s *Scheduler) leave(now time.Time, b *backend, r *run) {
-	if r.first.IsZero() || b.engine.CopyLife <= 0 {
+	if b.engine.CopyLife > 0 {
+		s.leaveFor(now, b, r, b.engine.CopyLife+leftoverMargin)
+	}
+}
+
+// leaveFor notes the same for a time.
+func (s *Scheduler) leaveFor(now time.Time, b *backend, r *run, length time.Duration) {
+	if r.first.IsZero() {
 		return
 	}
-	b.leftovers = append(b.leftovers, leftover{
-		tokens: s.claim(now, r).held, until: now.Add(b.engine.CopyLife + leftoverMargin),
-	})
+	b.leftovers = append(b.leftovers, leftover{tokens: s.claim(now, r).held, until: now.Add(length)})
 	b.outlook.at = time.Time{}
 }
 
--- a/internal/fleet/scheduler/runs.go
+++ b/internal/fleet/scheduler/runs.go
@@ -103,16 +103,18 @@
 	r.source = nil
 }
 
-// end forgets a run. Unless it is whole, the engine with its copy keeps that for a while.
+// end forgets a run. The engine with its copy keeps that for a while unless the run is
+// whole, the one that it was moving to until its host has given it back.
 func (s *Scheduler) end(now time.Time, id string, whole bool) {
 	r := s.runs[id]
 	if r == nil {
 		return
 	}
-	for _, holder := range []*backend{r.copied, r.destination} {
-		if holder != nil && !whole {
-			s.leave(now, holder, r)
-		}
+	if r.copied != nil && !whole {
+		s.leave(now, r.copied, r)
+	}
+	if r.destination != nil {
+		s.leaveFor(now, r.destination, r, releaseTime)
 	}
 	s.settleMove(r)
 	r.at.remove(r, false)
--- a/internal/fleet/scheduler/scheduler_test.go
+++ b/internal/fleet/scheduler/scheduler_test.go
@@ -407,3 +407,21 @@
 		t.Error("the second move is forgotten with the first one's end")
 	}
 }
+
+func TestCopyOfARunThatEndsWhileItMovesIsTakenUntilItIsGivenBack(t *testing.T) {
+	s, d := newScheduler(backendAt("e1", "a"))
+	s.Ask(start, "entry", demand("1", 5000, 400))
+	streaming(s, start, d, "1")
+	draining := backendAt("e1", "a")
+	draining.State, draining.Sequence = messenger.Backend_STATE_DRAINING, 2
+	s.SetBackends(start, []*messenger.Backend{draining, backendAt("e2", "a")})
+	s.Report(start, "entry", &messenger.RunState{
+		Run: "1", Backend: "e1", Phase: messenger.RunState_PHASE_ENDED, MadeTokens: 400, Whole: true,
+	})
+	if taken := s.used(start, s.backends["e2"]); taken < 5000 {
+		t.Errorf("%d tokens taken where the run was moving to", taken)
+	}
+	if taken := s.used(start.Add(releaseTime), s.backends["e2"]); taken != 0 {
+		t.Errorf("%d tokens taken after the host had time to give them back", taken)
+	}
+}
