fix: a silent voter that costs a loss which must be borne goes after a second

Three of four voters had to agree; when the leader lost its disk then, two were left, and no change was ever decided again. Ruled out: the election (the leader was there 3.2 s after the loss) and the adding (0.3 s later). Change: where the silent voter makes fewer losses bearable than must be, and its removal mends that, it goes after one second; in all other cases five, as before. The membership is looked at every 250 ms. Tests: the play of a replacement, and the table: the case 'four voters, one silent for two seconds' expected no change, which is the fault; it now expects the removal after one second, and five and six voters keep the former expectation.

--- a/internal/fleet/keeper/membership.go
+++ b/internal/fleet/keeper/membership.go
@@ -33,10 +33,12 @@
 
 const (
 	// manageEvery is the pause between looks at the membership.
-	manageEvery = 500 * time.Millisecond
+	manageEvery = 250 * time.Millisecond
 	// absentFor is how long a voter must be silent before it is removed. A host that
 	// merely restarts is back sooner.
 	absentFor = 5 * time.Second
+	// hurryFor takes its place where the silent voter costs a loss that must be borne.
+	hurryFor = time.Second
 	// addAgain is the wait after a hub could not be added.
 	addAgain = 2 * time.Second
 	// changeTimeout bounds one change of the membership.
@@ -92,6 +94,10 @@
 			return step{add: h}
 		}
 	}
+	patience := absentFor
+	if w.costsALoss(members) {
+		patience = hurryFor
+	}
 	voters, alive := 0, 0
 	oldest := ""
 	for _, m := range members {
@@ -104,7 +110,7 @@
 			alive++
 			continue
 		}
-		if now.Sub(since) >= absentFor && (oldest == "" || since.Before(w.absent[oldest])) {
+		if now.Sub(since) >= patience && (oldest == "" || since.Before(w.absent[oldest])) {
 			oldest = m.ID
 		}
 	}
@@ -114,6 +120,23 @@
 	return step{}
 }
 
+// costsALoss tells whether fewer of the voters that answer may be lost than must be borne,
+// and more could be without one that is silent.
+func (w *warden) costsALoss(members []replicator.MemberStatus) bool {
+	voters, alive := 0, 0
+	for _, m := range members {
+		if !m.Voter {
+			continue
+		}
+		voters++
+		if m.Alive || m.Name == w.self {
+			alive++
+		}
+	}
+	bears := func(voters int) int { return alive - (voters/2 + 1) }
+	return alive < voters && bears(voters) < w.quorumOf/2 && bears(voters-1) > bears(voters)
+}
+
 // note keeps since when each member has not answered.
 func (w *warden) note(now time.Time, members []replicator.MemberStatus) {
 	absent := make(map[string]time.Time)
