--- a/internal/fleet/allocator/allocator.go
+++ b/internal/fleet/allocator/allocator.go
@@ -236,8 +236,9 @@
 	})
 }
 
-// decide hands a decision to the request that waits for it. A place that nobody waits
-// for is given back. The lock is held.
+// decide hands a decision to the request that waits for it. Nobody waits for one where
+// the request was cancelled, of which who decides hears, or decided by another host
+// before: then the reports of the run tell where it is. The lock is held.
 func (a *Allocator) decide(p *messenger.Placement) {
 	r := a.pending[p.Run]
 	if r == nil {
