perf: start no further copy of a run whose memory was just moved

Change: a run that continues from a copy gets a new one, as before; one whose memory was moved does not. Test seen to fail before.

--- a/internal/fleet/scheduler/moves.go
+++ b/internal/fleet/scheduler/moves.go
@@ -101,8 +101,11 @@
 		to.add(r, true)
 		s.occupy(now, from, to, s.claim(now, r).held)
 	}
-	if c := s.copyTarget(now, r, to); c != nil {
-		m.Backup = c.report.Id
+	if copied {
+		// After a move, a copy of all memory would fill the link on which the next runs come.
+		if c := s.copyTarget(now, r, to); c != nil {
+			m.Backup = c.report.Id
+		}
 	}
 	s.Send(r.entry, Decision{Move: m})
 }
--- a/internal/fleet/scheduler/scheduler_test.go
+++ b/internal/fleet/scheduler/scheduler_test.go
@@ -425,3 +425,33 @@
 		t.Errorf("%d tokens taken after the host had time to give them back", taken)
 	}
 }
+
+func TestMoveOfMemoryStartsNoFurtherCopy(t *testing.T) {
+	for _, copied := range []bool{false, true} {
+		t.Run(fmt.Sprintf("copied %v", copied), func(t *testing.T) {
+			backends := []*messenger.Backend{backendAt("e1", "a")}
+			if copied {
+				backends = append(backends, backendAt("e2", "a"))
+			}
+			s, d := newScheduler(backends...)
+			s.Ask(start, "entry", demand("1", 2000, 800))
+			streaming(s, start, d, "1")
+			from := d.placed["1"].Backend
+			now := start.Add(2 * copyStart)
+			for _, b := range []string{"e1", "e2", "e3", "e4"} {
+				report := backendAt(b, "a")
+				if b == from {
+					report.State, report.Sequence = messenger.Backend_STATE_DRAINING, 2
+				}
+				backends = append(backends, report)
+			}
+			s.SetBackends(now, backends[len(backends)-4:])
+			if len(d.moves) != 1 || d.moves[0].Copied != copied {
+				t.Fatalf("moves %v", d.moves)
+			}
+			if got := d.moves[0].Backup != ""; got != copied {
+				t.Errorf("a further copy is made: %v; its memory would use the links while others move", got)
+			}
+		})
+	}
+}
