--- a/internal/fleet/keeper/membership_test.go
+++ b/internal/fleet/keeper/membership_test.go
@@ -78,7 +78,7 @@
 	}
 	members = append(members, voter("d", "4", true))
 	now := start
-	for now = start; now.Before(start.Add(2 * time.Second)); now = now.Add(manageEvery) {
+	for ; now.Before(start.Add(2 * time.Second)); now = now.Add(manageEvery) {
 		if got := w.next(now, members, successor); got.remove == "1" {
 			return
 		}
