--- a/internal/fleet/forwarder/call.go
+++ b/internal/fleet/forwarder/call.go
@@ -137,13 +137,13 @@
 // attempt sends the request to one backend server and reads its whole answer. It calls
 // done with how that ended.
 func (f *Forwarder) attempt(ctx context.Context, x *exchange, b *messenger.Backend, done balancer.Done) (*whole, error) {
-	answer, err := f.exchange(ctx, x, b)
-	done(time.Now(), outcome(ctx, answer, err))
+	answer, err := f.roundTrip(ctx, x, b)
+	done(time.Now(), outcomeOf(ctx, answer, err))
 	return answer, err
 }
 
-// exchange sends the request to one backend server and reads its whole answer.
-func (f *Forwarder) exchange(ctx context.Context, x *exchange, b *messenger.Backend) (*whole, error) {
+// roundTrip sends the request to one backend server and reads its whole answer.
+func (f *Forwarder) roundTrip(ctx context.Context, x *exchange, b *messenger.Backend) (*whole, error) {
 	fresh := time.Duration(0)
 	if x.route.Kind != cataloger.Idempotent {
 		fresh = freshOnce
@@ -173,9 +173,9 @@
 	return answer, nil
 }
 
-// outcome tells what the end of an exchange says of the backend server. That a client
+// outcomeOf tells what the end of a request says of the backend server. That a client
 // left or its time ended says nothing.
-func outcome(ctx context.Context, answer *whole, err error) balancer.Outcome {
+func outcomeOf(ctx context.Context, answer *whole, err error) balancer.Outcome {
 	lost := new(sender.LostError)
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
--- a/internal/fleet/forwarder/generation.go
+++ b/internal/fleet/forwarder/generation.go
@@ -70,8 +70,8 @@
 		c.place = c.placeHere
 	}
 	defer func() { c.leave() }()
-	f.enlist(c)
-	defer f.strike(c)
+	f.register(c)
+	defer f.unregister(c)
 	if !c.start(ctx) {
 		return
 	}
@@ -79,8 +79,8 @@
 	c.tell(messenger.RunState_PHASE_ENDED)
 }
 
-// enlist has orders find a generation of this host, and whoever asks for all of them.
-func (f *Forwarder) enlist(c *course) {
+// register has orders find a generation of this host, and whoever asks for all of them.
+func (f *Forwarder) register(c *course) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.courses == nil {
@@ -89,8 +89,8 @@
 	f.courses[c.x.id] = c
 }
 
-// strike forgets a generation, unless another one has its id by now.
-func (f *Forwarder) strike(c *course) {
+// unregister forgets a generation, unless another one has its id by now.
+func (f *Forwarder) unregister(c *course) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.courses[c.x.id] == c {
--- a/internal/fleet/scheduler/forecast.go
+++ b/internal/fleet/scheduler/forecast.go
@@ -128,9 +128,14 @@
 	return made
 }
 
-// add and remove change what is on an engine; copied tells that it is a copy.
-func (b *backend) add(r *run, copied bool) {
+// changed has the outlook made anew, as what is on the engine has changed.
+func (b *backend) changed() {
 	b.outlook.at = time.Time{}
+}
+
+// add puts a run, or its copy where copied is set, on the engine.
+func (b *backend) add(r *run, copied bool) {
+	b.changed()
 	if copied {
 		b.copies[r.id] = r
 		return
@@ -138,8 +143,9 @@
 	b.runs[r.id] = r
 }
 
+// remove takes a run, or its copy where copied is set, from the engine.
 func (b *backend) remove(r *run, copied bool) {
-	b.outlook.at = time.Time{}
+	b.changed()
 	if copied {
 		delete(b.copies, r.id)
 		return
--- a/internal/fleet/scheduler/leftovers.go
+++ b/internal/fleet/scheduler/leftovers.go
@@ -22,21 +22,21 @@
 	releaseTime = time.Second
 )
 
-// leave notes that an engine keeps a copy of what a run holds now, though nobody uses it
+// keepCopy notes that an engine keeps a copy of what a run holds now, though nobody uses it
 // any more, until it gives that up by itself.
-func (s *Scheduler) leave(now time.Time, b *backend, r *run) {
+func (s *Scheduler) keepCopy(now time.Time, b *backend, r *run) {
 	if b.engine.CopyLife > 0 {
-		s.leaveFor(now, b, r, b.engine.CopyLife+leftoverMargin)
+		s.keepCopyFor(now, b, r, b.engine.CopyLife+leftoverMargin)
 	}
 }
 
-// leaveFor notes the same for a time.
-func (s *Scheduler) leaveFor(now time.Time, b *backend, r *run, length time.Duration) {
+// keepCopyFor notes the same for a time.
+func (s *Scheduler) keepCopyFor(now time.Time, b *backend, r *run, length time.Duration) {
 	if r.first.IsZero() {
 		return
 	}
 	b.leftovers = append(b.leftovers, leftover{tokens: s.claim(now, r).held, until: now.Add(length)})
-	b.outlook.at = time.Time{}
+	b.changed()
 }
 
 // holdLeftovers adds an engine's leftovers to a forecast, each until its time is over.
--- a/internal/fleet/scheduler/moves.go
+++ b/internal/fleet/scheduler/moves.go
@@ -84,7 +84,7 @@
 // taken to be there at once; another one is expected there.
 func (s *Scheduler) order(now time.Time, from, to *backend, r *run, copied bool) {
 	if r.copied != nil && !copied {
-		s.leave(now, r.copied, r)
+		s.keepCopy(now, r.copied, r)
 	}
 	if r.copied != nil {
 		r.copied.remove(r, true)
--- a/internal/fleet/scheduler/runs.go
+++ b/internal/fleet/scheduler/runs.go
@@ -33,7 +33,7 @@
 	r.first, r.made = now, int(state.MadeTokens)
 	s.settleMove(r)
 	s.relocate(now, r, state)
-	r.at.outlook.at = time.Time{}
+	r.at.changed()
 	r.at.losses = 0
 }
 
@@ -49,7 +49,7 @@
 	if r.copied != nil && r.copied != c {
 		r.copied.remove(r, true)
 		if r.copied != r.at {
-			s.leave(now, r.copied, r)
+			s.keepCopy(now, r.copied, r)
 		}
 	}
 	r.copied = c
@@ -69,7 +69,7 @@
 	if to != nil {
 		to.avoid = now.Add(avoidAfterFailure)
 		if !state.Released {
-			s.leave(now, to, r)
+			s.keepCopy(now, to, r)
 		}
 	}
 	s.settleMove(r)
@@ -111,10 +111,10 @@
 		return
 	}
 	if r.copied != nil && !whole {
-		s.leave(now, r.copied, r)
+		s.keepCopy(now, r.copied, r)
 	}
 	if r.destination != nil {
-		s.leaveFor(now, r.destination, r, releaseTime)
+		s.keepCopyFor(now, r.destination, r, releaseTime)
 	}
 	s.settleMove(r)
 	r.at.remove(r, false)
--- a/internal/fleet/scheduler/scheduler_test.go
+++ b/internal/fleet/scheduler/scheduler_test.go
@@ -43,6 +43,13 @@
 	return &messenger.Backend{Id: id, Service: "llm", FailureDomain: domain, Slots: 8, Started: 1, Sequence: 1}
 }
 
+// drainingAt returns an engine in failure domain a that has told that it leaves.
+func drainingAt(id string) *messenger.Backend {
+	b := backendAt(id, "a")
+	b.State, b.Sequence = messenger.Backend_STATE_DRAINING, 2
+	return b
+}
+
 func demand(run string, prompt, output int32) *messenger.PlaceRequest {
 	return &messenger.PlaceRequest{
 		Run: run, Service: "llm", PromptTokens: prompt, HintTokens: output, MaxTokens: 4 * output,
@@ -339,8 +346,7 @@
 			s, d := newScheduler(backendAt("e1", "a"))
 			s.Ask(start, "entry", demand("1", 5000, 400))
 			streaming(s, start, d, "1")
-			draining := backendAt("e1", "a")
-			draining.State, draining.Sequence = messenger.Backend_STATE_DRAINING, 2
+			draining := drainingAt("e1")
 			s.SetBackends(start, []*messenger.Backend{draining, backendAt("e2", "a")})
 			if len(d.moves) != 1 || d.moves[0].To != "e2" {
 				t.Fatalf("moves %v", d.moves)
@@ -385,8 +391,7 @@
 		s.Ask(start, "entry", demand(run, 2000, 800))
 		streaming(s, start, d, run)
 	}
-	draining := backendAt("e1", "a")
-	draining.State, draining.Sequence = messenger.Backend_STATE_DRAINING, 2
+	draining := drainingAt("e1")
 	s.SetBackends(start, []*messenger.Backend{draining, backendAt("e2", "a"), backendAt("e3", "a")})
 	if len(d.moves) != 1 {
 		t.Fatalf("%d moves at once from one engine", len(d.moves))
@@ -412,8 +417,7 @@
 	s, d := newScheduler(backendAt("e1", "a"))
 	s.Ask(start, "entry", demand("1", 5000, 400))
 	streaming(s, start, d, "1")
-	draining := backendAt("e1", "a")
-	draining.State, draining.Sequence = messenger.Backend_STATE_DRAINING, 2
+	draining := drainingAt("e1")
 	s.SetBackends(start, []*messenger.Backend{draining, backendAt("e2", "a")})
 	s.Report(start, "entry", &messenger.RunState{
 		Run: "1", Backend: "e1", Phase: messenger.RunState_PHASE_ENDED, MadeTokens: 400, Whole: true,
@@ -441,7 +445,7 @@
 			for _, b := range []string{"e1", "e2", "e3", "e4"} {
 				report := backendAt(b, "a")
 				if b == from {
-					report.State, report.Sequence = messenger.Backend_STATE_DRAINING, 2
+					report = drainingAt(b)
 				}
 				backends = append(backends, report)
 			}
