perf: have a message cost what it changes, not the queue times all engines

Cause, of the ten and more seconds of late and refused generations after all hosts of the large fleet lost power: processor time of the deciding hub. Each report and each request made it evaluate every waiting request against every engine, and order the moves of every leaving engine anew. A queue of some hundred made a message cost tens of milliseconds, so that the queue grew; reports of first tokens waited behind, which left every engine "reading". Change: a waiting request is evaluated once against all engines and then only against those that changed; the tick every 50 ms evaluates all. Reports and requests of one message are handled before decisions are made. Moves are ordered after changes that allow one.

--- a/internal/agent/admitter/admitter.go
+++ b/internal/agent/admitter/admitter.go
@@ -299,9 +299,8 @@
 	if w.Resumed > 0 {
 		risk = math.Pow(risk, resumeExponent)
 	}
-	fits := func(f *forecaster.Forecast) bool {
-		return f.Fits(needed, maxGrowth(w, w.Resumed), &survival, risk, bound)
-	}
+	demand := forecaster.NewDemand(needed, maxGrowth(w, w.Resumed), &survival, risk)
+	fits := func(f *forecaster.Forecast) bool { return f.Fits(&demand, bound) }
 	switch {
 	case len(a.byAdmission) >= a.settings.MaxBatch:
 		return Batch
--- a/internal/fleet/allocator/allocator.go
+++ b/internal/fleet/allocator/allocator.go
@@ -126,11 +126,8 @@
 	if m.AllRuns {
 		a.sched.Forget(now, from.Name)
 	}
-	for _, s := range m.Runs {
-		a.sched.Report(now, from.Name, s)
-	}
-	for _, req := range m.Places {
-		a.sched.Submit(now, from.Name, req)
+	if len(m.Runs) > 0 || len(m.Places) > 0 {
+		a.sched.Receive(now, from.Name, m.Runs, m.Places)
 	}
 	for _, p := range m.Placements {
 		a.deliver(p)
--- a/internal/fleet/scheduler/backups.go
+++ b/internal/fleet/scheduler/backups.go
@@ -30,7 +30,7 @@
 // orphans are forecast to take; 1 if no engine is ready.
 func (s *Scheduler) fleetFill(now time.Time, service string) float64 {
 	used, room := 0, 0
-	for _, b := range s.backends {
+	for _, b := range s.ordered {
 		if b.report.Service != service || b.report.State != messenger.Backend_STATE_READY {
 			continue
 		}
@@ -57,12 +57,13 @@
 	var best *backend
 	bestCost := 0.0
 	need := s.footprint(now, r).peak
-	for _, b := range s.backends {
+	limit := backupFillLimit(r)
+	for _, b := range s.ordered {
 		if b == primary || b == r.backend || b.report.Service != primary.report.Service || b.report.State != messenger.Backend_STATE_READY {
 			continue
 		}
 		fill := float64(s.peakMemory(now, b)+need) / float64(b.engine.Tokens)
-		if fill > backupFillLimit(r) {
+		if fill > limit {
 			continue
 		}
 		// From here on fill is a cost: a second until the link is free counts as a full engine.
--- a/internal/fleet/scheduler/moves.go
+++ b/internal/fleet/scheduler/moves.go
@@ -8,48 +8,56 @@
 	"verbenareach/internal/wire/messenger"
 )
 
+// candidate is a run that may be moved.
+type candidate struct {
+	run *run
+	// rank orders candidates before density does; see moveRank.
+	rank    int
+	density float64
+}
+
 // moveAll orders moves away from engines that are leaving.
 func (s *Scheduler) moveAll(now time.Time) {
-	for _, b := range s.backends {
+	for _, b := range s.ordered {
 		if b.leavingSince.IsZero() || len(b.runs) == 0 {
 			continue
 		}
-		for _, r := range s.movable(now, b) {
-			s.move(now, b, r)
+		for _, c := range s.movable(now, b) {
+			s.move(now, b, c.run)
 		}
 	}
 }
 
 // movable returns the runs to move away from an engine, in the order of moving: those with
 // a complete backup first, then those with the highest worth for each token to transfer.
-func (s *Scheduler) movable(now time.Time, b *backend) []*run {
-	var list []*run
+func (s *Scheduler) movable(now time.Time, b *backend) []candidate {
+	var list []candidate
 	for _, r := range b.runs {
-		if r.streamingSince.IsZero() || r.moveFailures >= maxMoveFailures {
+		if r.streamingSince.IsZero() || r.destination != nil || r.moveFailures >= maxMoveFailures {
+			continue
+		}
+		rank := moveRank(now, r)
+		// All other runs need the link, which transfers one at a time.
+		if b.outgoing != nil && (rank > 0 || r.moveFailures > 0) {
 			continue
 		}
-		left := time.Duration(r.outputLength.Remaining(s.generated(now, r))) * s.tokenTime
-		if left < moveGrace && now.Sub(b.leavingSince) < moveGrace {
+		made := s.generated(now, r)
+		remaining := r.outputLength.Remaining(made)
+		if time.Duration(remaining)*s.tokenTime < moveGrace && now.Sub(b.leavingSince) < moveGrace {
 			continue
 		}
-		list = append(list, r)
+		list = append(list, candidate{run: r, rank: rank, density: density(int(r.req.PromptTokens), made, remaining)})
 	}
-	slices.SortFunc(list, func(x, y *run) int {
-		return cmp.Or(
-			cmp.Compare(moveRank(now, x), moveRank(now, y)),
-			cmp.Compare(s.density(now, y), s.density(now, x)),
-			cmp.Compare(x.id, y.id),
-		)
+	slices.SortFunc(list, func(x, y candidate) int {
+		return cmp.Or(cmp.Compare(x.rank, y.rank), cmp.Compare(y.density, x.density), cmp.Compare(x.run.id, y.run.id))
 	})
 	return list
 }
 
 // density returns the worth of a run for each token that has to be transferred. The worth is the
 // prompt's tokens plus ten times the expected tokens of the whole output.
-func (s *Scheduler) density(now time.Time, r *run) float64 {
-	made := s.generated(now, r)
-	output := made + r.outputLength.Remaining(made)
-	return float64(int(r.req.PromptTokens)+10*output) / float64(int(r.req.PromptTokens)+made)
+func density(prompt, made, remaining int) float64 {
+	return float64(prompt+10*(made+remaining)) / float64(prompt+made)
 }
 
 // moveRank orders runs with a complete backup on a ready engine, at 0, before the others, at 1.
@@ -64,9 +72,6 @@
 // move orders one run to continue on another engine, if that is possible now. An engine
 // transfers only one run at a time: transfers that share a link delay each other's end.
 func (s *Scheduler) move(now time.Time, b *backend, r *run) {
-	if r.destination != nil {
-		return
-	}
 	if moveRank(now, r) == 0 && r.moveFailures == 0 {
 		s.orderMove(now, b, r.backup, r, true)
 		return
@@ -101,7 +106,7 @@
 		from.outgoing, to.incoming = r, r
 		r.source, r.destination = from, to
 		to.add(r, true)
-		s.reserveLinks(now, from, to, s.footprint(now, r).held)
+		s.reserveLinks(now, from, to, s.held(now, r))
 	}
 	if copied {
 		// After a transfer no backup is chosen: a copy of the whole KV cache would fill the link
--- a/internal/fleet/scheduler/orphans.go
+++ b/internal/fleet/scheduler/orphans.go
@@ -36,8 +36,8 @@
 	if r.streamingSince.IsZero() {
 		return
 	}
-	b.orphans = append(b.orphans, orphan{tokens: s.footprint(now, r).held, until: now.Add(lifetime)})
-	b.invalidateForecast()
+	b.orphans = append(b.orphans, orphan{tokens: s.held(now, r), until: now.Add(lifetime)})
+	b.invalidate()
 }
 
 // addOrphans adds an engine's orphans to a forecast, each until it is freed.
--- /dev/null
+++ b/internal/fleet/scheduler/queue.go
@@ -0,0 +1,111 @@
+package scheduler
+
+import (
+	"cmp"
+	"time"
+
+	"verbenareach/internal/length/estimator"
+	"verbenareach/internal/wire/messenger"
+)
+
+// queuedRequest is a request for a placement that has no decision yet.
+type queuedRequest struct {
+	entry   string
+	req     *messenger.PlaceRequest
+	arrived time.Time
+	// outputLength and need are the forecast of the request at its arrival.
+	outputLength estimator.Distribution
+	need         need
+	// evaluated is set once all engines were evaluated for the request. After that only engines
+	// that changed are.
+	evaluated bool
+}
+
+func (s *Scheduler) newQueuedRequest(now time.Time, entry string, req *messenger.PlaceRequest) *queuedRequest {
+	w := &queuedRequest{entry: entry, req: req, arrived: now, outputLength: s.expect(req)}
+	w.need = needOf(footprintOf(req, w.outputLength, 0))
+	return w
+}
+
+// Advance makes all decisions that are due, those that follow from the time alone included.
+func (s *Scheduler) Advance(now time.Time) {
+	s.init()
+	s.movesDue = true
+	for _, b := range s.ordered {
+		b.changed = true
+	}
+	s.settle(now)
+}
+
+// settle makes the decisions that are due after a change. Its cost grows with the number of
+// waiting requests times that of the engines that changed, not that of all engines.
+func (s *Scheduler) settle(now time.Time) {
+	if s.movesDue {
+		s.movesDue = false
+		s.moveAll(now)
+	}
+	if len(s.queue) == 0 {
+		return
+	}
+	changed := s.takeChanged(now)
+	kept := s.queue[:0]
+	for _, w := range s.queue {
+		candidates := changed
+		if !w.evaluated {
+			candidates = s.ordered
+		}
+		if !s.decide(now, w, candidates) {
+			kept = append(kept, w)
+		}
+	}
+	clear(s.queue[len(kept):])
+	s.queue = kept
+}
+
+// takeChanged returns the engines that changed since the last call and may take a request.
+func (s *Scheduler) takeChanged(now time.Time) (changed []*backend) {
+	for _, b := range s.ordered {
+		if !b.changed {
+			continue
+		}
+		b.changed = false
+		if b.open(now) {
+			changed = append(changed, b)
+		}
+	}
+	return changed
+}
+
+// decide places or refuses a request and reports whether it did either. candidates holds the
+// engines that may take it, of all services.
+func (s *Scheduler) decide(now time.Time, w *queuedRequest, candidates []*backend) bool {
+	w.evaluated = true
+	if b := s.bestBackend(now, w, candidates); b != nil {
+		s.place(now, w, b)
+		return true
+	}
+	prefill := time.Duration(float64(prefillTime(int(w.req.PromptTokens))) * s.slowdown)
+	// The request waits while an engine without other prefills could still meet its objective.
+	if !now.Add(prefill + deliveryTime).After(w.objectiveEnd()) {
+		return false
+	}
+	if b := s.idleBackend(now, w); b != nil {
+		s.place(now, w, b)
+		return true
+	}
+	retryAfter := max(minRetryAfter, time.Duration(w.req.ObjectiveMs)*time.Millisecond)
+	s.Send(w.entry, Decision{Placement: &messenger.Placement{
+		Run: w.req.Run, RetryAfterMs: retryAfter.Milliseconds(), Reason: s.shortage(now, w).String(),
+	}})
+	return true
+}
+
+// objectiveEnd returns when the request's objective ends.
+func (w *queuedRequest) objectiveEnd() time.Time {
+	return w.arrived.Add(time.Duration(w.req.ObjectiveMs) * time.Millisecond)
+}
+
+// compareQueued orders requests by urgency: by priority, then by the end of the objective.
+func compareQueued(a, b *queuedRequest) int {
+	return cmp.Or(cmp.Compare(a.req.Priority, b.req.Priority), a.objectiveEnd().Compare(b.objectiveEnd()))
+}
--- a/internal/fleet/scheduler/runs.go
+++ b/internal/fleet/scheduler/runs.go
@@ -32,9 +32,10 @@
 		s.learnSlowdown(now, r)
 	}
 	r.streamingSince, r.generated = now, int(state.MadeTokens)
+	s.movesDue = s.movesDue || !r.backend.leavingSince.IsZero()
 	s.endMove(r)
 	s.relocate(now, r, state)
-	r.backend.invalidateForecast()
+	r.backend.invalidate()
 	r.backend.losses = 0
 }
 
@@ -62,6 +63,7 @@
 // failMove ends a move that failed. Its destination is avoided for a while and holds an
 // orphan, unless the report says that the copy was released.
 func (s *Scheduler) failMove(now time.Time, r *run, state *messenger.RunState) {
+	s.movesDue = true
 	to := r.destination
 	if to == nil && r.backend.report.Id != state.Backend {
 		// The run was to continue from its backup.
@@ -87,6 +89,7 @@
 	r.destination.incoming = nil
 	r.destination.remove(r, true)
 	r.source, r.destination = nil, nil
+	s.movesDue = true
 }
 
 // freeLinks records that a run's KV cache has reached its destination, so that the source
@@ -102,6 +105,7 @@
 	}
 	r.source.outgoing = nil
 	r.source = nil
+	s.movesDue = true
 }
 
 // end removes a run. Its backup becomes an orphan unless the output is whole, and so does
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -26,15 +27,21 @@
 
 		engines  map[string]cataloger.Engine
 		backends map[string]*backend
-		runs     map[string]*run
+		// ordered holds the values of backends, by id.
+		ordered []*backend
+		runs    map[string]*run
 		// queue holds the requests without a decision, the most urgent first.
 		queue []*queuedRequest
+		// movesDue is set after a change that may allow a move.
+		movesDue bool
 		// lengths learns the distribution of output lengths.
 		lengths estimator.Corrector
 		// tokenTime is the learned time to generate one token.
 		tokenTime time.Duration
 		// slowdown is the average ratio of actual to forecast prefill time on all engines.
 		slowdown float64
+		// evaluations counts how often an engine was evaluated for a request, as a measure of the cost.
+		evaluations uint64
 	}
 
 	// Decision is a placement, a refusal (a placement without a backend) or a move order; one
@@ -44,33 +51,6 @@
 		Move      *messenger.MoveOrder
 	}
 
-	// backend is an engine as last reported, with the runs and backups placed there.
-	backend struct {
-		report *messenger.Backend
-		engine cataloger.Engine
-		runs   map[string]*run
-		// backups holds the runs whose KV cache is copied here as it grows, or is being moved
-		// here; orphans holds the copies without a run that the engine has not freed yet.
-		backups map[string]*run
-		orphans []orphan
-		// leavingSince is when the backend server stopped being ready; zero while it is ready.
-		leavingSince time.Time
-		// outgoing is the run being transferred away, incoming the one being transferred here;
-		// nil for none.
-		outgoing, incoming *run
-		// avoidUntil is the time before which nothing is placed here after a failure; losses
-		// counts the runs lost here since a run last streamed.
-		avoidUntil time.Time
-		losses     int
-		// slowdown is the average ratio of actual to forecast prefill time here, as of measured,
-		// which is zero before the first sample.
-		slowdown float64
-		measured time.Time
-		forecast memoryForecast
-		// linkBusyUntil is when the link for transfers between engines is expected to be free.
-		linkBusyUntil time.Time
-	}
-
 	// run is a generation that has been placed.
 	run struct {
 		id      string
@@ -94,13 +74,6 @@
 		// moveFailures counts the moves that failed.
 		moveFailures int
 	}
-
-	// queuedRequest is a request for a placement that has no decision yet.
-	queuedRequest struct {
-		entry   string
-		req     *messenger.PlaceRequest
-		arrived time.Time
-	}
 )
 
 const (
@@ -159,6 +132,9 @@
 			b = &backend{runs: make(map[string]*run), backups: make(map[string]*run)}
 			s.backends[r.Id] = b
 		}
+		if b.report != r {
+			b.changed, s.movesDue = true, true
+		}
 		b.report, b.engine = r, engine
 		switch r.State {
 		case messenger.Backend_STATE_READY:
@@ -174,18 +150,41 @@
 			delete(s.backends, id)
 		}
 	}
-	s.Advance(now)
+	s.ordered = slices.SortedFunc(maps.Values(s.backends), func(x, y *backend) int { return cmp.Compare(x.report.Id, y.report.Id) })
+	s.settle(now)
 }
 
 // Submit queues a request for a placement, or cancels it if req.Cancelled is set. Either ends a
 // run of the same id. The engines in req.Avoid did not take the run; for avoidAfterFailure
 // nothing is placed there.
 func (s *Scheduler) Submit(now time.Time, entry string, req *messenger.PlaceRequest) {
+	s.Receive(now, entry, nil, []*messenger.PlaceRequest{req})
+}
+
+// Report updates a run from its entry's report. It adopts a run that is unknown here, unless the
+// run has ended or the report lacks its request.
+func (s *Scheduler) Report(now time.Time, entry string, state *messenger.RunState) {
+	s.Receive(now, entry, []*messenger.RunState{state}, nil)
+}
+
+// Receive handles reports and then requests of one entry, as Report and Submit do, and makes the
+// decisions that they allow only after the last one.
+func (s *Scheduler) Receive(now time.Time, entry string, states []*messenger.RunState, requests []*messenger.PlaceRequest) {
 	s.init()
+	for _, state := range states {
+		s.update(now, entry, state)
+	}
+	for _, req := range requests {
+		s.enqueue(now, entry, req)
+	}
+	s.settle(now)
+}
+
+// enqueue adds a request to the queue, or cancels it.
+func (s *Scheduler) enqueue(now time.Time, entry string, req *messenger.PlaceRequest) {
 	if req.Cancelled {
 		s.queue = slices.DeleteFunc(s.queue, func(w *queuedRequest) bool { return w.req.Run == req.Run })
 		s.end(now, req.Run, false)
-		s.Advance(now)
 		return
 	}
 	for _, id := range req.Avoid {
@@ -194,16 +193,13 @@
 		}
 	}
 	s.end(now, req.Run, false)
-	w := &queuedRequest{entry: entry, req: req, arrived: now}
+	w := s.newQueuedRequest(now, entry, req)
 	at, _ := slices.BinarySearchFunc(s.queue, w, compareQueued)
 	s.queue = slices.Insert(s.queue, at, w)
-	s.Advance(now)
 }
 
-// Report updates a run from its entry's report. It adopts a run that is unknown here, unless the
-// run has ended or the report lacks its request.
-func (s *Scheduler) Report(now time.Time, entry string, state *messenger.RunState) {
-	s.init()
+// update records an entry's report of a run.
+func (s *Scheduler) update(now time.Time, entry string, state *messenger.RunState) {
 	r := s.runs[state.Run]
 	if r == nil {
 		ended := state.Phase == messenger.RunState_PHASE_ENDED || state.Phase == messenger.RunState_PHASE_LOST
@@ -232,7 +228,6 @@
 		s.freeLinks(now, r)
 	case messenger.RunState_PHASE_PLACED:
 	}
-	s.Advance(now)
 }
 
 // Forget drops all runs and requests of an entry.
@@ -244,21 +239,7 @@
 			s.end(now, id, false)
 		}
 	}
-	s.Advance(now)
-}
-
-// Advance makes all decisions that are due.
-func (s *Scheduler) Advance(now time.Time) {
-	s.init()
-	s.moveAll(now)
-	kept := s.queue[:0]
-	for _, w := range s.queue {
-		if !s.decide(now, w) {
-			kept = append(kept, w)
-		}
-	}
-	clear(s.queue[len(kept):])
-	s.queue = kept
+	s.settle(now)
 }
 
 func (s *Scheduler) init() {
@@ -268,124 +249,3 @@
 		s.tokenTime = initialTokenTime
 	}
 }
-
-// decide places or refuses a request and reports whether it did either.
-func (s *Scheduler) decide(now time.Time, w *queuedRequest) bool {
-	need := footprintOf(w.req, s.expect(w.req), 0)
-	if b := s.bestBackend(now, w, &need); b != nil {
-		s.place(now, w, b)
-		return true
-	}
-	prefill := time.Duration(float64(prefillTime(int(w.req.PromptTokens))) * s.slowdown)
-	// The request waits while an engine without other prefills could still meet its objective.
-	if !now.Add(prefill + deliveryTime).After(w.objectiveEnd()) {
-		return false
-	}
-	if b := s.idleBackend(now, w, &need); b != nil {
-		s.place(now, w, b)
-		return true
-	}
-	retryAfter := max(minRetryAfter, time.Duration(w.req.ObjectiveMs)*time.Millisecond)
-	s.Send(w.entry, Decision{Placement: &messenger.Placement{
-		Run: w.req.Run, RetryAfterMs: retryAfter.Milliseconds(), Reason: s.shortage(now, w, &need).String(),
-	}})
-	return true
-}
-
-// place records a run of a request on an engine, chooses a backup and sends the placement.
-func (s *Scheduler) place(now time.Time, w *queuedRequest, b *backend) {
-	r := &run{
-		id: w.req.Run, entry: w.entry, req: w.req, backend: b, placed: now, prefillDue: now.Add(b.prefillTime(w.req)), outputLength: s.expect(w.req),
-	}
-	s.runs[r.id] = r
-	b.add(r, false)
-	p := &messenger.Placement{Run: r.id, Backend: b.report.Id, Reason: s.describe(now, b)}
-	if backup := s.chooseBackup(now, r, b); backup != nil {
-		p.Backup = backup.report.Id
-	}
-	s.Send(w.entry, Decision{Placement: p})
-}
-
-// bestBackend returns the engine with the lowest cost among those that have room for a request
-// and are expected to meet its objective; nil if there is none.
-func (s *Scheduler) bestBackend(now time.Time, w *queuedRequest, need *footprint) *backend {
-	return s.cheapestBackend(now, w.req, need, func(b *backend, fill float64) (cost float64, ok bool) {
-		if b.prefilling() >= maxPrefills || !s.prefillsInTime(now, b, w) {
-			return 0, false
-		}
-		cost = fill + float64(b.prefilling()) + s.slowdownCost(now, b)
-		if w.req.FailureDomain != b.report.FailureDomain {
-			cost += farCost
-		}
-		return cost, true
-	})
-}
-
-// idleBackend returns the emptiest engine that is idle enough to serve a request that misses its
-// objective; nil if there is none.
-func (s *Scheduler) idleBackend(now time.Time, w *queuedRequest, need *footprint) *backend {
-	return s.cheapestBackend(now, w.req, need, func(b *backend, fill float64) (cost float64, ok bool) {
-		return fill, b.prefilling() == 0 && fill <= idleFillLimit
-	})
-}
-
-// destination returns the best engine to transfer a run to; nil if none has room or all are
-// receiving another run. The cost is in seconds.
-func (s *Scheduler) destination(now time.Time, r *run, from *backend) *backend {
-	need := s.footprint(now, r)
-	return s.cheapestBackend(now, r.req, &need, func(b *backend, fill float64) (cost float64, ok bool) {
-		if b == from || b.incoming != nil {
-			return 0, false
-		}
-		return fillWeight*(fill+float64(b.prefilling())) + s.transferEnd(now, from, b, need.held).Sub(now).Seconds(), true
-	})
-}
-
-// cheapestBackend returns the engine with the lowest cost among those that accept a request and
-// have memory for need; nil if there is none. rate gets the share of an engine's memory that is
-// forecast to be filled and returns the engine's cost, and whether it may be chosen.
-func (s *Scheduler) cheapestBackend(
-	now time.Time, req *messenger.PlaceRequest, need *footprint, rate func(b *backend, fill float64) (cost float64, ok bool),
-) *backend {
-	var best *backend
-	bestCost := 0.0
-	for _, b := range s.backends {
-		if !b.accepts(now, req) || !s.fits(now, b, need) {
-			continue
-		}
-		cost, ok := rate(b, float64(s.peakMemory(now, b))/float64(b.engine.Tokens))
-		if ok && (best == nil || cost < bestCost || cost == bestCost && b.report.Id < best.report.Id) {
-			best, bestCost = b, cost
-		}
-	}
-	return best
-}
-
-// farCost and farBackupCost are the costs of another failure domain for a run and for a
-// backup, in shares of an engine's memory. fillWeight is the cost of a full engine's
-// memory in seconds of transfer.
-const (
-	farCost       = 0.12
-	farBackupCost = 0.25
-	fillWeight    = 0.3
-)
-
-// prefillsInTime reports whether a request placed now on b is expected to meet its objective.
-func (s *Scheduler) prefillsInTime(now time.Time, b *backend, w *queuedRequest) bool {
-	return !s.firstTokenTime(now, b, w.req).After(w.objectiveEnd())
-}
-
-// prefillTime returns the expected time to process a prompt of some tokens.
-func prefillTime(tokens int) time.Duration {
-	return time.Duration(tokens) * time.Millisecond / prefillTokensPerMS
-}
-
-// objectiveEnd returns when the request's objective ends.
-func (w *queuedRequest) objectiveEnd() time.Time {
-	return w.arrived.Add(time.Duration(w.req.ObjectiveMs) * time.Millisecond)
-}
-
-// compareQueued orders requests by urgency: by priority, then by the end of the objective.
-func compareQueued(a, b *queuedRequest) int {
-	return cmp.Or(cmp.Compare(a.req.Priority, b.req.Priority), a.objectiveEnd().Compare(b.objectiveEnd()))
-}
--- a/internal/fleet/scheduler/shortage.go
+++ b/internal/fleet/scheduler/shortage.go
@@ -28,9 +28,9 @@
 }
 
 // shortage counts why the engines of a request's service can't take it now.
-func (s *Scheduler) shortage(now time.Time, w *queuedRequest, need *footprint) shortage {
-	counts := shortage{need: need.peak, fill: s.fleetFill(now, w.req.Service)}
-	for _, b := range s.backends {
+func (s *Scheduler) shortage(now time.Time, w *queuedRequest) shortage {
+	counts := shortage{need: w.need.peak, fill: s.fleetFill(now, w.req.Service)}
+	for _, b := range s.ordered {
 		if b.report.Service != w.req.Service || b.report.State != messenger.Backend_STATE_READY {
 			continue
 		}
@@ -38,9 +38,9 @@
 		switch {
 		case !b.accepts(now, w.req):
 			counts.resting++
-		case !s.fits(now, b, need):
+		case !s.fits(now, b, &w.need):
 			counts.full++
-		case b.prefilling() >= maxPrefills || !s.prefillsInTime(now, b, w):
+		case len(b.prefilling()) >= maxPrefills || !s.prefillsInTime(now, b, w):
 			counts.reading++
 		}
 	}
@@ -51,8 +51,8 @@
 func (s *Scheduler) describe(now time.Time, b *backend) string {
 	held := 0
 	for _, r := range b.runs {
-		held += s.footprint(now, r).held
+		held += s.held(now, r)
 	}
 	return fmt.Sprintf("%d of %d tokens in %d runs, %d at the peak, %d reading, %d copies, %d left over",
-		held, b.engine.Tokens, len(b.runs), s.peakMemory(now, b), b.prefilling(), len(b.backups), len(b.orphans))
+		held, b.engine.Tokens, len(b.runs), s.peakMemory(now, b), len(b.prefilling()), len(b.backups), len(b.orphans))
 }
--- a/internal/fleet/scheduler/slowdown.go
+++ b/internal/fleet/scheduler/slowdown.go
@@ -25,10 +25,8 @@
 // behind the prompts that it is processing already.
 func (b *backend) prefillTime(req *messenger.PlaceRequest) time.Duration {
 	tokens := int(req.PromptTokens)
-	for _, r := range b.runs {
-		if r.streamingSince.IsZero() {
-			tokens += int(r.req.PromptTokens)
-		}
+	for _, r := range b.prefilling() {
+		tokens += int(r.req.PromptTokens)
 	}
 	return prefillTime(tokens)
 }
@@ -46,8 +44,8 @@
 	if !b.measured.IsZero() && b.slowdown > slowdown {
 		slowdown += (b.slowdown - slowdown) * math.Exp2(-float64(now.Sub(b.measured))/float64(slowdownHalfLife))
 	}
-	for _, r := range b.runs {
-		if forecast := r.prefillDue.Sub(r.placed); r.streamingSince.IsZero() && forecast > 0 {
+	for _, r := range b.prefilling() {
+		if forecast := r.prefillDue.Sub(r.placed); forecast > 0 {
 			slowdown = max(slowdown, float64(now.Sub(r.placed))/float64(forecast))
 		}
 	}
--- a/internal/length/forecaster/forecast.go
+++ b/internal/length/forecaster/forecast.go
@@ -26,8 +26,32 @@
 
 	// Chances holds the probabilities that a generation still runs at each horizon.
 	Chances [len(Horizons)]float64
+
+	// Demand is the memory that a further generation needs, prepared for Fits.
+	Demand struct {
+		memory int
+		// deviations holds, for each horizon that matters, the number of standard deviations
+		// above the mean of the other generations' memory that must be left free.
+		deviations [len(Horizons)]float64
+		horizons   int
+	}
 )
 
+// NewDemand returns the demand of a generation that holds memory tokens at its start, may grow by
+// maxGrowth tokens and reaches horizon i with probability chances[i]. risk is the accepted
+// probability at each horizon that it still runs and memory is short.
+func NewDemand(memory, maxGrowth int, chances *Chances, risk float64) Demand {
+	d := Demand{memory: memory}
+	for i, ahead := range Horizons {
+		if ahead > maxGrowth || chances[i] <= risk {
+			break
+		}
+		d.deviations[i] = probit(1 - risk/chances[i])
+		d.horizons++
+	}
+	return d
+}
+
 // Add includes a generation that holds memory tokens now, may grow by maxGrowth tokens,
 // and reaches horizon i with probability chances[i].
 func (f *Forecast) Add(memory, maxGrowth int, chances *Chances) {
@@ -55,16 +79,12 @@
 	}
 }
 
-// Fits reports whether a generation fits beside those of the forecast: at each horizon,
-// the probability that it still runs and that memory exceeds bound is at most risk. So a
-// generation that is likely to end soon may join although others will run short later.
-func (f *Forecast) Fits(memory, maxGrowth int, chances *Chances, risk, bound float64) bool {
-	for i, ahead := range Horizons {
-		if ahead > maxGrowth || chances[i] <= risk {
-			return true
-		}
-		z := probit(1 - risk/chances[i])
-		if f[i].quantile(z)+float64(memory+ahead) > bound {
+// Fits reports whether a generation fits beside those of the forecast: at each horizon, the
+// probability that it still runs and that memory exceeds bound is at most its accepted risk. So
+// a generation that is likely to end soon may join although others will run short later.
+func (f *Forecast) Fits(d *Demand, bound float64) bool {
+	for i := range d.horizons {
+		if f[i].quantile(d.deviations[i])+float64(d.memory+Horizons[i]) > bound {
 			return false
 		}
 	}
--- a/internal/length/forecaster/forecast_test.go
+++ b/internal/length/forecaster/forecast_test.go
@@ -33,10 +33,10 @@
 	f := &Forecast{}
 	f.Add(1000, 2048, certain(2048))
 	const bound, risk = 2600, 0.1
-	if short := certain(64); !f.Fits(1000, 64, short, risk, bound) {
+	if short := NewDemand(1000, 64, certain(64), risk); !f.Fits(&short, bound) {
 		t.Error("short one does not fit though it ends before memory runs short")
 	}
-	if long := certain(2048); f.Fits(1000, 2048, long, risk, bound) {
+	if long := NewDemand(1000, 2048, certain(2048), risk); f.Fits(&long, bound) {
 		t.Error("long one fits though two of 3048 do not")
 	}
 }
