fix: have a hub without links keep introducing itself, also to the members that it remembers

After the restart no seed knew of a hub, and each hub knew only itself, took that for "all hubs are linked" and introduced itself again only after five seconds. Until then hosts had no configuration (93 refusals), and hubs only the backend servers that reported to them (95). Ruled out: the election, which took 1.1 s over the members' addresses in the log. Change: all hubs are linked only if a host is linked; a hub also introduces itself to the members on its disk. Test: TestLoneHubKeepsIntroducingItself, failed before (one introduction in 2 s).

--- a/internal/fleet/keeper/keeper.go
+++ b/internal/fleet/keeper/keeper.go
@@ -127,6 +127,20 @@
 	return version, encoded, nil
 }
 
+// MemberAddresses returns the addresses of the hubs that are members, as this hub's disk has them;
+// none before Run has created the replica.
+func (k *Keeper) MemberAddresses() []string {
+	r := k.Replicator()
+	if r == nil {
+		return nil
+	}
+	var addresses []string
+	for _, m := range r.Status().Members {
+		addresses = append(addresses, m.Address)
+	}
+	return addresses
+}
+
 // LeaderTerm returns the term in which this hub leads; 0 if it does not.
 func (k *Keeper) LeaderTerm() uint64 {
 	r := k.Replicator()
--- a/internal/fleet/linker/linker.go
+++ b/internal/fleet/linker/linker.go
@@ -24,6 +24,9 @@
 		Self *messenger.FleetHost
 		// Seeds returns addresses at which other hosts may be found.
 		Seeds func() []string
+		// Remembered returns the addresses of hubs that this host remembers from before its start.
+		// It may be nil. It is used while the seeds know of no hub.
+		Remembered func() []string
 		// Bootstrap is set at the very first start of the fleet.
 		Bootstrap bool
 		// MinFounders is the least number of hubs that found the replicated log. After
@@ -76,7 +79,7 @@
 const (
 	// introduceInterval is the delay between rounds of introductions while links to hubs are
 	// missing, and between requests for the founders. linkedIntroduceInterval is the delay
-	// while all known hubs are linked.
+	// once all known hubs are linked.
 	introduceInterval       = 250 * time.Millisecond
 	linkedIntroduceInterval = 5 * time.Second
 	// callTimeout bounds a call to another host, and the dialing of a link.
@@ -287,9 +290,12 @@
 	slices.SortFunc(g.founders, func(a, b *messenger.FleetHost) int { return cmp.Compare(a.Name, b.Name) })
 }
 
-// introduce sends an introduction of this host to the seeds and all known hubs.
+// introduce sends an introduction of this host to the seeds and to all known and remembered hubs.
 func (l *Linker) introduce(ctx context.Context) {
 	addresses := l.sortedSeeds()
+	if l.Remembered != nil {
+		addresses = append(addresses, l.Remembered()...)
+	}
 	for _, h := range l.Hubs() {
 		addresses = append(addresses, h.Address)
 	}
@@ -394,8 +400,8 @@
 	l.serve(ctx, stream, raw)
 }
 
-// allHubsLinked reports whether at least one hub is known and all known hubs other than this
-// host are linked.
+// allHubsLinked reports whether a host is linked and so are all known hubs other than this host.
+// A hub that knows only itself may have started before the hosts that could name others.
 func (l *Linker) allHubsLinked() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -404,7 +410,7 @@
 			return false
 		}
 	}
-	return len(l.hubs) > 0
+	return len(l.links) > 0
 }
 
 // sortedSeeds returns the seeds in the order that all hosts share.
--- a/internal/fleet/linker/linker_test.go
+++ b/internal/fleet/linker/linker_test.go
@@ -1,7 +1,9 @@
 package linker
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"testing"
 	"time"
 
@@ -96,3 +98,49 @@
 		t.Errorf("hubs are %v", hubs)
 	}
 }
+
+// acceptConnections returns the address of a listener and a channel that gets a value for each
+// connection to it.
+func acceptConnections(t *testing.T) (address string, accepted <-chan struct{}) {
+	t.Helper()
+	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	ch := make(chan struct{}, 100)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_ = conn.Close()
+			ch <- struct{}{}
+		}
+	}()
+	return listener.Addr().String(), ch
+}
+
+// After all hosts restarted at once, a hub may start before the seeds, and the seeds may be hosts
+// that know of no hub until one introduces itself.
+func TestLoneHubKeepsIntroducingItself(t *testing.T) {
+	seed, toSeed := acceptConnections(t)
+	member, toMember := acceptConnections(t)
+	l := newBareLinker()
+	l.Self = introduction(1, true, false).Host
+	l.Seeds = func() []string { return []string{seed} }
+	l.Remembered = func() []string { return []string{member} }
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go l.Run(ctx)
+	for name, accepted := range map[string]<-chan struct{}{"seed": toSeed, "remembered hub": toMember} {
+		for i := range 3 {
+			select {
+			case <-accepted:
+			case <-time.After(2 * time.Second):
+				t.Fatalf("only %d introductions to the %s of a hub without links", i, name)
+			}
+		}
+	}
+}
--- a/internal/fleet/runner/runner.go
+++ b/internal/fleet/runner/runner.go
@@ -197,6 +197,7 @@
 	h.keeper = &keeper.Keeper{
 		Self: s.Host, Folder: s.DataFolder, MinVoters: 2*s.MaxLostHubs + 1, Candidates: h.linkedHubs, OnChange: h.adopt, Log: h.Log,
 	}
+	h.linker.Remembered = h.keeper.MemberAddresses
 	if s.Bootstrap {
 		h.keeper.Founders = h.linker.AwaitFounders
 	}
