fix: pass a backend server's departure on through several hosts before it is acknowledged

In the 0.8 s before a lost link is noticed a notice was acknowledged that nobody else got. A host that had just started acknowledged the end of a backend server it did not know, and told nobody. Change: package informer takes the exchange of reports out of the runner. A departure is passed on by call through two hubs and two other hosts, which pass it on to all hubs, and is acknowledged once one of them has it; else 503, and the backend server tells another host. Hubs pass on their other changes in the same way, so that a sound backend server whose reports went to a cut-off hub is not taken for silent on the other side. An unknown end is passed on by its id. Tests: TestDepartureReportedToACutOffHubReachesAllHosts (16 and 188 hosts), TestDepartureIsAcknowledgedOnlyOnceAnotherHostHasIt, TestEndOfAnUnknownBackendServerReachesThoseThatKnowIt.

--- a/internal/event/logger/fleetevents.go
+++ b/internal/event/logger/fleetevents.go
@@ -18,6 +18,8 @@
 	FleetLogFailed      = Event{6104, log.ErrorLevel, "replicated log failed"}
 	FleetBackendChanged = Event{6105, log.InfoLevel, "backend server changed"}
 	FleetDeciderChanged = Event{6106, log.InfoLevel, "generation scheduling moved to another host"}
+	FleetInformFailed   = Event{6107, log.WarnLevel, "report of a backend server could not be passed on by call"}
+	FleetUnknownGone    = Event{6108, log.WarnLevel, "departure of a backend server that is unknown here"}
 
 	// Events of the configuration.
 	FleetConfigAdopted   = Event{6201, log.InfoLevel, "configuration applied"}
@@ -46,7 +48,8 @@
 
 	fleetEvents = []Event{
 		FleetStarted, FleetStopping, FleetStopped, FleetReloaded, FleetReadiness, FleetPaused, FleetLinked, FleetUnlinked,
-		FleetMemberChanged, FleetLogFailed, FleetBackendChanged, FleetDeciderChanged, FleetConfigAdopted,
+		FleetMemberChanged, FleetLogFailed, FleetBackendChanged, FleetDeciderChanged, FleetInformFailed,
+		FleetUnknownGone, FleetConfigAdopted,
 		FleetConfigSubmitted, FleetConfigRefused, FleetConfigRead, FleetConfigRejected, FleetReportRefused,
 		ForwardMalformed, ForwardRefused, ForwardFailed, ForwardAttemptFailed, ForwardServed, ForwardDisconnected,
 		RunPlaced, RunMoving, RunMoved, RunMoveFailed, RunAborted, RunCopyReleased,
--- /dev/null
+++ b/internal/fleet/informer/informer.go
@@ -0,0 +1,202 @@
+// Package informer passes the reports of backend servers on between the hosts of a fleet. Changes
+// go over the links between hosts. A change that a hub received itself, and each departure, are
+// also passed on by call through other hosts: so they reach hubs that the host can't reach, and a
+// departure is acknowledged to its backend server only once another host has it.
+package informer
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"verbenareach/internal/event/logger"
+	"verbenareach/internal/fleet/tracker"
+	"verbenareach/internal/wire/messenger"
+)
+
+// Informer passes on the reports that one host receives. Its exported fields are set before first
+// use; it is safe for concurrent use.
+type Informer struct {
+	Self    *messenger.FleetHost
+	Tracker *tracker.Tracker
+	// Linked returns the hosts to which a link is up, Alone reports whether the fleet has no other.
+	Linked func() []*messenger.FleetHost
+	Alone  func() bool
+	// EnqueueAll calls add with the next message to each linked host, except the named one.
+	EnqueueAll func(except string, add func(m *messenger.LinkMessage))
+	// Call has another host handle a request, as Handle does.
+	Call func(ctx context.Context, host *messenger.FleetHost, req *messenger.InformRequest) error
+	// OnChange is called with changed reports; from is the host that sent them, "" if none did.
+	OnChange func(now time.Time, from string, changed []*messenger.Backend)
+	Log      *logger.Logger
+
+	mu sync.Mutex
+	// unconfirmed holds the ids of departures that no other host is known to have.
+	unconfirmed map[string]bool
+}
+
+// ErrNotLinked is returned for reports that could not be passed on to other hosts.
+var ErrNotLinked = errors.New("no other host acknowledged the report")
+
+const (
+	// confirmTimeout bounds the wait for another host to have a departure. A backend server waits
+	// a second for its acknowledgement before it calls another host.
+	confirmTimeout = 300 * time.Millisecond
+	// hubRelays and hostRelays are the numbers of hubs and of other hosts through which a report
+	// is passed on.
+	hubRelays  = 2
+	hostRelays = 2
+)
+
+// Report records a backend server's report of its own state. A report that it leaves is passed on
+// before Report returns; if no other host acknowledges it, the error is ErrNotLinked.
+func (i *Informer) Report(ctx context.Context, now time.Time, report *messenger.Backend) error {
+	leaves := report.State != messenger.Backend_STATE_READY
+	changed := i.Tracker.Heartbeat(now, report)
+	var list []*messenger.Backend
+	if changed {
+		list = append(list, i.Tracker.Find(report.Id))
+		i.publish(now, "", list)
+	}
+	switch {
+	case leaves && (changed || i.isUnconfirmed(report.Id)):
+		return i.confirm(ctx, report.Id, &messenger.InformRequest{Backends: []*messenger.Backend{i.Tracker.Find(report.Id)}})
+	case changed && i.Self.Hub:
+		// The backend server serves without this; nothing waits for it.
+		go i.inform(context.WithoutCancel(ctx), &messenger.InformRequest{Backends: list})
+	}
+	return nil
+}
+
+// Remove records a backend server's report that it has left, and passes it on as Report does. A
+// backend server that is unknown here may be known to other hosts.
+func (i *Informer) Remove(ctx context.Context, now time.Time, id string) error {
+	gone := i.Tracker.MarkGone(now, id)
+	if gone != nil {
+		i.publish(now, "", []*messenger.Backend{gone})
+		return i.confirm(ctx, id, &messenger.InformRequest{Backends: []*messenger.Backend{gone}})
+	}
+	known := i.Tracker.Find(id)
+	switch {
+	case known == nil:
+		i.Log.Emit(now, logger.FleetUnknownGone, "", logger.F("backend", id))
+		return i.confirm(ctx, id, &messenger.InformRequest{Gone: []string{id}})
+	case i.isUnconfirmed(id):
+		return i.confirm(ctx, id, &messenger.InformRequest{Backends: []*messenger.Backend{known}})
+	}
+	return nil
+}
+
+// Receive records the reports in a message of another host.
+func (i *Informer) Receive(now time.Time, from string, reports []*messenger.Backend) {
+	i.publish(now, from, i.Tracker.Merge(now, reports))
+}
+
+// Expire marks backend servers without heartbeats as silent.
+func (i *Informer) Expire(now time.Time) { i.publish(now, "", i.Tracker.Expire(now)) }
+
+// Handle records reports that another host passes on, and passes them on to the linked hosts.
+func (i *Informer) Handle(now time.Time, req *messenger.InformRequest) {
+	reports := req.Backends
+	changed := i.Tracker.Merge(now, reports)
+	for _, id := range req.Gone {
+		if gone := i.Tracker.MarkGone(now, id); gone != nil {
+			reports, changed = append(reports, gone), append(changed, gone)
+		}
+	}
+	if len(changed) > 0 {
+		i.OnChange(now, req.From, changed)
+	}
+	if i.Self.Hub {
+		// What did not change here was passed on when it did.
+		reports = changed
+	}
+	i.enqueue(req.From, reports)
+}
+
+// publish passes changed reports on over the links. Only a hub forwards those of another host.
+func (i *Informer) publish(now time.Time, from string, changed []*messenger.Backend) {
+	if len(changed) == 0 {
+		return
+	}
+	if from == "" || i.Self.Hub {
+		i.enqueue(from, changed)
+	}
+	i.OnChange(now, from, changed)
+}
+
+// enqueue adds reports to the next message to each linked host except one.
+func (i *Informer) enqueue(except string, reports []*messenger.Backend) {
+	if len(reports) == 0 {
+		return
+	}
+	i.EnqueueAll(except, func(m *messenger.LinkMessage) { m.Backends = append(m.Backends, reports...) })
+}
+
+// confirm informs other hosts of a departure. It returns ErrNotLinked if none acknowledges it.
+func (i *Informer) confirm(ctx context.Context, id string, req *messenger.InformRequest) error {
+	ok := i.Alone() || i.inform(ctx, req)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if ok {
+		delete(i.unconfirmed, id)
+		return nil
+	}
+	if i.unconfirmed == nil {
+		i.unconfirmed = make(map[string]bool)
+	}
+	i.unconfirmed[id] = true
+	return ErrNotLinked
+}
+
+// inform calls the relays at the same time and reports whether one of them acknowledged the
+// request. It returns at the first that does, within confirmTimeout.
+func (i *Informer) inform(ctx context.Context, req *messenger.InformRequest) bool {
+	req.From = i.Self.Name
+	relays := i.relays()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), confirmTimeout)
+	acknowledged := make(chan bool, len(relays))
+	var calls sync.WaitGroup
+	for _, host := range relays {
+		calls.Go(func() {
+			err := i.Call(ctx, host, req)
+			if err != nil {
+				i.Log.Emit(time.Now(), logger.FleetInformFailed, "", logger.F("host", host.Name), logger.F("error", err))
+			}
+			acknowledged <- err == nil
+		})
+	}
+	go func() {
+		calls.Wait()
+		cancel()
+	}()
+	for range relays {
+		if <-acknowledged {
+			return true
+		}
+	}
+	return false
+}
+
+// relays chooses the hosts that pass a report on: linked hubs and, for a hub, hosts that are none,
+// as a cut between hubs leaves these linked to both sides.
+func (i *Informer) relays() []*messenger.FleetHost {
+	var relays []*messenger.FleetHost
+	linked := i.Linked()
+	left := map[bool]int{true: hubRelays, false: hostRelays}
+	for _, at := range rand.Perm(len(linked)) {
+		if h := linked[at]; left[h.Hub] > 0 {
+			left[h.Hub]--
+			relays = append(relays, h)
+		}
+	}
+	return relays
+}
+
+func (i *Informer) isUnconfirmed(id string) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.unconfirmed[id]
+}
--- /dev/null
+++ b/internal/fleet/informer/informer_test.go
@@ -0,0 +1,158 @@
+package informer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"verbenareach/internal/event/logger"
+	"verbenareach/internal/fleet/tracker"
+	"verbenareach/internal/wire/messenger"
+)
+
+type (
+	// testFleet connects the informers of a fleet in memory. A message arrives at once, unless the
+	// two hosts are cut from each other: then it is lost, though the link still counts as up.
+	testFleet struct {
+		hosts map[string]*testHost
+		cut   func(a, b *messenger.FleetHost) bool
+	}
+
+	testHost struct {
+		*Informer
+		self *messenger.FleetHost
+	}
+)
+
+var (
+	start  = time.Unix(1000, 0)
+	errCut = errors.New("host can't be reached")
+)
+
+// newTestFleet returns a fleet whose first hubs are hubs.
+func newTestFleet(hubs, hosts int) *testFleet {
+	f := &testFleet{hosts: make(map[string]*testHost), cut: func(_, _ *messenger.FleetHost) bool { return false }}
+	for n := range hosts {
+		self := &messenger.FleetHost{Name: fmt.Sprint("host-", n), Hub: n < hubs}
+		h := &testHost{self: self}
+		h.Informer = &Informer{
+			Self: self, Tracker: &tracker.Tracker{Name: self.Name, SilenceTimeout: time.Second}, Log: &logger.Logger{},
+			Linked: func() []*messenger.FleetHost { return f.linked(h) }, Alone: func() bool { return false },
+			EnqueueAll: func(except string, add func(*messenger.LinkMessage)) { f.enqueueAll(h, except, add) },
+			Call: func(_ context.Context, to *messenger.FleetHost, req *messenger.InformRequest) error {
+				if f.cut(self, to) {
+					return errCut
+				}
+				f.hosts[to.Name].Handle(start, req)
+				return nil
+			},
+			OnChange: func(time.Time, string, []*messenger.Backend) {},
+		}
+		f.hosts[self.Name] = h
+	}
+	return f
+}
+
+// linked returns the hosts to which h has a link: each host has one to each hub.
+func (f *testFleet) linked(h *testHost) (linked []*messenger.FleetHost) {
+	for _, other := range f.hosts {
+		if other != h && (other.self.Hub || h.self.Hub) {
+			linked = append(linked, other.self)
+		}
+	}
+	return linked
+}
+
+func (f *testFleet) enqueueAll(h *testHost, except string, add func(*messenger.LinkMessage)) {
+	for _, to := range f.linked(h) {
+		if to.Name == except || f.cut(h.self, to) {
+			continue
+		}
+		m := &messenger.LinkMessage{}
+		add(m)
+		f.hosts[to.Name].Receive(start, h.self.Name, m.Backends)
+	}
+}
+
+// unaware returns the hosts that do not know that a backend server is in the given state.
+func (f *testFleet) unaware(id string, state messenger.Backend_State) (names []string) {
+	for name, h := range f.hosts {
+		if r := h.Tracker.Find(id); r == nil || r.State != state {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+func report(state messenger.Backend_State, sequence int64) *messenger.Backend {
+	return &messenger.Backend{Id: "b", Address: "10.0.0.1:80", Started: 1, Sequence: sequence, State: state}
+}
+
+// A backend server may report to a hub that is cut off from the other hubs, before the links of
+// that hub count as lost.
+func TestDepartureReportedToACutOffHubReachesAllHosts(t *testing.T) {
+	for _, hosts := range []int{16, 188} {
+		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
+			f := newTestFleet(5, hosts)
+			if err := f.hosts["host-9"].Report(t.Context(), start, report(messenger.Backend_STATE_READY, 1)); err != nil {
+				t.Fatal(err)
+			}
+			minority := map[string]bool{"host-0": true, "host-1": true}
+			f.cut = func(a, b *messenger.FleetHost) bool { return a.Hub && b.Hub && minority[a.Name] != minority[b.Name] }
+			if err := f.hosts["host-0"].Report(t.Context(), start, report(messenger.Backend_STATE_DRAINING, 2)); err != nil {
+				t.Fatal(err)
+			}
+			if names := f.unaware("b", messenger.Backend_STATE_DRAINING); len(names) > 0 {
+				t.Errorf("%d of %d hosts do not know of the departure: %v", len(names), hosts, names)
+			}
+		})
+	}
+}
+
+func TestDepartureIsAcknowledgedOnlyOnceAnotherHostHasIt(t *testing.T) {
+	departures := map[string]func(h *testHost) error{
+		"draining": func(h *testHost) error {
+			return h.Report(t.Context(), start, report(messenger.Backend_STATE_DRAINING, 2))
+		},
+		"gone": func(h *testHost) error { return h.Remove(t.Context(), start, "b") },
+	}
+	for name, depart := range departures {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFleet(3, 6)
+			if err := f.hosts["host-5"].Report(t.Context(), start, report(messenger.Backend_STATE_READY, 1)); err != nil {
+				t.Fatal(err)
+			}
+			f.cut = func(_, _ *messenger.FleetHost) bool { return true }
+			h := f.hosts["host-4"]
+			for range 2 {
+				if err := depart(h); !errors.Is(err, ErrNotLinked) {
+					t.Fatalf("acknowledged with %v though no other host has it", err)
+				}
+			}
+			f.cut = func(_, _ *messenger.FleetHost) bool { return false }
+			if err := depart(h); err != nil {
+				t.Fatalf("not acknowledged though the others can be reached again: %v", err)
+			}
+			if names := f.unaware("b", h.Tracker.Find("b").State); len(names) > 0 {
+				t.Errorf("hosts %v do not know of it", names)
+			}
+		})
+	}
+}
+
+// A host that has just started does not know the backend server that tells it of its end.
+func TestEndOfAnUnknownBackendServerReachesThoseThatKnowIt(t *testing.T) {
+	f := newTestFleet(3, 6)
+	if err := f.hosts["host-5"].Report(t.Context(), start, report(messenger.Backend_STATE_READY, 1)); err != nil {
+		t.Fatal(err)
+	}
+	f.hosts["host-4"].Tracker = &tracker.Tracker{Name: "host-4"}
+	if err := f.hosts["host-4"].Remove(t.Context(), start, "b"); err != nil {
+		t.Fatal(err)
+	}
+	if names := f.unaware("b", messenger.Backend_STATE_GONE); len(names) > 0 {
+		t.Errorf("hosts %v do not know that it is gone", names)
+	}
+}
--- a/internal/fleet/runner/distribution.go
+++ b/internal/fleet/runner/distribution.go
@@ -11,13 +11,9 @@
 	"verbenareach/internal/wire/messenger"
 )
 
-var (
-	// ErrNoQuorum is returned if the newest configuration can't be determined, or if it is
-	// unknown whether a change to it was stored.
-	ErrNoQuorum = errors.New("no hub with a quorum answers")
-	// ErrNotLinked is returned for reports that could not be passed on to other hosts.
-	ErrNotLinked = errors.New("no other host is linked")
-)
+// ErrNoQuorum is returned if the newest configuration can't be determined, or if it is
+// unknown whether a change to it was stored.
+var ErrNoQuorum = errors.New("no hub with a quorum answers")
 
 const (
 	// callHubTimeout bounds a call to a hub.
@@ -126,59 +122,43 @@
 	return 0, nil, ErrNoQuorum
 }
 
-// ReportBackend records a backend server's report of its own state. It returns ErrNotLinked
-// if no other host is reachable, unless the backend server is ready.
-func (h *Runner) ReportBackend(report *messenger.Backend) error {
-	now := time.Now()
-	if !h.connected() && report.State != messenger.Backend_STATE_READY {
-		return ErrNotLinked
-	}
-	if h.tracker.Heartbeat(now, report) {
-		h.publishBackends(now, "", []*messenger.Backend{h.tracker.Find(report.Id)})
-	}
-	return nil
+// ReportBackend records a backend server's report of its own state; see informer.Informer.Report.
+func (h *Runner) ReportBackend(ctx context.Context, report *messenger.Backend) error {
+	return h.informer.Report(ctx, time.Now(), report)
 }
 
-// RemoveBackend records a backend server's report that it has left. It returns ErrNotLinked
-// if no other host is reachable.
-func (h *Runner) RemoveBackend(id string) error {
-	now := time.Now()
-	if !h.connected() {
-		return ErrNotLinked
-	}
-	if r := h.tracker.MarkGone(now, id); r != nil {
-		h.publishBackends(now, "", []*messenger.Backend{r})
-	}
-	return nil
+// RemoveBackend records a backend server's report that it has left; see informer.Informer.Remove.
+func (h *Runner) RemoveBackend(ctx context.Context, id string) error {
+	return h.informer.Remove(ctx, time.Now(), id)
 }
 
 // Stopping reports whether the host is about to stop.
 func (h *Runner) Stopping() bool { return h.stopping.Load() }
 
-// connected reports whether another host is linked. A hub that knows no other hub counts as
-// connected as well.
-func (h *Runner) connected() bool {
-	return len(h.linker.Linked()) > 0 || h.keeper != nil && len(h.linker.Hubs()) == 1
+// alone reports whether this host is a hub that knows no other one.
+func (h *Runner) alone() bool {
+	return h.keeper != nil && len(h.linker.Hubs()) == 1
 }
 
-// publishBackends sends the states of backend servers that changed to other hosts and
-// gives all states to the allocator. from is the host that sent the changes, or "". Only a
-// hub forwards the changes of another host.
-func (h *Runner) publishBackends(now time.Time, from string, changed []*messenger.Backend) {
-	if len(changed) == 0 {
-		return
-	}
+// backendsChanged logs changed reports of backend servers and gives all reports to the allocator.
+// from is the host that sent the changes, or "".
+func (h *Runner) backendsChanged(now time.Time, from string, changed []*messenger.Backend) {
 	for _, r := range changed {
 		h.Log.Emit(now, logger.FleetBackendChanged, "", logger.F("backend", r.Id), logger.F("state", r.State),
 			logger.F("service", r.Service), logger.F("address", r.Address), logger.F("started", r.Started),
 			logger.F("sequence", r.Sequence), logger.F("keeper", r.Keeper), logger.F("from", from))
 	}
-	if from == "" || h.Settings.Host.Hub {
-		h.linker.EnqueueAll(from, func(m *messenger.LinkMessage) { m.Backends = append(m.Backends, changed...) })
-	}
 	h.allocator.SetBackends(now, h.tracker.All())
 }
 
+// callInform passes reports on to another host.
+func (h *Runner) callInform(ctx context.Context, host *messenger.FleetHost, req *messenger.InformRequest) error {
+	return h.linker.Call(ctx, host.Address, func(ctx context.Context, c messenger.DRPCFleetClient) error {
+		_, err := c.Inform(ctx, req)
+		return err
+	})
+}
+
 // fillMessage adds the current state of this host to a message that is about to be sent.
 func (h *Runner) fillMessage(m *messenger.LinkMessage) {
 	m.ConfigVersion = h.version()
@@ -202,7 +182,7 @@
 // receiveMessage handles a message of another host.
 func (h *Runner) receiveMessage(from *messenger.FleetHost, m *messenger.LinkMessage) {
 	now := time.Now()
-	h.publishBackends(now, from.Name, h.tracker.Merge(now, m.Backends))
+	h.informer.Receive(now, from.Name, m.Backends)
 	h.allocator.Receive(now, from, m)
 	h.receiveLosses(now, from, m.Losses)
 	if m.ConfigVersion > h.version() && from.Hub && h.fetching.CompareAndSwap(false, true) {
--- a/internal/fleet/runner/drain.go
+++ b/internal/fleet/runner/drain.go
@@ -84,7 +84,7 @@
 	if h.stopping.Load() || h.catalog.Load() == nil {
 		return false
 	}
-	return len(h.linker.Linked()) > 0 || h.keeper != nil && len(h.linker.Hubs()) == 1
+	return len(h.linker.Linked()) > 0 || h.alone()
 }
 
 // logReadiness logs the readiness of the host if it has changed.
--- a/internal/fleet/runner/runner.go
+++ b/internal/fleet/runner/runner.go
@@ -27,6 +27,7 @@
 	"verbenareach/internal/fleet/budgeter"
 	"verbenareach/internal/fleet/cataloger"
 	"verbenareach/internal/fleet/forwarder"
+	"verbenareach/internal/fleet/informer"
 	"verbenareach/internal/fleet/keeper"
 	"verbenareach/internal/fleet/linker"
 	"verbenareach/internal/fleet/receiver"
@@ -50,8 +51,9 @@
 		Control http.Handler
 		Log     *logger.Logger
 
-		tracker *tracker.Tracker
-		linker  *linker.Linker
+		tracker  *tracker.Tracker
+		linker   *linker.Linker
+		informer *informer.Informer
 		// keeper is nil unless this host is a hub.
 		keeper    *keeper.Keeper
 		allocator *allocator.Allocator
@@ -176,6 +178,10 @@
 		Self: s.Host, Seeds: func() []string { return *h.seeds.Load() }, Bootstrap: s.Bootstrap,
 		MinFounders: 2*s.MaxLostHubs + 1, Fill: h.fillMessage, LinkUp: h.linkUp, LinkDown: h.linkDown, Receive: h.receiveMessage,
 	}
+	h.informer = &informer.Informer{
+		Self: s.Host, Tracker: h.tracker, Linked: h.linker.Linked, Alone: h.alone, EnqueueAll: h.linker.EnqueueAll,
+		Call: h.callInform, OnChange: h.backendsChanged, Log: h.Log,
+	}
 	h.pool = &sender.Pool{IdleTimeout: backendIdleTimeout}
 	budget := &budgeter.Budgeter{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow, Hosts: h.estimateHosts}
 	h.allocator = &allocator.Allocator{
@@ -279,7 +285,7 @@
 		h.allocator.Advance(now, h.Settings.Host.Hub, h.leaderTerm.Load())
 		if now.Sub(expired) >= expireInterval {
 			expired = now
-			h.publishBackends(now, "", h.tracker.Expire(now))
+			h.informer.Expire(now)
 			h.pool.Expire(now)
 			h.logReadiness(now)
 		}
--- a/internal/fleet/runner/service.go
+++ b/internal/fleet/runner/service.go
@@ -61,6 +61,12 @@
 	return reply, nil
 }
 
+// Inform records and passes on reports that another host received.
+func (s *service) Inform(_ context.Context, req *messenger.InformRequest) (*messenger.InformReply, error) {
+	s.host.informer.Handle(time.Now(), req)
+	return &messenger.InformReply{}, nil
+}
+
 // Introduce answers another host's introduction.
 func (s *service) Introduce(_ context.Context, req *messenger.IntroduceRequest) (*messenger.IntroduceReply, error) {
 	return s.host.linker.HandleIntroduction(time.Now(), req), nil
