fix: commit only the outcome of a claimed call that ran

When the caller had left during the run, the agent told RAN_UNKNOWN ("still running") in half of the cases, and committed that as the final outcome of the claim. Each later call under the key got it back as done, took it for "did not run", and claimed again, with the chosen backend servers counted as failed, until its deadline. Change: the run's reply goes before the end of a context; only RAN_YES is committed, by agent and control; a committed outcome that is not RAN_YES, as earlier versions may have stored, ends the call as unknown. A claim that control did not answer or did not grant no longer counts against the backend server. Retention counts from the end of the run.

--- a/internal/agent/dispatcher/dispatcher.go
+++ b/internal/agent/dispatcher/dispatcher.go
@@ -54,17 +54,16 @@
 		done chan struct{}
 		// reply is the outcome; RAN_NO for a refused claim.
 		reply *messenger.CallReply
-		// endedAt is the Dispatcher's sweptAt when reply was set, so no later than
-		// the end of the run; zero before.
+		// endedAt is when reply was set; zero before.
 		endedAt time.Time
 	}
 )
 
 // Dispatch runs a claim unless it was run or refused here before; then it waits for
 // the reply of that earlier call. first reports whether this call ran the claim.
-// The run continues when ctx ends, because its outcome must be known; the reply may
-// then be RAN_UNKNOWN, even that of the call that ran the claim. It is RAN_NO for a
-// claim of another incarnation, and RAN_UNKNOWN for one that may have been dropped.
+// The run continues when ctx ends, because its outcome must be known; a call that waits
+// for it then gets RAN_UNKNOWN. The reply is RAN_NO for a claim of another incarnation,
+// and RAN_UNKNOWN for one that may have been dropped.
 func (d *Dispatcher) Dispatch(ctx context.Context, now time.Time, claim *messenger.Claim, run Run) (reply *messenger.CallReply, first bool) {
 	if claim.GetIncarnation() != d.Incarnation {
 		return notRunReply(messenger.DeclineReason_DECLINE_REASON_INCARNATION), false
@@ -74,14 +73,12 @@
 		return droppedReply(), false
 	}
 	if first {
-		d.setReply(state, run(context.WithoutCancel(ctx)))
-	}
-	select {
-	case <-state.done:
-		return state.reply, first
-	case <-ctx.Done():
-		return &messenger.CallReply{Ran: messenger.Ran_RAN_UNKNOWN, Detail: "still running"}, first
+		begun := time.Now()
+		reply = run(context.WithoutCancel(ctx))
+		d.setReply(now.Add(time.Since(begun)), state, reply)
+		return reply, true
 	}
+	return state.wait(ctx), false
 }
 
 // Refuse ensures that a claim never runs here. If the claim was dispatched already,
@@ -100,12 +97,23 @@
 		return droppedReply()
 	}
 	if first {
-		d.setReply(state, notRunReply(messenger.DeclineReason_DECLINE_REASON_CLAIM))
+		d.setReply(now, state, notRunReply(messenger.DeclineReason_DECLINE_REASON_CLAIM))
 	}
+	return state.wait(ctx)
+}
+
+// wait returns the reply of a claim, or RAN_UNKNOWN if ctx ends while it still runs.
+func (s *claimState) wait(ctx context.Context) *messenger.CallReply {
 	select {
-	case <-state.done:
-		return state.reply
+	case <-s.done:
+		return s.reply
 	case <-ctx.Done():
+	}
+	// Of two channels that are ready, select picks either.
+	select {
+	case <-s.done:
+		return s.reply
+	default:
 		return &messenger.CallReply{Ran: messenger.Ran_RAN_UNKNOWN, Detail: "still running"}
 	}
 }
@@ -133,11 +141,11 @@
 }
 
 // setReply ends a claim and wakes all that wait for its reply.
-func (d *Dispatcher) setReply(state *claimState, reply *messenger.CallReply) {
+func (d *Dispatcher) setReply(now time.Time, state *claimState, reply *messenger.CallReply) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	state.reply = reply
-	state.endedAt = d.sweptAt
+	state.endedAt = now
 	close(state.done)
 }
 
--- a/internal/agent/dispatcher/dispatcher_test.go
+++ b/internal/agent/dispatcher/dispatcher_test.go
@@ -40,6 +40,37 @@
 	}
 }
 
+// The outcome of a claim whose caller left during the run is committed by the agent, so it must
+// be that of the run.
+func TestClaimThatRanIsNeverToldAsUnknown(t *testing.T) {
+	d := &Dispatcher{Incarnation: 3}
+	for i := range 200 {
+		ctx, cancel := context.WithCancel(t.Context())
+		claim := claimOf(fmt.Sprint(i), uint64(i+1))
+		leave := func(ctx context.Context) *messenger.CallReply {
+			cancel()
+			return ranYes(ctx)
+		}
+		if reply, _ := d.Dispatch(ctx, start, claim, leave); reply.GetRan() != messenger.Ran_RAN_YES {
+			t.Fatalf("claim %d ran and is told as %v", i, reply)
+		}
+		if reply := d.Refuse(ctx, start, claim); reply.GetRan() != messenger.Ran_RAN_YES {
+			t.Fatalf("claim %d ran and is refused as %v", i, reply)
+		}
+	}
+}
+
+func TestRetentionCountsFromTheEndOfTheRun(t *testing.T) {
+	d := &Dispatcher{Incarnation: 3, Retention: 16 * time.Second}
+	d.Refuse(t.Context(), start, claimOf("early", 1))
+	ended := start.Add(900 * time.Millisecond)
+	d.Refuse(t.Context(), ended, claimOf("k", 2))
+	late := ended.Add(d.Retention)
+	if reply := d.Refuse(t.Context(), late, claimOf("k", 2)); reply.GetRan() != messenger.Ran_RAN_NO {
+		t.Errorf("claim is dropped %s after its end: %v", late.Sub(ended), reply)
+	}
+}
+
 func TestRefuseWaitsForRunningClaim(t *testing.T) {
 	d := &Dispatcher{Incarnation: 3}
 	running, release := make(chan struct{}), make(chan struct{})
--- a/internal/agent/server/call.go
+++ b/internal/agent/server/call.go
@@ -52,11 +52,7 @@
 		a.Log.Emit(now, logger.ClaimDispatched, req.GetCallId(), logger.F("key", req.GetClaim().GetKey()), logger.F("epoch", req.GetClaim().GetEpoch()))
 		return a.callService(ctx, req)
 	})
-	ev := logger.ClaimOutcome
-	if reply.GetRan() != messenger.Ran_RAN_YES {
-		ev = logger.ClaimRefused
-	}
-	a.Log.Emit(time.Now(), ev, req.GetCallId(), logger.F("ran", reply.GetRan()), logger.F("first", first), logger.F("detail", reply.GetDetail()))
+	a.Log.Emit(time.Now(), claimEvent(reply), req.GetCallId(), logger.F("ran", reply.GetRan()), logger.F("first", first), logger.F("detail", reply.GetDetail()))
 	if first && ctx.Err() != nil {
 		a.recordOrphan(ctx, req.GetClaim(), reply)
 	}
@@ -106,10 +102,18 @@
 func (p *peerService) RefuseClaim(ctx context.Context, req *messenger.RefuseClaimRequest) (*messenger.RefuseClaimReply, error) {
 	a := p.agent
 	reply := a.dispatcher.Refuse(ctx, time.Now(), req.GetClaim())
-	a.Log.Emit(time.Now(), logger.ClaimRefused, req.GetClaim().GetKey(), logger.F("ran", reply.GetRan()), logger.F("detail", reply.GetDetail()))
+	a.Log.Emit(time.Now(), claimEvent(reply), req.GetClaim().GetKey(), logger.F("ran", reply.GetRan()), logger.F("detail", reply.GetDetail()))
 	return &messenger.RefuseClaimReply{Ran: reply.GetRan(), Reply: reply}, nil
 }
 
+// claimEvent returns the event that reports a reply about a claim.
+func claimEvent(reply *messenger.CallReply) logger.Event {
+	if reply.GetRan() == messenger.Ran_RAN_NO {
+		return logger.ClaimRefused
+	}
+	return logger.ClaimOutcome
+}
+
 // declinedCall returns the reply to a call that did not run because of err.
 func (a *Agent) declinedCall(err error) *messenger.CallReply {
 	reply := &messenger.CallReply{Ran: messenger.Ran_RAN_NO, Load: a.load.Load(), Detail: err.Error()}
@@ -120,9 +124,10 @@
 	return reply
 }
 
-// recordOrphan commits the outcome of a claim whose entry disconnected during the call.
+// recordOrphan commits the outcome of a claim whose entry disconnected during the call. A call
+// that did not run, or may have run, has none: the next entry to resolve the claim learns that.
 func (a *Agent) recordOrphan(ctx context.Context, claim *messenger.Claim, reply *messenger.CallReply) {
-	if a.RecordOutcome == nil {
+	if a.RecordOutcome == nil || reply.GetRan() != messenger.Ran_RAN_YES {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
--- a/internal/control/controller/controller_test.go
+++ b/internal/control/controller/controller_test.go
@@ -123,6 +123,11 @@
 	if err != nil || other.GetStatus() != messenger.ClaimStatus_CLAIM_STATUS_PENDING {
 		t.Fatalf("second claimant: %v, %v", other, err)
 	}
+	brief, cancelBrief := context.WithTimeout(ctx, 300*time.Millisecond)
+	defer cancelBrief()
+	if reply, err := f.RecordOutcome(brief, got.GetClaim(), &messenger.CallReply{Ran: messenger.Ran_RAN_UNKNOWN}); err == nil {
+		t.Fatalf("an unknown outcome was committed: %v", reply)
+	}
 	outcome := &messenger.CallReply{Ran: messenger.Ran_RAN_YES, Status: 201, Body: []byte("booked")}
 	if got, err = f.RecordOutcome(ctx, got.GetClaim(), outcome); err != nil || got.GetStatus() != messenger.ClaimStatus_CLAIM_STATUS_DONE {
 		t.Fatalf("outcome: %v, %v", got, err)
--- a/internal/control/controller/service.go
+++ b/internal/control/controller/service.go
@@ -76,8 +76,12 @@
 }
 
 // RecordOutcome commits a claimed call's answer. Of an answer above MaxOutcomeBytes
-// it keeps only whether the call ran and the status.
+// it keeps only whether the call ran and the status. An outcome never changes, so only
+// that of a call that ran is committed.
 func (s *service) RecordOutcome(ctx context.Context, r *messenger.OutcomeRequest) (*messenger.ClaimReply, error) {
+	if r.GetOutcome().GetRan() != messenger.Ran_RAN_YES {
+		return nil, eris.Errorf("outcome %s is not final", r.GetOutcome().GetRan())
+	}
 	o := registrar.RecordOutcome{Claim: translator.ClaimFrom(r.GetClaim())}
 	data, err := proto.Marshal(r.GetOutcome())
 	if err != nil {
--- a/internal/entry/booker/booker.go
+++ b/internal/entry/booker/booker.go
@@ -65,10 +65,11 @@
 		// the outcome that was committed first.
 		RecordOutcome func(ctx context.Context, claim *messenger.Claim, outcome *messenger.CallReply) (*messenger.ClaimReply, error)
 		RecordRefusal func(ctx context.Context, claim *messenger.Claim) (*messenger.ClaimReply, error)
-		// Report is called once for each target from Choose. answered is true if the call
-		// has an answer, even one from another backend server under the same key. It is
-		// false also if nothing was sent to target, as its claim failed or was not granted.
-		Report func(now time.Time, target Target, answered bool)
+		// Report is called once for each target from Choose to which the call was to be sent;
+		// answered is true if it has an answer. Release is called instead if nothing was to be
+		// sent, as the claim failed or was not granted: that says nothing of the target.
+		Report  func(now time.Time, target Target, answered bool)
+		Release func(target Target)
 		// AddressOf returns the address of a backend server's agent; false if it is unknown.
 		AddressOf func(server string) (string, bool)
 		// Budget bounds the retries of repeatable calls that may have run; nil for no
--- a/internal/entry/booker/booker_test.go
+++ b/internal/entry/booker/booker_test.go
@@ -201,6 +201,7 @@
 		},
 		AddressOf: func(string) (string, bool) { return c.current().address, true },
 		Report:    func(time.Time, Target, bool) {},
+		Release:   func(Target) {},
 	}
 }
 
@@ -269,6 +270,46 @@
 	}
 }
 
+// An earlier version could commit that it is unknown whether a call ran. The call then waited for
+// another outcome until its deadline, which callers need not set.
+func TestCommittedUnknownOutcomeEndsTheCall(t *testing.T) {
+	c := newCluster(t, nil)
+	req := newRequest("c1", "swap")
+	claimed, err := c.apply(registrar.Command{Claim: &registrar.MakeClaim{
+		Claim: registrar.Claim{Workspace: "w", Key: "key", Digest: req.Digest(), Server: "s", Incarnation: 2}, Claimant: "c0/1",
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.booker().RecordOutcome(t.Context(), claimed.GetClaim(), &messenger.CallReply{Ran: messenger.Ran_RAN_UNKNOWN}); err != nil {
+		t.Fatal(err)
+	}
+	b := c.booker()
+	chosen := 0
+	choose := b.Choose
+	b.Choose = func(ctx context.Context, now time.Time, service string, avoid []Target) (Target, error) {
+		chosen++
+		return choose(ctx, now, service, avoid)
+	}
+	var unknown *UnknownError
+	if _, err := b.Call(t.Context(), req); !errors.As(err, &unknown) || chosen != 1 {
+		t.Errorf("got %v after %d rounds, want an UnknownError after one", err, chosen)
+	}
+}
+
+// A failure of control says nothing of the backend server that was chosen.
+func TestFailedClaimDoesNotCountAgainstTheBackendServer(t *testing.T) {
+	c := newCluster(t, nil)
+	b := c.booker()
+	b.Claim = func(context.Context, *messenger.ClaimRequest) (*messenger.ClaimReply, error) { return nil, errLost }
+	released := 0
+	b.Release = func(Target) { released++ }
+	b.Report = func(time.Time, Target, bool) { t.Error("reported though nothing was sent") }
+	if _, err := b.Call(t.Context(), newRequest("c1", "swap")); err == nil || released != 1 {
+		t.Errorf("got %v, %d targets released", err, released)
+	}
+}
+
 // TestOutcomeUnknownAfterAgentRestart loses the reply to the call and the first request to
 // refuse the claim. The agent restarts whenever its address is looked up, so that the claim
 // is resolved by an incarnation that has no memory of the call.
--- a/internal/entry/booker/claim.go
+++ b/internal/entry/booker/claim.go
@@ -29,11 +29,15 @@
 			Claimant: fmt.Sprintf("%s/%d", req.ID, afterEpoch+1), AfterEpoch: afterEpoch,
 		})
 		if err != nil {
-			b.Report(time.Now(), target, false)
+			b.Release(target)
 			return nil, b.claimError(req, err)
 		}
 		reply, err := b.handleClaim(ctx, req, target, answer)
-		b.Report(time.Now(), target, reply.GetRan() == messenger.Ran_RAN_YES)
+		if answer.GetStatus() == messenger.ClaimStatus_CLAIM_STATUS_GRANTED {
+			b.Report(time.Now(), target, reply.GetRan() == messenger.Ran_RAN_YES)
+		} else {
+			b.Release(target)
+		}
 		if err != nil || reply.GetRan() == messenger.Ran_RAN_YES {
 			return reply, err
 		}
@@ -54,7 +58,7 @@
 		return b.recordResult(ctx, req, answer.GetClaim(), b.resolve(ctx, req, answer.GetClaim()))
 	case messenger.ClaimStatus_CLAIM_STATUS_DONE:
 		b.Log.Emit(time.Now(), logger.ClaimReplayed, req.ID, logger.F("key", req.Key))
-		return answer.GetOutcome(), nil
+		return finalOutcome(answer.GetOutcome())
 	case messenger.ClaimStatus_CLAIM_STATUS_REFUSED:
 		return &messenger.CallReply{Ran: messenger.Ran_RAN_NO}, nil
 	case messenger.ClaimStatus_CLAIM_STATUS_CONFLICT:
@@ -65,6 +69,15 @@
 	}
 }
 
+// finalOutcome returns the outcome of a claim that is done. An outcome that does not say that the
+// call ran, as earlier versions may have committed, is an UnknownError: it never changes.
+func finalOutcome(outcome *messenger.CallReply) (*messenger.CallReply, error) {
+	if outcome.GetRan() != messenger.Ran_RAN_YES {
+		return nil, &UnknownError{Cause: fmt.Errorf("the outcome is recorded as %s", outcome.GetRan())}
+	}
+	return outcome, nil
+}
+
 // dispatch sends a claimed call once, to the server that the claim names, which may not be
 // target. If there is no answer, or none that says whether the call ran, it resolves the
 // claim.
@@ -136,7 +149,7 @@
 			return nil, b.claimError(req, err)
 		}
 		if recorded.GetStatus() == messenger.ClaimStatus_CLAIM_STATUS_DONE {
-			return recorded.GetOutcome(), nil
+			return finalOutcome(recorded.GetOutcome())
 		}
 		if ctx.Err() != nil {
 			return nil, b.claimError(req, errors.New(reply.GetReason().String()))
--- a/internal/entry/placer/services.go
+++ b/internal/entry/placer/services.go
@@ -35,7 +35,7 @@
 		},
 	})
 	if err == nil && ctx.Err() != nil {
-		p.releaseCall(target.Server)
+		p.ReleaseCall(target)
 		return booker.Target{}, ctx.Err()
 	}
 	return target, err
@@ -87,11 +87,11 @@
 	return booker.Target{Server: best.member.Name, Address: best.member.Address, Incarnation: best.member.Incarnation}, true
 }
 
-// releaseCall undoes placeCall for a call that was not sent.
-func (p *Placer) releaseCall(name string) {
+// ReleaseCall ends the count of a call that was not sent to the target that ChooseService chose.
+func (p *Placer) ReleaseCall(target booker.Target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if s := p.servers[name]; s != nil {
+	if s := p.servers[target.Server]; s != nil {
 		s.outstanding = max(0, s.outstanding-1)
 	}
 }
--- a/internal/role/runner/entry.go
+++ b/internal/role/runner/entry.go
@@ -58,7 +58,7 @@
 			StallTimeout: time.Duration(s.Entry.StallTimeout), ResumeTimeout: time.Duration(s.Entry.ResumeTimeout),
 		},
 		Booker: &booker.Booker{
-			Pool: pool, Choose: picker.ChooseService, Report: picker.ReportCall, Log: l,
+			Pool: pool, Choose: picker.ChooseService, Report: picker.ReportCall, Release: picker.ReleaseCall, Log: l,
 			Budget: &retrier.Budget{},
 			Claim:  f.Claim, RecordOutcome: f.RecordOutcome, RecordRefusal: f.RefuseClaim,
 			AddressOf: func(server string) (string, bool) {
