fix: bound what a backend server may send in headers, skipped and declined responses

The library's header reader has no limit: a header line without end grew a test process by 2.7 GiB in two seconds, where the smallest host has 88 MB. Bodies of responses to other requests and of declines were read without limit. A response above the limit of a call to an engine left its rest on a connection that was kept. Change: 128 KiB until a response's header is read, informational responses included; 1 MiB of a skipped body, 64 KiB of a decline; whole responses above 64 KiB one of two places, and 8 MiB at most; an event 128 KiB. A connection is reused only if the body was read to its end.

--- a/internal/fleet/forwarder/call.go
+++ b/internal/fleet/forwarder/call.go
@@ -54,8 +54,12 @@
 	maxBackendsTried = 4
 	// avoidUnreachable is how long a backend server that could not be reached is avoided.
 	avoidUnreachable = 500 * time.Millisecond
-	// maxResponseBytes bounds a response that is read whole before it is forwarded.
-	maxResponseBytes = 16 << 20
+	// maxResponseBytes bounds a response that is read whole before it is forwarded. Beyond
+	// smallResponseBytes it needs one of maxLargeResponses places, so that backend servers which
+	// send without end can't fill the memory.
+	maxResponseBytes   = 8 << 20
+	smallResponseBytes = 64 << 10
+	maxLargeResponses  = 2
 	// maxIdleUnrepeatable bounds the idle time of a connection that is used for a request
 	// which may not be repeated: the backend server may have closed one that was idle longer.
 	maxIdleUnrepeatable = 3 * time.Second
@@ -162,7 +166,7 @@
 		x.mayHaveRun = x.mayHaveRun || !errors.As(err, &unsent)
 		return nil, err
 	}
-	whole, err := f.readWhole(resp)
+	whole, err := f.readWhole(ctx, resp)
 	if err != nil {
 		resp.Abort()
 		x.mayHaveRun = x.mayHaveRun || !errors.Is(err, errDeclined)
@@ -196,8 +200,8 @@
 // long, not encoded and, with a status below 300, signed. If it is not, the error is a
 // sender.LostError. If the body can't be read and the header states that the request did not
 // run, the error is errDeclined.
-func (f *Forwarder) readWhole(resp *sender.Response) (*wholeResponse, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+func (f *Forwarder) readWhole(ctx context.Context, resp *sender.Response) (*wholeResponse, error) {
+	body, err := f.readBody(ctx, resp.Body)
 	switch {
 	case err != nil && f.notRun(resp):
 		return nil, errDeclined
@@ -213,6 +217,24 @@
 	return &wholeResponse{status: resp.Status, header: resp.Header, body: body}, nil
 }
 
+// readBody reads a body of at most maxResponseBytes, or one byte more of a longer one. A body
+// above smallResponseBytes waits until another one of that size has been read, or ctx ends.
+func (f *Forwarder) readBody(ctx context.Context, body io.Reader) ([]byte, error) {
+	small, err := io.ReadAll(io.LimitReader(body, smallResponseBytes+1))
+	if err != nil || len(small) <= smallResponseBytes {
+		return small, err
+	}
+	f.makeLarge.Do(func() { f.large = make(chan struct{}, maxLargeResponses) })
+	select {
+	case f.large <- struct{}{}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	defer func() { <-f.large }()
+	rest, err := io.ReadAll(io.LimitReader(body, maxResponseBytes-smallResponseBytes))
+	return append(small, rest...), err
+}
+
 // deliver sends a whole response to the client. A status that implies that the request did not
 // run is forwarded only if the request is idempotent, as it may have run all the same.
 func (f *Forwarder) deliver(x *exchange, b *messenger.Backend, resp *wholeResponse) {
--- a/internal/fleet/forwarder/eventreader.go
+++ b/internal/fleet/forwarder/eventreader.go
@@ -31,7 +31,7 @@
 	// readSize is the buffer space for one read of a stream, in bytes.
 	readSize = 4096
 	// maxEventBytes bounds one event.
-	maxEventBytes = 1 << 20
+	maxEventBytes = 128 << 10
 	// maxPendingBatches bounds the batches that are queued for the client.
 	maxPendingBatches = 64
 )
--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -57,6 +57,10 @@
 		ObserveFirstEvent func(d time.Duration)
 		ObserveGap        func(d time.Duration)
 
+		// large holds a value for each response above smallResponseBytes that is being read.
+		large     chan struct{}
+		makeLarge sync.Once
+
 		mu sync.Mutex
 		// streams holds the generations in progress, by run id.
 		streams map[string]*stream
--- a/internal/fleet/forwarder/generation.go
+++ b/internal/fleet/forwarder/generation.go
@@ -18,6 +18,8 @@
 const (
 	// maxPlacements bounds the placements that are tried for one generation.
 	maxPlacements = 3
+	// maxDeclineBytes bounds how much is read of the body of a response that declines a request.
+	maxDeclineBytes = 64 << 10
 	// maxPendingOrders bounds the move orders that are queued for one generation.
 	maxPendingOrders = 4
 )
@@ -251,7 +253,7 @@
 	}
 	if s.f.notRun(resp) {
 		// Reads the rest of the body so that the connection can be reused.
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDeclineBytes)); err != nil {
 			resp.Abort()
 		} else {
 			resp.Done()
--- a/internal/fleet/forwarder/stream.go
+++ b/internal/fleet/forwarder/stream.go
@@ -185,7 +185,7 @@
 
 // forwardWhole forwards a response that is not a stream because its status is not 200.
 func (s *stream) forwardWhole(ctx context.Context) {
-	resp, err := s.f.readWhole(s.response)
+	resp, err := s.f.readWhole(ctx, s.response)
 	if err != nil {
 		s.response.Abort()
 		s.f.giveUp(ctx, s.x, "engine gave no whole answer", err)
--- a/internal/fleet/sender/response.go
+++ b/internal/fleet/sender/response.go
@@ -42,6 +42,8 @@
 
 		pool *Pool
 		conn *Conn
+		// body is what Body reads from.
+		body *bodyReader
 		// reusable is set if the response allows another request on the connection after it.
 		reusable bool
 		// stopCloseOnDone prevents that conn is closed when the request's context ends. It
@@ -79,6 +81,10 @@
 	// maxOtherResponses bounds the responses with the id of another request that are skipped,
 	// such as a second response to an earlier request on the connection.
 	maxOtherResponses = 3
+	// maxHeaderBytes bounds the bytes until the header of the response has been read, with those of
+	// informational responses, and maxSkippedBytes the body of a response that is skipped.
+	maxHeaderBytes  = 128 << 10
+	maxSkippedBytes = 1 << 20
 	// maxInlineBodyBytes is the largest body in bytes that is written together with the header,
 	// before the response is read.
 	maxInlineBodyBytes = 8 << 10
@@ -116,15 +122,15 @@
 	return resp, nil
 }
 
-// Done returns the connection to the pool if it can be used again, and closes it otherwise.
-// The caller must have read Body until io.EOF, which Done does not check.
+// Done returns the connection to the pool if it can be used again, and closes it otherwise, as
+// it does if Body was not read until io.EOF: the rest would be taken for the next response.
 func (resp *Response) Done() {
 	select {
 	case <-resp.writeDone:
 	default:
 		resp.reusable = false
 	}
-	if !resp.stopCloseOnDone() || !resp.reusable || !resp.bodySent.Load() || resp.conn.br.Buffered() > 0 {
+	if !resp.stopCloseOnDone() || !resp.reusable || !resp.body.ended || !resp.bodySent.Load() || resp.conn.br.Buffered() > 0 {
 		_ = resp.conn.Close()
 		return
 	}
@@ -180,6 +186,8 @@
 // responses and those to other requests.
 func (resp *Response) readHeader(r Request) error {
 	skipped := 0
+	resp.conn.limited.left = maxHeaderBytes
+	defer func() { resp.conn.limited.left = unlimited }()
 	for {
 		next, err := http.ReadResponse(resp.conn.br, &http.Request{Method: r.Method}) //nolint:bodyclose,nolintlint // Done and Abort close the connection.
 		if err != nil {
@@ -193,12 +201,13 @@
 			if skipped > maxOtherResponses {
 				return errOtherResponses
 			}
-			if _, err := io.Copy(io.Discard, next.Body); err != nil {
+			if err := resp.skipBody(next.Body); err != nil {
 				return err
 			}
 			continue
 		}
-		resp.Status, resp.Header, resp.Body = next.StatusCode, next.Header, next.Body
+		resp.body = &bodyReader{Reader: next.Body}
+		resp.Status, resp.Header, resp.Body = next.StatusCode, next.Header, resp.body
 		// Without framing, the body ends only when the connection does.
 		framed := next.ContentLength >= 0 || len(next.TransferEncoding) > 0
 		resp.conn.serverIdleTimeout = keepAliveTimeout(next.Header)
@@ -207,6 +216,20 @@
 	}
 }
 
+// skipBody reads the body of a response to another request, and then allows another header.
+func (resp *Response) skipBody(body io.Reader) error {
+	resp.conn.limited.left = unlimited
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxSkippedBytes))
+	if err != nil {
+		return err
+	}
+	if n == maxSkippedBytes {
+		return errOtherResponses
+	}
+	resp.conn.limited.left = maxHeaderBytes
+	return nil
+}
+
 // closesConnection reports whether the Connection field announces that the backend server
 // closes the connection after the response.
 func closesConnection(h http.Header) bool {
--- a/internal/fleet/sender/sender.go
+++ b/internal/fleet/sender/sender.go
@@ -30,7 +30,9 @@
 	Conn struct {
 		net.Conn
 		address string
+		// br reads from limited, which bounds what one response header may take.
 		br      *bufio.Reader
+		limited *limitedReader
 		// reused is set if an earlier request used the connection.
 		reused bool
 		// lastUsed is when the connection became idle. It is not reused from expiresAt on, as
@@ -59,6 +61,11 @@
 	idleMargin = 700 * time.Millisecond
 )
 
+func newConn(raw net.Conn, address string) *Conn {
+	limited := &limitedReader{r: raw, left: unlimited}
+	return &Conn{Conn: raw, address: address, limited: limited, br: bufio.NewReaderSize(limited, readBufferBytes)}
+}
+
 // Dial opens a TCP connection that fails, instead of blocking, when its peer becomes
 // unreachable.
 func Dial(ctx context.Context, address string) (net.Conn, error) {
@@ -87,7 +94,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{Conn: raw, address: address, br: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	return newConn(raw, address), nil
 }
 
 // Put keeps a connection for a later request, or closes it if maxIdlePerAddress are kept.
