--- a/internal/agent/server/agent.go
+++ b/internal/agent/server/agent.go
@@ -131,7 +131,7 @@
 	// serving outlives ctx until drain returns.
 	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
-	peers := &acceptor.Acceptor{Listener: a.Listener, Register: a.register}
+	peers := &acceptor.Acceptor{Listener: a.Listener, Register: a.register, Log: a.Log}
 	announcing := &http.Server{Handler: a.announceHandler(), ReadHeaderTimeout: announceTimeout}
 	g, serving := errgroup.WithContext(serving)
 	g.Go(func() error { return peers.Run(serving) })
--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -21,6 +21,7 @@
 	"verbenareach/internal/control/replicator"
 	"verbenareach/internal/event/logger"
 	"verbenareach/internal/operator/responder"
+	"verbenareach/internal/wire/recoverer"
 )
 
 type (
@@ -104,7 +105,7 @@
 		return errors.Join(err, lis.Close())
 	}
 	c.Log.Emit(time.Now(), logger.ControlStarted, "", logger.F("listen", lis.Addr().String()))
-	server := drpcserver.NewWithOptions(mux, replicator.ServerOptions())
+	server := drpcserver.NewWithOptions(&recoverer.Handler{Handler: mux, Log: c.Log}, replicator.ServerOptions())
 	g.Go(func() error { return eris.Wrap(server.Serve(serving, lis), "serve followers") })
 	g.Go(func() error { return c.runReplicator(serving) })
 	g.Go(func() error {
--- a/internal/engine/connector/connector.go
+++ b/internal/engine/connector/connector.go
@@ -274,6 +274,10 @@
 	if err := json.Unmarshal(start.GetRequest(), &fields); err != nil {
 		return nil, &RefusedError{Status: http.StatusBadRequest, Body: err.Error()}
 	}
+	if fields == nil {
+		// The JSON value null.
+		return nil, &RefusedError{Status: http.StatusBadRequest, Body: "request is no JSON object"}
+	}
 	overrides := []struct {
 		name  string
 		value any
--- a/internal/engine/connector/connector_test.go
+++ b/internal/engine/connector/connector_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"strings"
 	"testing"
+
+	"verbenareach/internal/wire/messenger"
 )
 
 func streamOf(text string) *Stream {
@@ -47,6 +49,17 @@
 	}
 }
 
+func TestRequestThatIsNoObjectIsRefused(t *testing.T) {
+	for _, body := range []string{"null", "[]", "1", "", "{"} {
+		t.Run(body, func(t *testing.T) {
+			refused := new(RefusedError)
+			if _, err := requestBody(&messenger.GenerateStart{Request: []byte(body)}); !errors.As(err, &refused) {
+				t.Errorf("got %v, want a RefusedError", err)
+			}
+		})
+	}
+}
+
 func FuzzNext(f *testing.F) {
 	f.Add("data: {\"choices\":[{\"delta\":{\"content\":\"a\"},\"finish_reason\":null}]}\n\n")
 	f.Fuzz(func(_ *testing.T, text string) {
--- a/internal/entry/limiter/account.go
+++ b/internal/entry/limiter/account.go
@@ -79,7 +79,7 @@
 // declare enters what a peer holds as a borrower, and the contents of the buckets that it
 // has as the former home. The entered loan expires at until.
 func (a *account) declare(now, until time.Time, peer string, incarnation uint64, d *messenger.Declared) {
-	a.setLimits(d.GetContractNumber(), decodeLimits(d.GetLimits()))
+	a.setLimits(now, d.GetContractNumber(), decodeLimits(d.GetLimits()))
 	if d.GetWasHome() {
 		left := decodeAmounts(d.GetBuckets())
 		a.requests = a.requests.refilled(now)
@@ -133,7 +133,7 @@
 	if ok && (incarnation < previous.incarnation || incarnation == previous.incarnation && ask.GetSequence() <= previous.sequence) {
 		return &messenger.Loan{Status: messenger.LoanStatus_LOAN_STATUS_STALE}
 	}
-	a.setLimits(ask.GetContractNumber(), decodeLimits(ask.GetLimits()))
+	a.setLimits(now, ask.GetContractNumber(), decodeLimits(ask.GetLimits()))
 	a.lastAsk = now
 	a.creditReturned(now, decodeAmounts(ask.GetReturned()))
 	current := loan{
@@ -258,14 +258,14 @@
 }
 
 // setLimits applies the limits of a contract that is newer than the current one.
-func (a *account) setLimits(number uint64, limits registrar.Limits) {
+func (a *account) setLimits(now time.Time, number uint64, limits registrar.Limits) {
 	if number <= a.number {
 		return
 	}
 	a.number = number
 	a.limits = limits
-	a.requests = a.requests.withRate(limits.RequestsPerSecond)
-	a.tokens = a.tokens.withRate(limits.TokensPerSecond)
+	a.requests = a.requests.withRate(now, limits.RequestsPerSecond)
+	a.tokens = a.tokens.withRate(now, limits.TokensPerSecond)
 }
 
 // creditReturned adds returned rates to the buckets; negative rates are debts.
--- a/internal/entry/limiter/bucket.go
+++ b/internal/entry/limiter/bucket.go
@@ -63,9 +63,10 @@
 	return b
 }
 
-// withRate returns the bucket with another rate, which also applies to the time since the
-// last refill. The content of a bucket that had no bound becomes 0.
-func (b bucket) withRate(rate float64) bucket {
+// withRate returns the bucket with another rate from now on. The content of a bucket that had
+// no bound becomes 0.
+func (b bucket) withRate(now time.Time, rate float64) bucket {
+	b = b.refilled(now)
 	if b.rate == 0 {
 		b.content = 0
 	}
--- a/internal/entry/limiter/limiter_test.go
+++ b/internal/entry/limiter/limiter_test.go
@@ -393,3 +393,12 @@
 		t.Errorf("%d asks for an idle workspace", n)
 	}
 }
+
+func TestNewRateDoesNotApplyToThePast(t *testing.T) {
+	at := time.Unix(1000, 0)
+	b := bucket{rate: 1, content: -10, at: at}
+	later := at.Add(2 * time.Second)
+	if got := b.withRate(later, 100).refilled(later).content; got != -8 {
+		t.Errorf("the bucket holds %v after two seconds at a rate of 1, want -8", got)
+	}
+}
--- a/internal/entry/server/entry.go
+++ b/internal/entry/server/entry.go
@@ -97,7 +97,7 @@
 	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
 	callers := &http.Server{Handler: e.handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
-	peers := &acceptor.Acceptor{Listener: e.PeerListener, Register: e.RegisterServices}
+	peers := &acceptor.Acceptor{Listener: e.PeerListener, Register: e.RegisterServices, Log: e.Log}
 	g, serving := errgroup.WithContext(serving)
 	g.Go(func() error { return peers.Run(serving) })
 	g.Go(func() error {
--- a/internal/event/logger/fleetevents.go
+++ b/internal/event/logger/fleetevents.go
@@ -10,6 +10,7 @@
 	FleetReloaded  = Event{6004, log.InfoLevel, "settings reload finished"}
 	FleetReadiness = Event{6005, log.InfoLevel, "readiness changed"}
 	FleetPaused    = Event{6006, log.WarnLevel, "host paused or its clock jumped"}
+	TaskPanicked   = Event{6007, log.ErrorLevel, "handling of a request or message panicked"}
 
 	// Events of a host's view of the other hosts.
 	FleetLinked         = Event{6101, log.InfoLevel, "link to a host is up"}
@@ -48,7 +49,7 @@
 	RunCopyReleased = Event{6406, log.InfoLevel, "copy of a generation released"}
 
 	fleetEvents = []Event{
-		FleetStarted, FleetStopping, FleetStopped, FleetReloaded, FleetReadiness, FleetPaused, FleetLinked, FleetUnlinked,
+		FleetStarted, FleetStopping, FleetStopped, FleetReloaded, FleetReadiness, FleetPaused, TaskPanicked, FleetLinked, FleetUnlinked,
 		FleetMemberChanged, FleetLogFailed, FleetBackendChanged, FleetDeciderChanged, FleetInformFailed,
 		FleetUnknownGone, FleetEngineProbed, FleetConfigAdopted,
 		FleetConfigSubmitted, FleetConfigRefused, FleetConfigRead, FleetConfigRejected, FleetReportRefused,
--- a/internal/fleet/forwarder/call.go
+++ b/internal/fleet/forwarder/call.go
@@ -110,8 +110,7 @@
 }
 
 // mayRetry records a failed attempt and reports whether another backend server may get the
-// request. If the request may have run, it must be idempotent and have attempts left. An unsent
-// request after a declined one counts as one that may have run.
+// request. If the request may have run, it must be idempotent and have attempts left.
 func (f *Forwarder) mayRetry(ctx context.Context, x *exchange, t *attempts, b *messenger.Backend, err error) bool {
 	t.reason, t.cause = "no backend server gave an answer", err
 	unsent, lost := new(sender.UnsentError), new(sender.LostError)
@@ -123,8 +122,7 @@
 	}
 	f.Log.Emit(time.Now(), logger.ForwardAttemptFailed, x.id, logger.F("backend", b.Id), logger.F("cause", err),
 		logger.F("tried", len(t.tried)), logger.F("mayHaveRun", x.mayHaveRun))
-	mayRunTwice := !errors.Is(err, errDeclined) && t.reached > 0
-	if mayRunTwice && (x.route.Kind != cataloger.Idempotent || t.reached >= x.route.Attempts) {
+	if x.mayHaveRun && (x.route.Kind != cataloger.Idempotent || t.reached >= x.route.Attempts) {
 		return false
 	}
 	return t.reached <= max(x.route.Attempts, 1)
--- a/internal/fleet/forwarder/call_test.go
+++ b/internal/fleet/forwarder/call_test.go
@@ -133,6 +133,55 @@
 	}
 }
 
+// An attempt that declined and one that could not be sent have not run the request.
+func TestRequestIsSentOnAfterADeclineAndAnUnsentAttempt(t *testing.T) {
+	declines := newStandIn(t, "a", func(c net.Conn, seen seenRequest) bool {
+		return answer(c, seen, http.StatusServiceUnavailable, "T-Not-Run: 1\r\n", "")
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	unreachable := &standIn{id: "b", address: l.Addr().String()}
+	_ = l.Close()
+	sound := newStandIn(t, "c", answerOK)
+	x := newFixture(t, declines, unreachable, sound)
+	x.occupy("b")
+	x.occupy("c")
+	x.occupy("c")
+	if got := x.send("/once/", key, ""); got.status != http.StatusOK {
+		t.Errorf("status %d %q though a third backend server is sound", got.status, got.body)
+	}
+}
+
+func TestClientTimeout(t *testing.T) {
+	tests := []struct {
+		text string
+		left time.Duration
+		ok   bool
+	}{
+		{"1500", 1500 * time.Millisecond, true}, {"0.5", 500 * time.Microsecond, true}, {"-3", 0, true}, {"-Inf", 0, true},
+		{"1e30", 0, false}, {"Inf", 0, false}, {"NaN", 0, false}, {"", 0, false}, {"soon", 0, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.text, func(t *testing.T) {
+			if left, ok := clientTimeout(tt.text); left != tt.left || ok != tt.ok {
+				t.Errorf("got %s, %t; want %s, %t", left, ok, tt.left, tt.ok)
+			}
+		})
+	}
+}
+
+func TestOnlyFieldsThatConnectionNamesAreDropped(t *testing.T) {
+	b := newStandIn(t, "a", answerOK)
+	x := newFixture(t, b)
+	x.send("/read/", key+"Connection: Dropped, keep-alive\r\nDropped: 1\r\nDrop: 2\r\n", "")
+	h := b.requests()[0].Header
+	if h.Get("Drop") != "2" || h.Get("Dropped") != "" {
+		t.Errorf("forwarded fields are %v", h)
+	}
+}
+
 func TestNoBackendServerIsRefusedWithRetryAfter(t *testing.T) {
 	x := newFixture(t)
 	got := x.send("/once/a", key, "")
--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -97,6 +98,8 @@
 	startupPeriod = 5 * time.Second
 	// pollInterval is the pause between checks of a condition that a request waits for.
 	pollInterval = 20 * time.Millisecond
+	// maxClientTimeout is the longest time that a client's deadline field may set.
+	maxClientTimeout = 24 * time.Hour
 	// retryAfterUnready is sent to clients while the host has no configuration.
 	retryAfterUnready = time.Second
 	// retryAfterBusy is sent to clients when no backend server takes the request.
@@ -165,14 +168,23 @@
 	}
 	x.service = c.Services[route.Pick(rand.Float64())] //nolint:gosec // Not security-relevant: it only splits traffic.
 	x.deadline = x.r.Arrived.Add(route.Timeout)
-	if ms, err := strconv.ParseFloat(x.r.Get(f.Dialect.Deadline), 64); err == nil {
-		if end := x.r.Arrived.Add(time.Duration(ms * float64(time.Millisecond))); end.Before(x.deadline) {
-			x.deadline = end
-		}
+	if left, ok := clientTimeout(x.r.Get(f.Dialect.Deadline)); ok && left < route.Timeout {
+		x.deadline = x.r.Arrived.Add(left)
 	}
 	return true
 }
 
+// clientTimeout parses the time that a client waits, in milliseconds. ok is false if text is no
+// number or the time is longer than maxClientTimeout, which is no limit.
+func clientTimeout(text string) (left time.Duration, ok bool) {
+	ms, err := strconv.ParseFloat(text, 64)
+	// The comparison is false for NaN too.
+	if err != nil || !(ms < float64(maxClientTimeout/time.Millisecond)) {
+		return 0, false
+	}
+	return time.Duration(max(ms, 0) * float64(time.Millisecond)), true
+}
+
 // refuse answers a request that did not run and won't. retryAfter is the Retry-After sent to the
 // client; 0 for none.
 func (f *Forwarder) refuse(x *exchange, status int, reason string, retryAfter time.Duration) {
@@ -229,10 +241,10 @@
 	out := sender.Request{
 		Method: x.r.Method, Target: x.r.Target, Host: x.r.Get("Host"), Body: x.r.Body, Echo: f.Dialect.RequestID, ID: x.id,
 	}
-	connectionFields := strings.ToLower(x.r.Get("Connection"))
+	connectionFields := strings.Split(strings.ToLower(x.r.Get("Connection")), ",")
 	for _, field := range x.r.Fields {
 		name := strings.ToLower(field.Name)
-		if hopByHop[name] || f.Dialect.reserved(name) || strings.Contains(connectionFields, name) {
+		if hopByHop[name] || f.Dialect.reserved(name) || slices.ContainsFunc(connectionFields, func(f string) bool { return strings.TrimSpace(f) == name }) {
 			continue
 		}
 		if name == "authorization" && x.workspace != "" {
--- a/internal/fleet/receiver/receiver_test.go
+++ b/internal/fleet/receiver/receiver_test.go
@@ -185,3 +185,22 @@
 		t.Errorf("read of the idle connection returned %v, want EOF", err)
 	}
 }
+
+func TestResponseToHeadHasNoBody(t *testing.T) {
+	_, address := serve(t, func(_ context.Context, w *Writer, _ *Request) {
+		w.Begin(http.StatusOK, nil)
+		w.Write([]byte("a"))
+		w.Finish()
+	})
+	c := dial(t, address)
+	for range 2 {
+		if _, err := io.WriteString(c, "HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: http.MethodHead})
+		if err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatalf("the next response on the connection is %v, %v", resp, err)
+		}
+		_ = resp.Body.Close()
+	}
+}
--- a/internal/fleet/receiver/writer.go
+++ b/internal/fleet/receiver/writer.go
@@ -50,7 +50,7 @@
 // response can't become complete anymore. An empty part is no chunk, as that would end the
 // body.
 func (w *Writer) Write(part []byte) bool {
-	if len(part) > 0 {
+	if len(part) > 0 && !w.noBody {
 		w.buf = strconv.AppendInt(w.buf, int64(len(part)), 16)
 		w.buf = append(w.buf, "\r\n"...)
 		w.buf = append(w.buf, part...)
@@ -62,7 +62,9 @@
 
 // Finish completes a response that Begin started.
 func (w *Writer) Finish() {
-	w.buf = append(w.buf, "0\r\n\r\n"...)
+	if !w.noBody {
+		w.buf = append(w.buf, "0\r\n\r\n"...)
+	}
 	w.flush()
 	w.complete = !w.failed
 }
--- a/internal/fleet/runner/runner.go
+++ b/internal/fleet/runner/runner.go
@@ -35,6 +35,7 @@
 	"verbenareach/internal/fleet/sender"
 	"verbenareach/internal/fleet/tracker"
 	"verbenareach/internal/wire/messenger"
+	"verbenareach/internal/wire/recoverer"
 )
 
 type (
@@ -178,7 +179,7 @@
 	h.tracker = &tracker.Tracker{Name: s.Host.Name, SilenceTimeout: time.Duration(maxMissedHeartbeats * float64(s.Heartbeat))}
 	h.linker = &linker.Linker{
 		Self: s.Host, Seeds: func() []string { return *h.seeds.Load() }, Bootstrap: s.Bootstrap,
-		MinFounders: 2*s.MaxLostHubs + 1, Fill: h.fillMessage, LinkUp: h.linkUp, LinkDown: h.linkDown, Receive: h.receiveMessage,
+		MinFounders: 2*s.MaxLostHubs + 1, Fill: h.fillMessage, LinkUp: h.linkUp, LinkDown: h.linkDown, Receive: h.receiveSafely,
 	}
 	h.informer = &informer.Informer{
 		Self: s.Host, Tracker: h.tracker, Linked: h.linker.Linked, Alone: h.alone, EnqueueAll: h.linker.EnqueueAll,
@@ -205,7 +206,7 @@
 		Stopping: h.timeLeft, Log: h.Log, Observe: h.meter.Request,
 		ObserveFirstEvent: h.meter.FirstToken, ObserveGap: h.meter.Gap,
 	}
-	h.receiver = &receiver.Receiver{Handle: h.forwarder.Handle, Limits: h.limits, OnRefused: h.logMalformed}
+	h.receiver = &receiver.Receiver{Handle: h.handleRequest, Limits: h.limits, OnRefused: h.logMalformed}
 	if !s.Host.Hub {
 		return
 	}
@@ -230,7 +231,7 @@
 				return eris.Wrap(err, "register services")
 			}
 		}
-		err := drpcserver.NewWithOptions(mux, replicator.ServerOptions()).Serve(ctx, l.fleet)
+		err := drpcserver.NewWithOptions(&recoverer.Handler{Handler: mux, Log: h.Log}, replicator.ServerOptions()).Serve(ctx, l.fleet)
 		if err != nil && ctx.Err() == nil {
 			return eris.Wrap(err, "serve other hosts")
 		}
@@ -354,6 +355,19 @@
 	initialTimeout     = 5 * time.Second
 )
 
+// handleRequest serves one client request. If that panics, the response stays incomplete.
+func (h *Runner) handleRequest(ctx context.Context, w *receiver.Writer, r *receiver.Request) {
+	if recoverer.Run(h.Log, r.Get(h.Dialect.RequestID), func() { h.forwarder.Handle(ctx, w, r) }) != nil {
+		w.Abort()
+	}
+}
+
+// receiveSafely handles a message of another host. If that panics, the rest of it is dropped.
+func (h *Runner) receiveSafely(from *messenger.FleetHost, m *messenger.LinkMessage) {
+	// Run has logged the panic.
+	_ = recoverer.Run(h.Log, "", func() { h.receiveMessage(from, m) })
+}
+
 // logMalformed logs a request that the receiver refused.
 func (h *Runner) logMalformed(status int, reason string) {
 	h.Log.Emit(time.Now(), logger.ForwardMalformed, "", logger.F("status", status), logger.F("reason", reason))
--- a/internal/length/estimator/curve.go
+++ b/internal/length/estimator/curve.go
@@ -91,7 +91,7 @@
 }
 
 // Quantile returns the number of further tokens that a generation of n tokens does not
-// exceed with probability q. It is at most maxLength-n, so negative if n is above maxLength.
+// exceed with probability q. It is at most maxLength-n, and 0 from maxLength on.
 func (c *Curve) Quantile(n int, q float64) int {
 	c.refresh()
 	target := c.logSurvivalAt(n) + math.Log1p(-q)
@@ -105,7 +105,7 @@
 		}
 	}
 	if low >= bucketCount {
-		return maxLength - n
+		return max(maxLength-n, 0)
 	}
 	from, to := lowerBound(low), lowerBound(low+1)
 	fall := c.logSurvival[low] - c.logSurvival[low+1]
--- a/internal/length/estimator/estimator_test.go
+++ b/internal/length/estimator/estimator_test.go
@@ -229,3 +229,12 @@
 		})
 	}
 }
+
+func TestQuantileIsNeverNegative(t *testing.T) {
+	c := New(1).Curve(Key{})
+	for _, n := range []int{0, maxLength - 1, maxLength, maxLength + 1, 2 * maxLength} {
+		if got := c.Quantile(n, 0.99); got < 0 {
+			t.Errorf("%d further tokens of an output of %d", got, n)
+		}
+	}
+}
--- a/internal/service/emulator/emulator.go
+++ b/internal/service/emulator/emulator.go
@@ -132,6 +132,7 @@
 			panic(http.ErrAbortHandler)
 		}
 	}
+	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(http.StatusCreated)
 	writeJSON(w, RunCount{Reference: b.Reference, Runs: n})
 }
--- a/internal/wire/acceptor/acceptor.go
+++ b/internal/wire/acceptor/acceptor.go
@@ -8,6 +8,9 @@
 	"github.com/rotisserie/eris"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
+
+	"verbenareach/internal/event/logger"
+	"verbenareach/internal/wire/recoverer"
 )
 
 type (
@@ -17,6 +20,8 @@
 		Listener net.Listener
 		// Register registers the process's services.
 		Register func(mux *drpcmux.Mux) error
+		// Log receives the panics of calls; nil drops them.
+		Log *logger.Logger
 	}
 )
 
@@ -33,7 +38,7 @@
 	if err := a.Register(mux); err != nil {
 		return eris.Wrap(err, "register services")
 	}
-	if err := drpcserver.New(mux).Serve(ctx, a.Listener); err != nil && ctx.Err() == nil {
+	if err := drpcserver.New(&recoverer.Handler{Handler: mux, Log: a.Log}).Serve(ctx, a.Listener); err != nil && ctx.Err() == nil {
 		return eris.Wrap(err, "serve")
 	}
 	return nil
