fix: leave the running work of a silent engine alone; count a suspension against the freshness of marks

A machine that was only silent had its running work given up: an engine whose heartbeats were missing for 3.8 s counted as leaving, and all its generations were moved, as when the hubs were cut and sound engines reported to the other side. A paused process acted on an expired permission: an agent admits work while its leave marks were confirmed within 6 s by the steady clock, which does not count the time in which a host is suspended. Change: a silent engine gets no new runs and keeps those it has; one that is dark is noticed by its streams (TCP probes), which go on from their backups. Freshness counts the longer of steady and wall clock.

--- a/internal/control/follower/follower.go
+++ b/internal/control/follower/follower.go
@@ -52,6 +52,9 @@
 		StaleAfter time.Duration
 		// FreshFor is how long a confirmation keeps the view fresh; 0 for 6 s.
 		FreshFor time.Duration
+		// Elapsed returns the time since another time, with that in which the host was suspended;
+		// nil for pauser.Elapsed.
+		Elapsed func(since, now time.Time) time.Duration
 
 		once sync.Once
 		view atomic.Pointer[registrar.View]
@@ -112,7 +115,11 @@
 // Fresh reports whether a quorum has confirmed the view within FreshFor before now.
 func (f *Follower) Fresh(now time.Time) bool {
 	at := f.ConfirmedAt()
-	return !at.IsZero() && now.Sub(at) <= f.freshFor()
+	elapsed := pauser.Elapsed
+	if f.Elapsed != nil {
+		elapsed = f.Elapsed
+	}
+	return !at.IsZero() && elapsed(at, now) <= f.freshFor()
 }
 
 // ConfirmedAt returns the time up to which all committed changes are in the view, as
--- a/internal/control/follower/follower_test.go
+++ b/internal/control/follower/follower_test.go
@@ -426,3 +426,17 @@
 		t.Errorf("%d descriptions and %d reports to send, want one of each", f.selfVersion, f.reportVersion)
 	}
 }
+
+// After a suspension the steady clock tells that no time has passed since the last confirmation.
+func TestSuspendedHostIsNotFresh(t *testing.T) {
+	f := &Follower{FreshFor: time.Second}
+	f.init()
+	f.confirmedAt = time.Now()
+	if now := f.confirmedAt.Add(time.Millisecond); !f.Fresh(now) {
+		t.Fatal("not fresh a millisecond after a confirmation")
+	}
+	f.Elapsed = func(time.Time, time.Time) time.Duration { return time.Hour }
+	if f.Fresh(f.confirmedAt.Add(time.Millisecond)) {
+		t.Error("fresh after an hour of suspension")
+	}
+}
--- a/internal/fleet/scheduler/backend.go
+++ b/internal/fleet/scheduler/backend.go
@@ -17,7 +17,7 @@
 	// here; orphans holds the copies without a run that the engine has not freed yet.
 	backups map[string]*run
 	orphans []orphan
-	// leavingSince is when the backend server stopped being ready; zero while it is ready.
+	// leavingSince is when the backend server was first known to leave; zero before.
 	leavingSince time.Time
 	// outgoing is the run being transferred away, incoming the one being transferred here;
 	// nil for none.
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -137,7 +137,8 @@
 		}
 		b.report, b.engine = r, engine
 		switch r.State {
-		case messenger.Backend_STATE_READY:
+		case messenger.Backend_STATE_READY, messenger.Backend_STATE_SILENT:
+			// A silent engine may be sound: it gets no new runs, but keeps those that it has.
 			b.leavingSince = time.Time{}
 		default:
 			if b.leavingSince.IsZero() {
--- a/internal/fleet/scheduler/scheduler_test.go
+++ b/internal/fleet/scheduler/scheduler_test.go
@@ -215,6 +215,25 @@
 	}
 }
 
+// Heartbeats may be lost or late while an engine is sound and its streams go on.
+func TestSilentEngineKeepsItsRuns(t *testing.T) {
+	s, d := newScheduler(backendAt("e1", "a"))
+	s.Submit(start, "entry", placeRequest("1", 1000, 400))
+	reportStreaming(s, start, d, "1")
+	silent := backendAt("e1", "a")
+	silent.State = messenger.Backend_STATE_SILENT
+	now := start.Add(time.Second)
+	s.SetBackends(now, []*messenger.Backend{silent, backendAt("e2", "a")})
+	s.Advance(now.Add(2 * time.Second))
+	if len(d.moves) > 0 {
+		t.Errorf("runs of a silent engine are moved: %v", d.moves)
+	}
+	s.Submit(now, "entry", placeRequest("2", 1000, 400))
+	if got := d.placed["2"].GetBackend(); got != "e2" {
+		t.Errorf("a new run is placed on %q, want e2", got)
+	}
+}
+
 func TestFailedMoveIsRetriedElsewhere(t *testing.T) {
 	s, d := newScheduler(backendAt("e1", "a"))
 	s.Submit(start, "entry", placeRequest("1", 1000, 400))
