fix: let an engine receive the next run once the copy of the first has arrived

Change: the destination is free for the next copy together with the link of the source. Test: TestNearEngineReceivesTheNextRunWhileTheFirstResumes, failed before.

--- a/internal/fleet/scheduler/runs.go
+++ b/internal/fleet/scheduler/runs.go
@@ -86,14 +86,16 @@
 	if r.source != nil {
 		r.source.outgoing = nil
 	}
-	r.destination.incoming = nil
+	if r.destination.incoming == r {
+		r.destination.incoming = nil
+	}
 	r.destination.remove(r, true)
 	r.source, r.destination = nil, nil
 	s.movesDue = true
 }
 
 // freeLinks records that a run's KV cache has reached its destination, so that the source
-// can transfer the next run while this one resumes.
+// can transfer the next run, and the destination receive one, while this one resumes.
 func (s *Scheduler) freeLinks(now time.Time, r *run) {
 	if r.source == nil {
 		return
@@ -105,6 +107,7 @@
 	}
 	r.source.outgoing = nil
 	r.source = nil
+	r.destination.incoming = nil
 	s.movesDue = true
 }
 
--- a/internal/fleet/scheduler/scheduler_test.go
+++ b/internal/fleet/scheduler/scheduler_test.go
@@ -215,6 +215,30 @@
 	}
 }
 
+// A transfer to another failure domain takes twice as long, and all must end before the engine does.
+func TestNearEngineReceivesTheNextRunWhileTheFirstResumes(t *testing.T) {
+	s, d := newScheduler(backendAt("e1", "a"))
+	for _, run := range []string{"1", "2"} {
+		s.Submit(start, "entry", placeRequest(run, 1000, 400))
+		reportStreaming(s, start, d, run)
+	}
+	now := start.Add(time.Second)
+	s.SetBackends(now, []*messenger.Backend{drainingAt("e1"), backendAt("near", "a"), backendAt("far", "b")})
+	if len(d.moves) != 1 || d.moves[0].To != "near" {
+		t.Fatalf("moves are %v, want one to the near engine", d.moves)
+	}
+	now = now.Add(100 * time.Millisecond)
+	s.Report(now, "entry", &messenger.RunState{Run: d.moves[0].Run, Backend: "e1", Phase: messenger.RunState_PHASE_COPIED})
+	if len(d.moves) != 2 || d.moves[1].To != "near" {
+		t.Fatalf("moves are %v, want the second to the near engine too", d.moves)
+	}
+	// The end of the first move leaves the second one under way.
+	s.Report(now, "entry", &messenger.RunState{Run: d.moves[0].Run, Backend: "near", Phase: messenger.RunState_PHASE_STREAMING})
+	if s.backends["near"].incoming != s.runs[d.moves[1].Run] {
+		t.Error("the near engine does not count as receiving")
+	}
+}
+
 // Heartbeats may be lost or late while an engine is sound and its streams go on.
 func TestSilentEngineKeepsItsRuns(t *testing.T) {
 	s, d := newScheduler(backendAt("e1", "a"))
