--- a/internal/fleet/allocator/allocator.go
+++ b/internal/fleet/allocator/allocator.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -153,7 +154,7 @@
 	}
 	a.pending, a.hubs = make(map[string]*pendingRequest), make(map[string]uint64)
 	a.decider = a.Name
-	a.sched = &scheduler.Scheduler{Send: a.send}
+	a.sched = &scheduler.Scheduler{Send: a.send, Random: rand.Float64}
 }
 
 // setHub records a hub and the term in which it leads, 0 if it does not. The lock is held.
--- a/internal/fleet/scheduler/queue.go
+++ b/internal/fleet/scheduler/queue.go
@@ -93,13 +93,22 @@
 		s.place(now, w, b)
 		return true
 	}
-	retryAfter := max(minRetryAfter, time.Duration(w.req.ObjectiveMs)*time.Millisecond)
 	s.Send(w.entry, Decision{Placement: &messenger.Placement{
-		Run: w.req.Run, RetryAfterMs: retryAfter.Milliseconds(), Reason: s.shortage(now, w).String(),
+		Run: w.req.Run, RetryAfterMs: s.retryAfter(w).Milliseconds(), Reason: s.shortage(now, w).String(),
 	}})
 	return true
 }
 
+// retryAfter returns the retry delay of a refused request: its objective, spread so that clients
+// that were refused together do not return together.
+func (s *Scheduler) retryAfter(w *queuedRequest) time.Duration {
+	delay := max(minRetryAfter, time.Duration(w.req.ObjectiveMs)*time.Millisecond)
+	if s.Random == nil {
+		return delay
+	}
+	return delay + time.Duration((s.Random()-0.5)*retrySpread*float64(delay))
+}
+
 // objectiveEnd returns when the request's objective ends.
 func (w *queuedRequest) objectiveEnd() time.Time {
 	return w.arrived.Add(time.Duration(w.req.ObjectiveMs) * time.Millisecond)
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -24,6 +24,8 @@
 	Scheduler struct {
 		// Send delivers a decision to an entry.
 		Send func(entry string, d Decision)
+		// Random returns a random number from 0 up to 1, which spreads retry delays; nil for no spread.
+		Random func() float64
 
 		engines  map[string]cataloger.Engine
 		backends map[string]*backend
@@ -107,8 +109,10 @@
 	// with each further loss, maxAvoidDoublings times at most.
 	avoidAfterLoss    = 500 * time.Millisecond
 	maxAvoidDoublings = 3
-	// minRetryAfter is the shortest retry delay sent with a refusal.
+	// minRetryAfter is the shortest retry delay sent with a refusal, before it is spread over
+	// the share retrySpread of itself.
 	minRetryAfter = 400 * time.Millisecond
+	retrySpread   = 0.5
 )
 
 // SetEngines sets the engine parameters of each service that has engines. They take effect with
--- a/internal/fleet/scheduler/scheduler_test.go
+++ b/internal/fleet/scheduler/scheduler_test.go
@@ -215,6 +215,24 @@
 	}
 }
 
+func TestClientsRefusedTogetherReturnApart(t *testing.T) {
+	s, d := newScheduler()
+	draws := []float64{0, 0.5, 0.999}
+	s.Random = func() float64 {
+		next := draws[0]
+		draws = draws[1:]
+		return next
+	}
+	for i, want := range []int64{1125, 1500, 1874} {
+		run := fmt.Sprint(i)
+		s.Submit(start, "entry", placeRequest(run, 1000, 50))
+		s.Advance(start.Add(2 * time.Second))
+		if got := d.refused[run].GetRetryAfterMs(); got != want {
+			t.Errorf("client %d returns after %d ms, want %d", i, got, want)
+		}
+	}
+}
+
 // A transfer to another failure domain takes twice as long, and all must end before the engine does.
 func TestNearEngineReceivesTheNextRunWhileTheFirstResumes(t *testing.T) {
 	s, d := newScheduler(backendAt("e1", "a"))
