--- a/internal/fleet/allocator/allocator.go
+++ b/internal/fleet/allocator/allocator.go
@@ -5,12 +5,14 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"verbenareach/internal/event/logger"
 	"verbenareach/internal/fleet/cataloger"
+	"verbenareach/internal/fleet/forwarder"
 	"verbenareach/internal/fleet/scheduler"
 	"verbenareach/internal/wire/messenger"
 )
@@ -23,9 +25,10 @@
 		Name string
 		// Enqueue calls add on the next message to a host. It reports whether the host is linked.
 		Enqueue func(host string, add func(m *messenger.LinkMessage)) bool
-		// Move passes a move order to a generation of this host. It returns false if the host
-		// does not have the generation, or if too many orders are queued for it.
-		Move func(m *messenger.MoveOrder) bool
+		// Move passes a move order to a generation of this host. It returns
+		// forwarder.ErrUnknownRun if the host does not have the generation, or another error if
+		// the generation does not take the order.
+		Move func(m *messenger.MoveOrder) error
 		// Runs returns the states of this host's generations that have a placement.
 		Runs func() []*messenger.RunState
 		Log  *logger.Logger
@@ -226,8 +229,8 @@
 		if d.Placement != nil {
 			a.deliver(d.Placement)
 		}
-		if d.Move != nil && !a.Move(d.Move) {
-			a.Log.Emit(time.Now(), logger.RunMoveFailed, d.Move.Run, logger.F("cause", "generation is not here"))
+		if d.Move != nil {
+			a.moveOwn(d.Move)
 		}
 		return
 	}
@@ -253,14 +256,42 @@
 	r.decided <- p
 }
 
-// handleMove passes a move order on. If Move returns false, it reports to the decider that the
-// generation has ended. The lock is held.
+// handleMove passes a move order on. If the generation does not take it, handleMove reports that
+// to the decider. The lock is held.
 func (a *Allocator) handleMove(now time.Time, o *messenger.MoveOrder) {
-	if a.Move(o) {
+	state := a.tryMove(now, o)
+	if state == nil {
 		return
 	}
-	ended := &messenger.RunState{Run: o.Run, Phase: messenger.RunState_PHASE_ENDED}
-	if !a.sendToDecider(func(m *messenger.LinkMessage) { m.Runs = append(m.Runs, ended) }) {
-		a.sched.Report(now, a.Name, ended)
+	if !a.sendToDecider(func(m *messenger.LinkMessage) { m.Runs = append(m.Runs, state) }) {
+		a.sched.Report(now, a.Name, state)
+	}
+}
+
+// moveOwn passes an order of this host's own scheduler on. The scheduler, which is at work, gets
+// what tryMove returns only after that. The lock is held.
+func (a *Allocator) moveOwn(o *messenger.MoveOrder) {
+	state := a.tryMove(time.Now(), o)
+	if state == nil {
+		return
+	}
+	go func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.sched.Report(time.Now(), a.Name, state)
+	}()
+}
+
+// tryMove passes a move order to its generation. If that does not take it, tryMove returns what
+// to report: that the generation has ended, or that the move failed.
+func (a *Allocator) tryMove(now time.Time, o *messenger.MoveOrder) *messenger.RunState {
+	err := a.Move(o)
+	if err == nil {
+		return nil
+	}
+	a.Log.Emit(now, logger.RunMoveFailed, o.Run, logger.F("from", o.From), logger.F("to", o.To), logger.F("cause", err))
+	if errors.Is(err, forwarder.ErrUnknownRun) {
+		return &messenger.RunState{Run: o.Run, Phase: messenger.RunState_PHASE_ENDED}
 	}
+	return &messenger.RunState{Run: o.Run, Backend: o.From, Phase: messenger.RunState_PHASE_MOVE_FAILED, Released: !o.Copied}
 }
--- a/internal/fleet/allocator/allocator_test.go
+++ b/internal/fleet/allocator/allocator_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"verbenareach/internal/fleet/cataloger"
+	"verbenareach/internal/fleet/forwarder"
 	"verbenareach/internal/wire/messenger"
 )
 
@@ -29,7 +30,7 @@
 			add(n.sent[host])
 			return true
 		},
-		Move: func(*messenger.MoveOrder) bool { return false },
+		Move: func(*messenger.MoveOrder) error { return forwarder.ErrUnknownRun },
 		Runs: func() []*messenger.RunState { return runs },
 	}
 	a.SetEngines(map[string]cataloger.Engine{"llm": {Slots: 4, Tokens: 10_000}})
@@ -151,3 +152,24 @@
 		t.Errorf("placed on %q", p.Backend)
 	}
 }
+
+func TestOrderThatIsNotTakenIsReported(t *testing.T) {
+	for name, tt := range map[string]struct {
+		err  error
+		want messenger.RunState_Phase
+	}{
+		"generation has ended":  {forwarder.ErrUnknownRun, messenger.RunState_PHASE_ENDED},
+		"its queue is full now": {forwarder.ErrOrdersPending, messenger.RunState_PHASE_MOVE_FAILED},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, n := newAllocator()
+			a.Move = func(*messenger.MoveOrder) error { return tt.err }
+			a.Receive(time.Now(), hub("hub"), &messenger.LinkMessage{Leads: 1})
+			n.sent["hub"] = nil
+			a.Receive(time.Now(), hub("hub"), &messenger.LinkMessage{Leads: 1, Moves: []*messenger.MoveOrder{{Run: "1", From: "e1", To: "e2"}}})
+			if runs := n.sent["hub"].GetRuns(); len(runs) != 1 || runs[0].Phase != tt.want {
+				t.Errorf("reported %v, want %s", runs, tt.want)
+			}
+		})
+	}
+}
--- a/internal/fleet/forwarder/fuzz_test.go
+++ b/internal/fleet/forwarder/fuzz_test.go
@@ -7,7 +7,7 @@
 
 func FuzzEventReader(f *testing.F) {
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
-	f.Add([]byte("\n\n\n\nid:\n\nid: 3"))
+	f.Add([]byte("\n\n\n\nid:\n\ndata\nid: 3"))
 	f.Fuzz(func(t *testing.T, stream []byte) {
 		r := &eventReader{body: bytes.NewReader(stream)}
 		var whole []byte
--- a/internal/fleet/forwarder/generation.go
+++ b/internal/fleet/forwarder/generation.go
@@ -24,20 +24,27 @@
 	maxPendingOrders = 4
 )
 
-// Move queues a move order for its generation. It returns false if the generation is not
-// on this host or its queue is full.
-func (f *Forwarder) Move(m *messenger.MoveOrder) bool {
+var (
+	// ErrUnknownRun is returned for a generation that is not on this host.
+	ErrUnknownRun = errors.New("generation is not here")
+	// ErrOrdersPending is returned for a generation with too many move orders in its queue.
+	ErrOrdersPending = errors.New("too many move orders are pending")
+)
+
+// Move queues a move order for its generation. It returns ErrUnknownRun if the generation is not
+// on this host, and ErrOrdersPending if its queue is full.
+func (f *Forwarder) Move(m *messenger.MoveOrder) error {
 	f.mu.Lock()
 	s := f.streams[m.Run]
 	f.mu.Unlock()
 	if s == nil {
-		return false
+		return ErrUnknownRun
 	}
 	select {
 	case s.orders <- m:
-		return true
+		return nil
 	default:
-		return false
+		return ErrOrdersPending
 	}
 }
 
--- a/internal/fleet/forwarder/generation_test.go
+++ b/internal/fleet/forwarder/generation_test.go
@@ -166,7 +166,7 @@
 		begin(c, seen)
 		chunk(c, events(1, 3))
 		time.Sleep(50 * time.Millisecond)
-		(*x).forwarder.Move(order)
+		_ = (*x).forwarder.Move(order)
 		<-stopped
 		chunk(c, events(4, 5))
 		time.Sleep(20 * time.Millisecond)
@@ -218,7 +218,7 @@
 		begin(c, seen)
 		chunk(c, events(1, 3))
 		time.Sleep(50 * time.Millisecond)
-		x.forwarder.Move(&messenger.MoveOrder{Run: "id-1", From: "e1", To: "e2"})
+		_ = x.forwarder.Move(&messenger.MoveOrder{Run: "id-1", From: "e1", To: "e2"})
 		<-failed
 		time.Sleep(20 * time.Millisecond)
 		chunk(c, events(4, 6))
@@ -455,7 +455,7 @@
 			begin(c, seen)
 			chunk(c, event(1))
 			time.Sleep(50 * time.Millisecond)
-			x.forwarder.Move(&messenger.MoveOrder{Run: "id-1", From: "e1", To: "e2"})
+			_ = x.forwarder.Move(&messenger.MoveOrder{Run: "id-1", From: "e1", To: "e2"})
 			<-copying
 			chunk(c, event(2))
 			return end(c)
--- a/internal/fleet/linker/linker.go
+++ b/internal/fleet/linker/linker.go
@@ -49,6 +49,9 @@
 		mu sync.Mutex
 		// hubs holds the hubs that this host knows, by name.
 		hubs map[string]*knownHub
+		// dialing holds the names of the hubs to which a goroutine keeps the link. It does so
+		// until the hub is forgotten.
+		dialing map[string]bool
 		// links holds the links that are up, by the other host's name.
 		links map[string]*link
 		// founding is used at the first seed, which decides who founds the replicated log; other
@@ -58,9 +61,6 @@
 
 	knownHub struct {
 		host *messenger.FleetHost
-		// dialing is set once a goroutine keeps the link to the hub, which it does until the
-		// hub is forgotten.
-		dialing bool
 		// lastSeen is when the hub was last linked, or first named by another host.
 		lastSeen time.Time
 	}
@@ -351,28 +351,33 @@
 			continue
 		}
 		// Between two hubs, the one with the lower name dials.
-		if h.dialing || name == l.Self.Name || l.Self.Hub && l.Self.Name > name {
+		if l.dialing[name] || name == l.Self.Name || l.Self.Hub && l.Self.Name > name {
 			continue
 		}
-		h.dialing = true
+		if l.dialing == nil {
+			l.dialing = make(map[string]bool)
+		}
+		l.dialing[name] = true
 		go l.keepLink(ctx, name)
 	}
 }
 
-// hub returns the hub with the given name; nil if it is unknown.
-func (l *Linker) hub(name string) *messenger.FleetHost {
+// hubToDial returns the hub with the given name. If it is unknown, the caller must stop to keep
+// the link, and hubToDial returns nil.
+func (l *Linker) hubToDial(name string) *messenger.FleetHost {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if h := l.hubs[name]; h != nil {
 		return h.host
 	}
+	delete(l.dialing, name)
 	return nil
 }
 
 // keepLink keeps the link to a hub up until ctx ends or the hub is forgotten.
 func (l *Linker) keepLink(ctx context.Context, name string) {
 	for ctx.Err() == nil {
-		host := l.hub(name)
+		host := l.hubToDial(name)
 		if host == nil {
 			return
 		}
--- a/internal/fleet/linker/linker_test.go
+++ b/internal/fleet/linker/linker_test.go
@@ -144,3 +144,17 @@
 		}
 	}
 }
+
+// A hub may be forgotten and introduced again before the goroutine that dials it has noticed.
+func TestHubIsDialedByOneGoroutine(t *testing.T) {
+	l := newBareLinker()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	l.HandleIntroduction(start, introduction(5, true, false))
+	l.dialHubs(ctx, start)
+	l.dialHubs(ctx, start.Add(2*hubExpiry))
+	l.HandleIntroduction(start, introduction(5, true, false))
+	if l.hubs["host-5"] == nil || !l.dialing["host-5"] {
+		t.Error("the goroutine that still dials the hub is forgotten")
+	}
+}
--- a/internal/fleet/runner/distribution.go
+++ b/internal/fleet/runner/distribution.go
@@ -104,17 +104,21 @@
 	if h.keeper != nil {
 		return h.keeper.ReadConfirmed(ctx)
 	}
+	held := h.packed.Load()
+	if held == nil {
+		held = &packedConfig{}
+	}
 	for _, hub := range h.linkedHubs() {
 		var reply *messenger.FetchReply
 		err := h.linker.Call(ctx, hub.Address, func(ctx context.Context, c messenger.DRPCFleetClient) (err error) {
-			reply, err = c.Fetch(ctx, &messenger.FetchRequest{Confirm: true, Held: h.version()})
+			reply, err = c.Fetch(ctx, &messenger.FetchRequest{Confirm: true, Held: held.version})
 			return err
 		})
 		if err != nil || reply.Error != "" {
 			continue
 		}
-		held := h.packed.Load()
-		if len(reply.Body) == 0 && held != nil && held.version == reply.Version {
+		if reply.Version <= held.version {
+			// The reply omits the body of a version that is held here.
 			return held.version, held.packed, nil
 		}
 		return reply.Version, reply.Body, nil
--- a/internal/fleet/runner/runner.go
+++ b/internal/fleet/runner/runner.go
@@ -196,7 +196,7 @@
 	budget := &budgeter.Budgeter{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow, Hosts: h.estimateHosts}
 	h.allocator = &allocator.Allocator{
 		Name: s.Host.Name, Enqueue: h.linker.Enqueue, Log: h.Log,
-		Move: func(m *messenger.MoveOrder) bool { return h.forwarder.Move(m) },
+		Move: func(m *messenger.MoveOrder) error { return h.forwarder.Move(m) },
 		Runs: func() []*messenger.RunState { return h.forwarder.Runs() },
 	}
 	h.balancer = &balancer.Balancer{FailureDomain: s.Host.FailureDomain, Hosts: h.estimateHosts, ReportLoss: h.publishLoss}
--- a/internal/fleet/scheduler/runs.go
+++ b/internal/fleet/scheduler/runs.go
@@ -78,6 +78,23 @@
 	s.endMove(r)
 }
 
+// dropCopies forgets the backups and the moves towards an engine whose process has ended; it may be
+// nil. Runs that were there stay until their entry reports on them.
+func (s *Scheduler) dropCopies(b *backend) {
+	if b == nil {
+		return
+	}
+	for _, r := range b.backups {
+		if r.destination == b {
+			s.endMove(r)
+		}
+		if r.backup == b {
+			r.backup = nil
+		}
+	}
+	clear(b.backups)
+}
+
 // endMove ends the move of a run, if one is under way.
 func (s *Scheduler) endMove(r *run) {
 	if r.destination == nil {
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -133,6 +133,7 @@
 		seen[r.Id] = true
 		b := s.backends[r.Id]
 		if b == nil || b.report.Started != r.Started {
+			s.dropCopies(b)
 			b = &backend{runs: make(map[string]*run), backups: make(map[string]*run)}
 			s.backends[r.Id] = b
 		}
--- a/internal/fleet/scheduler/scheduler_test.go
+++ b/internal/fleet/scheduler/scheduler_test.go
@@ -233,6 +233,20 @@
 	}
 }
 
+func TestBackupOnARestartedEngineIsGone(t *testing.T) {
+	s, d := newScheduler(backendAt("e1", "a"), backendAt("e2", "a"))
+	s.Submit(start, "entry", placeRequest("1", 1000, 400))
+	reportStreaming(s, start, d, "1")
+	p := d.placed["1"]
+	now := start.Add(2 * time.Second)
+	leaving, restarted := drainingAt(p.Backend), backendAt(p.Backup, "a")
+	restarted.Started = 2
+	s.SetBackends(now, []*messenger.Backend{leaving, restarted})
+	if len(d.moves) != 1 || d.moves[0].Copied {
+		t.Errorf("moves are %v, want one that copies the memory anew", d.moves)
+	}
+}
+
 // A transfer to another failure domain takes twice as long, and all must end before the engine does.
 func TestNearEngineReceivesTheNextRunWhileTheFirstResumes(t *testing.T) {
 	s, d := newScheduler(backendAt("e1", "a"))
