fix: answer a request that arrived on a kept connection just before the host closed its idle ones

Change: the wait goes on for 20 ms after the close. Test: TestRequestThatArrivedBeforeTheCloseIsAnswered, failed before.

--- a/internal/fleet/receiver/receiver.go
+++ b/internal/fleet/receiver/receiver.go
@@ -57,6 +57,8 @@
 )
 
 const (
+	// closeWait is how long an idle connection that is about to be closed still waits for a request.
+	closeWait = 20 * time.Millisecond
 	// writeTimeout bounds a write to a client that does not read.
 	writeTimeout = 10 * time.Second
 	// bodyTimeout bounds the reading of a body.
@@ -136,7 +138,7 @@
 	s.setIdle(c, true)
 	limits := s.Limits()
 	_ = c.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
-	if _, err := c.br.Peek(1); err != nil {
+	if _, err := c.br.Peek(1); err != nil && !s.arrivedAtClose(c, err) {
 		return false
 	}
 	s.setIdle(c, false)
@@ -162,6 +164,17 @@
 	return w.complete && !w.close && !w.failed
 }
 
+// arrivedAtClose reports whether a request has arrived on a connection whose wait for one was ended
+// with err by CloseIdle: it may have come just before.
+func (s *Receiver) arrivedAtClose(c *conn, err error) bool {
+	if !s.closing.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return false
+	}
+	_ = c.SetReadDeadline(time.Now().Add(closeWait))
+	_, err = c.br.Peek(1)
+	return err == nil
+}
+
 // readBody invites the body if the client waits for that, and reads it within bodyTimeout.
 func (s *Receiver) readBody(c *conn, r *Request, limits Limits) error {
 	if r.length <= 0 && !r.chunked {
--- a/internal/fleet/receiver/receiver_test.go
+++ b/internal/fleet/receiver/receiver_test.go
@@ -204,3 +204,29 @@
 		_ = resp.Body.Close()
 	}
 }
+
+// A request may have arrived on a kept connection when the host closes its idle ones.
+func TestRequestThatArrivedBeforeTheCloseIsAnswered(t *testing.T) {
+	for range 200 {
+		s, address := serve(t, echo)
+		c := dial(t, address)
+		br := bufio.NewReader(c)
+		for _, stopping := range []bool{false, true} {
+			if _, err := io.WriteString(c, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+				t.Fatal(err)
+			}
+			if stopping {
+				s.CloseAfterResponses()
+				s.CloseIdle()
+			}
+			resp, err := http.ReadResponse(br, nil)
+			if err != nil {
+				t.Fatalf("a request that was sent before the close got no answer: %v", err)
+			}
+			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+				t.Fatal(err)
+			}
+			_ = resp.Body.Close()
+		}
+	}
+}
