fix: answer what is still in progress when a host's grace ends

Change: 0.3 s before the end the contexts of all requests end with a cause of their own: what may have run gets 502, what did not run 503, a stream stays incomplete. Test: TestRequestsInProgressAreAnsweredAtTheEnd.

--- a/internal/fleet/forwarder/call.go
+++ b/internal/fleet/forwarder/call.go
@@ -102,7 +102,7 @@
 			break
 		}
 	}
-	if t.failure != nil && !errors.Is(ctx.Err(), context.Canceled) {
+	if t.failure != nil && !clientLeft(ctx) {
 		f.deliver(x, t.backend, t.failure)
 		return
 	}
--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -211,13 +211,15 @@
 // refuses it if it can't have run, and fails it otherwise.
 func (f *Forwarder) giveUp(ctx context.Context, x *exchange, reason string, cause error) {
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
+	case clientLeft(ctx):
 		x.outcome = "left"
 		f.Log.Emit(time.Now(), logger.ForwardDisconnected, x.id, logger.F("route", x.route.Name),
 			logger.F("after", time.Since(x.r.Arrived).Round(time.Millisecond)))
 		x.w.Abort()
 	case !x.mayHaveRun:
 		f.refuse(x, http.StatusServiceUnavailable, reason, retryAfterBusy)
+	case errors.Is(context.Cause(ctx), receiver.ErrEnding):
+		f.fail(x, http.StatusBadGateway, "host ends before an answer came", cause)
 	case ctx.Err() != nil || time.Now().After(x.deadline):
 		f.fail(x, http.StatusGatewayTimeout, "time ended before an answer came", cause)
 	default:
@@ -225,6 +227,11 @@
 	}
 }
 
+// clientLeft reports whether a request's context ended because its client left.
+func clientLeft(ctx context.Context) bool {
+	return errors.Is(ctx.Err(), context.Canceled) && !errors.Is(context.Cause(ctx), receiver.ErrEnding)
+}
+
 // localFields returns the header fields of a response that this host makes itself.
 func (f *Forwarder) localFields(x *exchange) []receiver.Field {
 	fields := []receiver.Field{{Name: "Content-Type", Value: "text/plain"}}
--- a/internal/fleet/forwarder/harness_test.go
+++ b/internal/fleet/forwarder/harness_test.go
@@ -50,6 +50,7 @@
 		t         *testing.T
 		address   string
 		forwarder *Forwarder
+		receiver  *receiver.Receiver
 		tracker   *tracker.Tracker
 
 		mu sync.Mutex
@@ -217,6 +218,7 @@
 	r := &receiver.Receiver{Handle: x.forwarder.Handle, Limits: func() receiver.Limits {
 		return receiver.Limits{HeaderBytes: 4096, BodyBytes: 4096, HeaderTimeout: time.Second, IdleTimeout: time.Second}
 	}}
+	x.receiver = r
 	go r.Run(l)
 	t.Cleanup(func() {
 		_ = l.Close()
--- a/internal/fleet/forwarder/stop_test.go
+++ b/internal/fleet/forwarder/stop_test.go
@@ -1,6 +1,8 @@
 package forwarder
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -39,3 +41,29 @@
 		})
 	}
 }
+
+// A host whose grace is over answers what is still in progress: what did not run may be sent again.
+func TestRequestsInProgressAreAnsweredAtTheEnd(t *testing.T) {
+	silent := newStandIn(t, "a", func(net.Conn, seenRequest) bool {
+		time.Sleep(3 * time.Second)
+		return false
+	})
+	x := newFixture(t, silent)
+	x.forwarder.Place = func(ctx context.Context, _ *messenger.PlaceRequest) (*messenger.Placement, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	time.AfterFunc(200*time.Millisecond, x.receiver.EndRequests)
+	answers := make(chan reply)
+	for _, path := range []string{"/once/", "/stream/"} {
+		go func() { answers <- x.send(path, key, "") }()
+	}
+	got := map[int]bool{}
+	for range 2 {
+		r := <-answers
+		got[r.status] = true
+	}
+	if !got[http.StatusBadGateway] || !got[http.StatusServiceUnavailable] {
+		t.Errorf("statuses are %v, want 502 for the call that was sent and 503 for the one that was not", got)
+	}
+}
--- a/internal/fleet/forwarder/stream.go
+++ b/internal/fleet/forwarder/stream.go
@@ -173,7 +173,7 @@
 		return
 	}
 	s.x.outcome = "broken"
-	if errors.Is(ctx.Err(), context.Canceled) || errors.Is(cause, context.Canceled) {
+	if clientLeft(ctx) || ctx.Err() == nil && errors.Is(cause, context.Canceled) {
 		s.x.outcome = "left"
 	}
 	s.f.Log.Emit(time.Now(), logger.RunAborted, s.x.id, logger.F("backend", s.backend.Id), logger.F("events", s.eventsSent),
--- a/internal/fleet/receiver/receiver.go
+++ b/internal/fleet/receiver/receiver.go
@@ -32,7 +32,7 @@
 	// Receiver serves one listener. Its exported fields are set before Run.
 	Receiver struct {
 		// Handle answers one request through w. ctx ends when the client leaves, unless it has
-		// already sent bytes of a further request.
+		// already sent bytes of a further request, and with the cause ErrEnding after EndRequests.
 		Handle func(ctx context.Context, w *Writer, r *Request)
 		// Limits returns the limits in force.
 		Limits func() Limits
@@ -45,6 +45,10 @@
 		// conns holds the open connections, wg counts them.
 		conns map[*conn]struct{}
 		wg    sync.WaitGroup
+		// base is the context of all requests, end ends it; makeBase creates them.
+		base     context.Context //nolint:containedctx // It is the parent of contexts made later.
+		end      context.CancelCauseFunc
+		makeBase sync.Once
 	}
 
 	// conn is a client's connection.
@@ -56,6 +60,9 @@
 	}
 )
 
+// ErrEnding is the cause for which a request's context ends because the process is about to end.
+var ErrEnding = errors.New("host ends")
+
 const (
 	// closeWait is how long an idle connection that is about to be closed still waits for a request.
 	closeWait = 20 * time.Millisecond
@@ -116,6 +123,13 @@
 	}
 }
 
+// EndRequests ends the contexts of all requests in progress, and of later ones, with ErrEnding, so
+// that they are answered before the process ends.
+func (s *Receiver) EndRequests() {
+	s.baseContext()
+	s.end(ErrEnding)
+}
+
 // Wait returns once all connections have ended.
 func (s *Receiver) Wait() { s.wg.Wait() }
 
@@ -154,7 +168,7 @@
 		return false
 	}
 	w := &Writer{conn: c, close: r.close || s.closing.Load(), noBody: r.Method == http.MethodHead}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(s.baseContext())
 	stopped := s.watchClose(c, cancel)
 	s.Handle(ctx, w, r)
 	cancel()
@@ -175,6 +189,12 @@
 	return err == nil
 }
 
+// baseContext returns the parent of all requests' contexts.
+func (s *Receiver) baseContext() context.Context {
+	s.makeBase.Do(func() { s.base, s.end = context.WithCancelCause(context.Background()) })
+	return s.base
+}
+
 // readBody invites the body if the client waits for that, and reads it within bodyTimeout.
 func (s *Receiver) readBody(c *conn, r *Request, limits Limits) error {
 	if r.length <= 0 && !r.chunked {
--- a/internal/fleet/runner/drain.go
+++ b/internal/fleet/runner/drain.go
@@ -17,10 +17,12 @@
 	closeIdleInterval = 200 * time.Millisecond
 	// graceMargin is how long before the end of the grace period drain returns.
 	graceMargin = 300 * time.Millisecond
+	// answerTime bounds how long the answers to requests that are ended then may take.
+	answerTime = 150 * time.Millisecond
 )
 
 // drain stops serving clients and returns once no connection is open or the grace period
-// nears its end. The host is no longer ready and announces on each further response that
+// nears its end; what is in progress then is answered as failed. The host is no longer ready and announces on each further response that
 // the connection closes. After listenerCloseDelay it closes the client listener and idle
 // connections. Requests in progress may run until the end.
 func (h *Runner) drain(client net.Listener) {
@@ -37,6 +39,7 @@
 	defer end.Stop()
 	select {
 	case <-end.C:
+		h.endRequests()
 		return
 	case <-time.After(listenerCloseDelay):
 	}
@@ -51,6 +54,7 @@
 		h.receiver.CloseIdle()
 		select {
 		case <-end.C:
+			h.endRequests()
 			return
 		case <-done:
 			return
@@ -59,6 +63,20 @@
 	}
 }
 
+// endRequests has the requests in progress answered, for answerTime at most.
+func (h *Runner) endRequests() {
+	h.receiver.EndRequests()
+	answered := make(chan struct{})
+	go func() {
+		h.receiver.Wait()
+		close(answered)
+	}()
+	select {
+	case <-answered:
+	case <-time.After(answerTime):
+	}
+}
+
 // timeLeft reports whether the host is about to stop, and for how long it still serves;
 // below 0 once that time has passed.
 func (h *Runner) timeLeft() (left time.Duration, stopping bool) {
