--- /dev/null
+++ b/internal/fleet/runner/build.go
@@ -0,0 +1,66 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"verbenareach/internal/fleet/allocator"
+	"verbenareach/internal/fleet/balancer"
+	"verbenareach/internal/fleet/budgeter"
+	"verbenareach/internal/fleet/forwarder"
+	"verbenareach/internal/fleet/informer"
+	"verbenareach/internal/fleet/keeper"
+	"verbenareach/internal/fleet/linker"
+	"verbenareach/internal/fleet/prober"
+	"verbenareach/internal/fleet/receiver"
+	"verbenareach/internal/fleet/sender"
+	"verbenareach/internal/fleet/tracker"
+	"verbenareach/internal/wire/messenger"
+)
+
+// build creates the components and connects them.
+func (h *Runner) build() {
+	s := h.Settings
+	h.seeds.Store(&s.Seeds)
+	h.tracker = &tracker.Tracker{Name: s.Host.Name, SilenceTimeout: time.Duration(maxMissedHeartbeats * float64(s.Heartbeat))}
+	h.linker = &linker.Linker{
+		Self: s.Host, Seeds: func() []string { return *h.seeds.Load() }, Bootstrap: s.Bootstrap,
+		MinFounders: 2*s.MaxLostHubs + 1, Fill: h.fillMessage, LinkUp: h.linkUp, LinkDown: h.linkDown, Receive: h.receiveSafely,
+	}
+	h.informer = &informer.Informer{
+		Self: s.Host, Tracker: h.tracker, Linked: h.linker.Linked, Alone: h.alone, EnqueueAll: h.linker.EnqueueAll,
+		Call: h.callInform, OnChange: h.backendsChanged, Log: h.Log,
+	}
+	h.pool = &sender.Pool{IdleTimeout: backendIdleTimeout}
+	h.prober = &prober.Prober{
+		Self: s.Host.Name, Reports: h.tracker.All, Linked: h.linker.Linked, IsEngine: h.isEngineService,
+		Leaving: func(ctx context.Context, address string) (bool, error) {
+			return h.Dialect.Leaving(ctx, h.pool, address)
+		},
+		OnLeaving: h.informer.Depart, Log: h.Log,
+	}
+	budget := &budgeter.Budgeter{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow, Hosts: h.estimateHosts}
+	h.allocator = &allocator.Allocator{
+		Name: s.Host.Name, Enqueue: h.linker.Enqueue, Log: h.Log,
+		Move: func(m *messenger.MoveOrder) error { return h.forwarder.Move(m) },
+		Runs: func() []*messenger.RunState { return h.forwarder.Runs() },
+	}
+	h.balancer = &balancer.Balancer{FailureDomain: s.Host.FailureDomain, Hosts: h.estimateHosts, ReportLoss: h.publishLoss}
+	h.forwarder = &forwarder.Forwarder{
+		Dialect: h.Dialect, Balancer: h.balancer, StartedAt: time.Now(), FailureDomain: s.Host.FailureDomain, Catalog: h.catalog.Load, Tracker: h.tracker,
+		Budget: budget, Pool: h.pool, Place: h.allocator.Place, ReportState: h.allocator.Report,
+		Stopping: h.timeLeft, Log: h.Log, Observe: h.meter.Request,
+		ObserveFirstEvent: h.meter.FirstToken, ObserveGap: h.meter.Gap,
+	}
+	h.receiver = &receiver.Receiver{Handle: h.handleRequest, Limits: h.limits, OnRefused: h.logMalformed}
+	if !s.Host.Hub {
+		return
+	}
+	h.keeper = &keeper.Keeper{
+		Self: s.Host, Folder: s.DataFolder, MinVoters: 2*s.MaxLostHubs + 1, Candidates: h.linkedHubs, OnChange: h.adopt, Log: h.Log,
+	}
+	h.linker.Remembered = h.keeper.MemberAddresses
+	if s.Bootstrap {
+		h.keeper.Founders = h.linker.AwaitFounders
+	}
+}
--- a/internal/fleet/runner/drain.go
+++ b/internal/fleet/runner/drain.go
@@ -22,9 +22,10 @@
 )
 
 // drain stops serving clients and returns once no connection is open or the grace period
-// nears its end; what is in progress then is answered as failed. The host is no longer ready and announces on each further response that
-// the connection closes. After listenerCloseDelay it closes the client listener and idle
-// connections. Requests in progress may run until the end.
+// nears its end; what is in progress then is answered as failed. The host is no longer ready
+// and announces on each further response that the connection closes. After
+// listenerCloseDelay it closes the client listener and idle connections. Requests in progress
+// may run until the end.
 func (h *Runner) drain(client net.Listener) {
 	deadline := time.Now().Add(h.Settings.Grace - graceMargin)
 	h.stopDeadline.Store(&deadline)
