fix: acknowledge a departure once all hosts that it is passed on to have answered

Traced: the report returned at the first acknowledgement, which was that of a hub on the same, smaller side of the cut, while the calls to the hosts that reach the other side still ran. So the backend server could be told that its departure is known though the deciding hub did not have it yet, and if the host died then, never would.

--- a/internal/fleet/informer/informer.go
+++ b/internal/fleet/informer/informer.go
@@ -9,6 +9,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"verbenareach/internal/event/logger"
@@ -159,33 +160,26 @@
 	return ErrNotLinked
 }
 
-// inform calls the relays at the same time and reports whether one of them acknowledged the
-// request. It returns at the first that does, within confirmTimeout.
+// inform calls the relays at the same time, within confirmTimeout, and reports whether one of them
+// acknowledged the request. It waits for all: the first to answer may be cut off itself.
 func (i *Informer) inform(ctx context.Context, req *messenger.InformRequest) bool {
 	req.From = i.Self.Name
-	relays := i.relays()
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), confirmTimeout)
-	acknowledged := make(chan bool, len(relays))
+	defer cancel()
+	var acknowledged atomic.Bool
 	var calls sync.WaitGroup
-	for _, host := range relays {
+	for _, host := range i.relays() {
 		calls.Go(func() {
 			err := i.Call(ctx, host, req)
 			if err != nil {
 				i.Log.Emit(time.Now(), logger.FleetInformFailed, "", logger.F("host", host.Name), logger.F("error", err))
+				return
 			}
-			acknowledged <- err == nil
+			acknowledged.Store(true)
 		})
 	}
-	go func() {
-		calls.Wait()
-		cancel()
-	}()
-	for range relays {
-		if <-acknowledged {
-			return true
-		}
-	}
-	return false
+	calls.Wait()
+	return acknowledged.Load()
 }
 
 // relays chooses the hosts that pass a report on: linked hubs and, for a hub, hosts that are none,
