chore: one piece of code for departures, for the two clocks and for the end of a drain

Read through once more. Report and Remove passed a departure on by two copies of the same steps, Handle repeated publish; the runner had its own function for the two clocks beside the one that freshness uses; drain waited for its connections in two places and with two timers. What a connection field lists is split in a function of its own.

--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -248,10 +248,10 @@
 	out := sender.Request{
 		Method: x.r.Method, Target: x.r.Target, Host: x.r.Get("Host"), Body: x.r.Body, Echo: f.Dialect.RequestID, ID: x.id,
 	}
-	connectionFields := strings.Split(strings.ToLower(x.r.Get("Connection")), ",")
+	connectionFields := listItems(strings.ToLower(x.r.Get("Connection")))
 	for _, field := range x.r.Fields {
 		name := strings.ToLower(field.Name)
-		if hopByHop[name] || f.Dialect.reserved(name) || slices.ContainsFunc(connectionFields, func(f string) bool { return strings.TrimSpace(f) == name }) {
+		if hopByHop[name] || f.Dialect.reserved(name) || slices.Contains(connectionFields, name) {
 			continue
 		}
 		if name == "authorization" && x.workspace != "" {
@@ -270,6 +270,15 @@
 	return out
 }
 
+// listItems returns the items of a header field whose value is a list.
+func listItems(value string) []string {
+	items := strings.Split(value, ",")
+	for i, item := range items {
+		items[i] = strings.TrimSpace(item)
+	}
+	return items
+}
+
 // clientFields returns the header fields of a backend server's response that are passed to
 // the client.
 func clientFields(header http.Header) []receiver.Field {
--- a/internal/fleet/informer/informer.go
+++ b/internal/fleet/informer/informer.go
@@ -54,19 +54,17 @@
 // Report records a backend server's report of its own state. A report that it leaves is passed on
 // before Report returns; if no other host acknowledges it, the error is ErrNotLinked.
 func (i *Informer) Report(ctx context.Context, now time.Time, report *messenger.Backend) error {
-	leaves := report.State != messenger.Backend_STATE_READY
 	changed := i.Tracker.Heartbeat(now, report)
-	var list []*messenger.Backend
+	current := []*messenger.Backend{i.Tracker.Find(report.Id)}
+	if report.State != messenger.Backend_STATE_READY {
+		return i.passOn(ctx, now, report.Id, changed, current)
+	}
 	if changed {
-		list = append(list, i.Tracker.Find(report.Id))
-		i.publish(now, "", list)
+		i.publish(now, "", current)
 	}
-	switch {
-	case leaves && (changed || i.isUnconfirmed(report.Id)):
-		return i.confirm(ctx, report.Id, &messenger.InformRequest{Backends: []*messenger.Backend{i.Tracker.Find(report.Id)}})
-	case changed && i.Self.Hub:
+	if changed && i.Self.Hub {
 		// The backend server serves without this; nothing waits for it.
-		go i.inform(context.WithoutCancel(ctx), &messenger.InformRequest{Backends: list})
+		go i.inform(ctx, &messenger.InformRequest{Backends: current})
 	}
 	return nil
 }
@@ -82,20 +80,13 @@
 // Remove records a backend server's report that it has left, and passes it on as Report does. A
 // backend server that is unknown here may be known to other hosts.
 func (i *Informer) Remove(ctx context.Context, now time.Time, id string) error {
-	gone := i.Tracker.MarkGone(now, id)
-	if gone != nil {
-		i.publish(now, "", []*messenger.Backend{gone})
-		return i.confirm(ctx, id, &messenger.InformRequest{Backends: []*messenger.Backend{gone}})
-	}
+	changed := i.Tracker.MarkGone(now, id) != nil
 	known := i.Tracker.Find(id)
-	switch {
-	case known == nil:
+	if known == nil {
 		i.Log.Emit(now, logger.FleetUnknownGone, "", logger.F("backend", id))
 		return i.confirm(ctx, id, &messenger.InformRequest{Gone: []string{id}})
-	case i.isUnconfirmed(id):
-		return i.confirm(ctx, id, &messenger.InformRequest{Backends: []*messenger.Backend{known}})
 	}
-	return nil
+	return i.passOn(ctx, now, id, changed, []*messenger.Backend{known})
 }
 
 // Receive records the reports in a message of another host.
@@ -115,14 +106,22 @@
 			reports, changed = append(reports, gone), append(changed, gone)
 		}
 	}
-	if len(changed) > 0 {
-		i.OnChange(now, req.From, changed)
+	i.publish(now, req.From, changed)
+	if !i.Self.Hub {
+		// A hub has passed on what did not change here when it did.
+		i.enqueue(req.From, reports)
+	}
+}
+
+// passOn passes a departure on, unless another host is known to have it.
+func (i *Informer) passOn(ctx context.Context, now time.Time, id string, changed bool, current []*messenger.Backend) error {
+	if changed {
+		i.publish(now, "", current)
 	}
-	if i.Self.Hub {
-		// What did not change here was passed on when it did.
-		reports = changed
+	if !changed && !i.isUnconfirmed(id) {
+		return nil
 	}
-	i.enqueue(req.From, reports)
+	return i.confirm(ctx, id, &messenger.InformRequest{Backends: current})
 }
 
 // publish passes changed reports on over the links. Only a hub forwards those of another host.
--- a/internal/fleet/linker/linker.go
+++ b/internal/fleet/linker/linker.go
@@ -25,7 +25,7 @@
 		// Seeds returns addresses at which other hosts may be found.
 		Seeds func() []string
 		// Remembered returns the addresses of hubs that this host remembers from before its start.
-		// It may be nil. It is used while the seeds know of no hub.
+		// It may be nil. The seeds may know of no hub.
 		Remembered func() []string
 		// Bootstrap is set at the very first start of the fleet.
 		Bootstrap bool
--- a/internal/fleet/runner/drain.go
+++ b/internal/fleet/runner/drain.go
@@ -36,12 +36,10 @@
 	if h.keeper != nil {
 		go h.keeper.TransferLeadership(context.Background())
 	}
-	end := time.NewTimer(max(h.Settings.Grace-graceMargin, 0))
-	defer end.Stop()
+	ending, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
 	select {
-	case <-end.C:
-		h.endRequests()
-		return
+	case <-ending.Done():
 	case <-time.After(listenerCloseDelay):
 	}
 	// By now the connections in the accept queue have been accepted.
@@ -54,8 +52,12 @@
 	for {
 		h.receiver.CloseIdle()
 		select {
-		case <-end.C:
-			h.endRequests()
+		case <-ending.Done():
+			h.receiver.EndRequests()
+			select {
+			case <-done:
+			case <-time.After(answerTime):
+			}
 			return
 		case <-done:
 			return
@@ -64,20 +66,6 @@
 	}
 }
 
-// endRequests has the requests in progress answered, for answerTime at most.
-func (h *Runner) endRequests() {
-	h.receiver.EndRequests()
-	answered := make(chan struct{})
-	go func() {
-		h.receiver.Wait()
-		close(answered)
-	}()
-	select {
-	case <-answered:
-	case <-time.After(answerTime):
-	}
-}
-
 // timeLeft reports whether the host is about to stop, and for how long it still serves;
 // below 0 once that time has passed.
 func (h *Runner) timeLeft() (left time.Duration, stopping bool) {
--- a/internal/fleet/runner/pause.go
+++ b/internal/fleet/runner/pause.go
@@ -4,21 +4,16 @@
 	"time"
 
 	"verbenareach/internal/event/logger"
+	"verbenareach/internal/wire/pauser"
 )
 
 // pauseThreshold is the least delay of a tick, or jump of the wall clock against the
 // monotonic clock, that is logged.
 const pauseThreshold = time.Second
 
-// elapsed returns the time between two clock readings by the monotonic clock and by the
-// wall clock.
-func elapsed(last, now time.Time) (steady, wall time.Duration) {
-	return now.Sub(last), now.Round(0).Sub(last.Round(0))
-}
-
 // logPause logs if the host was paused, or its wall clock jumped, since the last tick.
 func (h *Runner) logPause(last, now time.Time) {
-	steady, wall := elapsed(last, now)
+	steady, wall := pauser.Clocks(last, now)
 	if steady < tick+pauseThreshold && (wall-steady).Abs() < pauseThreshold {
 		return
 	}
--- a/internal/wire/pauser/pauser.go
+++ b/internal/wire/pauser/pauser.go
@@ -1,4 +1,5 @@
-// Package pauser waits between attempts to reach other processes.
+// Package pauser waits between attempts to reach other processes, and measures time across pauses of
+// the host.
 package pauser
 
 import (
