fix: do not pass on a report that was not recorded

Cause, found in the last read: a backend server unknown here told of its end while no other host could be reached, and then reported that it leaves, though a newer process had its address. The report is not recorded, so that there was none to pass on: an empty one was sent. Test: TestReportThatIsNotRecordedIsNotPassedOn, failed before.

--- a/internal/fleet/informer/informer.go
+++ b/internal/fleet/informer/informer.go
@@ -55,7 +55,12 @@
 // before Report returns; if no other host acknowledges it, the error is ErrNotLinked.
 func (i *Informer) Report(ctx context.Context, now time.Time, report *messenger.Backend) error {
 	changed := i.Tracker.Heartbeat(now, report)
-	current := []*messenger.Backend{i.Tracker.Find(report.Id)}
+	known := i.Tracker.Find(report.Id)
+	if known == nil {
+		// The report is not recorded: a newer process has the address.
+		return nil
+	}
+	current := []*messenger.Backend{known}
 	if report.State != messenger.Backend_STATE_READY {
 		return i.passOn(ctx, now, report.Id, changed, current)
 	}
--- a/internal/fleet/informer/informer_test.go
+++ b/internal/fleet/informer/informer_test.go
@@ -156,3 +156,25 @@
 		t.Errorf("hosts %v do not know that it is gone", names)
 	}
 }
+
+// A report of an older process at an address that a newer one has is not recorded.
+func TestReportThatIsNotRecordedIsNotPassedOn(t *testing.T) {
+	f := newTestFleet(3, 6)
+	h := f.hosts["host-4"]
+	newer := &messenger.Backend{Id: "newer", Address: "10.0.0.1:80", Started: 2, Sequence: 1}
+	if err := h.Report(t.Context(), start, newer); err != nil {
+		t.Fatal(err)
+	}
+	f.cut = func(_, _ *messenger.FleetHost) bool { return true }
+	if err := h.Remove(t.Context(), start, "b"); !errors.Is(err, ErrNotLinked) {
+		t.Fatalf("an end that no other host has is acknowledged with %v", err)
+	}
+	f.cut = func(_, _ *messenger.FleetHost) bool { return false }
+	h.Call = func(_ context.Context, _ *messenger.FleetHost, req *messenger.InformRequest) error {
+		t.Errorf("passed on %v", req)
+		return nil
+	}
+	if err := h.Report(t.Context(), start, report(messenger.Backend_STATE_DRAINING, 2)); err != nil {
+		t.Errorf("not acknowledged: %v", err)
+	}
+}
