--- a/internal/fleet/forwarder/endless_test.go
+++ b/internal/fleet/forwarder/endless_test.go
@@ -10,17 +10,25 @@
 	"time"
 )
 
-// sendWithoutEnd writes a part again and again until the peer closes, which it reports.
-func sendWithoutEnd(c net.Conn, part string, closed chan<- struct{}) bool {
+// sendWithoutEnd writes a part again and again until the peer closes, and then reports how many
+// bytes it has written.
+func sendWithoutEnd(c net.Conn, part string, closed chan<- int) bool {
 	block := []byte(strings.Repeat(part, 1+4096/len(part)))
+	sent := 0
 	for {
-		if _, err := c.Write(block); err != nil {
-			closed <- struct{}{}
+		n, err := c.Write(block)
+		sent += n
+		if err != nil {
+			closed <- sent
 			return false
 		}
 	}
 }
 
+// maxSent is above the largest response that is read and what the kernel buffers of it, with six
+// bytes sent for each in a chunk of its own.
+const maxSent = 64 << 20
+
 // A backend server in trouble may send bytes that are no response, at full rate, until its peer
 // closes the connection.
 func TestBytesWithoutEnd(t *testing.T) {
@@ -28,6 +36,7 @@
 		return fmt.Sprintf("HTTP/1.1 200 X\r\nT-Id: %s\r\n%s%s\r\n", seen.Header.Get("T-Id"), signed, fields)
 	}
 	chunked := "Transfer-Encoding: chunked\r\n"
+	chunk := "10000\r\n" + strings.Repeat("a", 0x10000) + "\r\n"
 	tests := []struct {
 		name  string
 		path  string
@@ -44,18 +53,18 @@
 		{"chunk size", "/read/", func(s seenRequest) string { return head(s, chunked) }, "0"},
 		{"body of another response", "/read/", func(seenRequest) string {
 			return "HTTP/1.1 200 X\r\nT-Id: other\r\n" + chunked + "\r\n"
-		}, "1\r\na\r\n"},
+		}, chunk},
 		{"body that declines", "/stream/", func(s seenRequest) string {
 			return fmt.Sprintf("HTTP/1.1 503 X\r\nT-Id: %s\r\nT-Not-Run: 1\r\n\r\n", s.Header.Get("T-Id"))
 		}, "a"},
-		{"stream without an event", "/stream/", func(s seenRequest) string { return head(s, chunked) }, "1\r\na\r\n"},
+		{"stream without an event", "/stream/", func(s seenRequest) string { return head(s, chunked) }, chunk},
 		{"stream of an error", "/stream/", func(s seenRequest) string {
 			return fmt.Sprintf("HTTP/1.1 500 X\r\nT-Id: %s\r\n\r\n", s.Header.Get("T-Id"))
 		}, "a"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			closed := make(chan struct{}, 10)
+			closed := make(chan int, 10)
 			b := newStandIn(t, "e", func(c net.Conn, seen seenRequest) bool {
 				if _, err := c.Write([]byte(tt.begin(seen))); err != nil {
 					return false
@@ -78,7 +87,10 @@
 				t.Errorf("memory grew by %d MiB", grown>>20)
 			}
 			select {
-			case <-closed:
+			case sent := <-closed:
+				if sent > maxSent {
+					t.Errorf("%d MiB were read before the connection was closed", sent>>20)
+				}
 			case <-time.After(5 * time.Second):
 				t.Error("the connection is still open")
 			}
--- a/internal/fleet/receiver/receiver_test.go
+++ b/internal/fleet/receiver/receiver_test.go
@@ -193,11 +193,13 @@
 		w.Finish()
 	})
 	c := dial(t, address)
+	// One reader for both responses: bytes after the first are taken for the second.
+	br := bufio.NewReader(c)
 	for range 2 {
 		if _, err := io.WriteString(c, "HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
 			t.Fatal(err)
 		}
-		resp, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: http.MethodHead})
+		resp, err := http.ReadResponse(br, &http.Request{Method: http.MethodHead})
 		if err != nil || resp.StatusCode != http.StatusOK {
 			t.Fatalf("the next response on the connection is %v, %v", resp, err)
 		}
--- a/internal/fleet/scheduler/scheduler_test.go
+++ b/internal/fleet/scheduler/scheduler_test.go
@@ -233,6 +233,16 @@
 	}
 }
 
+func TestBackupOnEqualEnginesIsOnTheFirst(t *testing.T) {
+	for range 50 {
+		s, d := newScheduler(backendAt("e1", "a"), backendAt("e4", "a"), backendAt("e2", "a"), backendAt("e3", "a"))
+		s.Submit(start, "entry", placeRequest("1", 1000, 400))
+		if p := d.placed["1"]; p.GetBackend() != "e1" || p.GetBackup() != "e2" {
+			t.Fatalf("placed on %q with a backup on %q, want e1 and e2", p.GetBackend(), p.GetBackup())
+		}
+	}
+}
+
 func TestBackupOnARestartedEngineIsGone(t *testing.T) {
 	s, d := newScheduler(backendAt("e1", "a"), backendAt("e2", "a"))
 	s.Submit(start, "entry", placeRequest("1", 1000, 400))
