test: wait for the handler of a generation whose client has the end

Nothing acts on the run in between: its last reported state is ended, which a decider ignores. The check still asks that no run is left, within 2 s.

--- a/internal/fleet/forwarder/generation_test.go
+++ b/internal/fleet/forwarder/generation_test.go
@@ -409,8 +409,11 @@
 	if got := <-done; got.body != events(1, 31) {
 		t.Errorf("client got %q", got.body)
 	}
-	if runs := x.forwarder.Runs(); len(runs) != 0 {
-		t.Errorf("%d runs after the last one ended", len(runs))
+	// The client has the end before the handler returns.
+	for end := time.Now().Add(2 * time.Second); len(x.forwarder.Runs()) != 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d runs after the last one ended", len(x.forwarder.Runs()))
+		}
 	}
 }
 
