feat: tell which parts of a prompt a lost generation held, and whether its engine has ended

The lines named no parts of prompts, and a stream that broke off did not tell an engine that ended from a connection that did. VR6407 tells both; the process is asked by opening a connection, beside the request.

--- a/internal/event/logger/fleetevents.go
+++ b/internal/event/logger/fleetevents.go
@@ -47,6 +47,7 @@
 	RunAborted    = Event{6405, log.WarnLevel, "generation aborted"}
 	// RunCopyReleased reports that the memory copied for a failed move was released.
 	RunCopyReleased = Event{6406, log.InfoLevel, "copy of a generation released"}
+	RunLost         = Event{6407, log.WarnLevel, "backend server lost a generation"}
 
 	fleetEvents = []Event{
 		FleetStarted, FleetStopping, FleetStopped, FleetReloaded, FleetReadiness, FleetPaused, TaskPanicked, FleetLinked, FleetUnlinked,
@@ -54,6 +55,6 @@
 		FleetUnknownGone, FleetEngineProbed, FleetConfigAdopted,
 		FleetConfigSubmitted, FleetConfigRefused, FleetConfigRead, FleetConfigRejected, FleetReportRefused,
 		ForwardMalformed, ForwardRefused, ForwardFailed, ForwardAttemptFailed, ForwardServed, ForwardDisconnected,
-		RunPlaced, RunMoving, RunMoved, RunMoveFailed, RunAborted, RunCopyReleased,
+		RunPlaced, RunMoving, RunMoved, RunMoveFailed, RunAborted, RunCopyReleased, RunLost,
 	}
 )
--- a/internal/fleet/forwarder/generation.go
+++ b/internal/fleet/forwarder/generation.go
@@ -71,7 +71,7 @@
 		return
 	}
 	s := &stream{
-		f: f, x: x, req: req, place: f.Place, releaseBackend: func() {}, orders: make(chan *messenger.MoveOrder, maxPendingOrders),
+		f: f, x: x, req: req, parts: sharedParts(req), place: f.Place, releaseBackend: func() {}, orders: make(chan *messenger.MoveOrder, maxPendingOrders),
 		copyDone: make(chan copyResult, 1),
 	}
 	s.req.Run, s.req.Service, s.req.Priority, s.req.Workspace = x.id, x.service.Name, int32(x.priority), x.workspace
@@ -89,6 +89,16 @@
 	s.reportState(messenger.RunState_PHASE_ENDED)
 }
 
+// sharedParts returns the ids of the parts of a request's prompt that other requests may share. The
+// last part belongs to the request itself.
+func sharedParts(req *messenger.PlaceRequest) []string {
+	shared := make([]string, 0, len(req.Parts))
+	for _, p := range req.Parts[:max(len(req.Parts)-1, 0)] {
+		shared = append(shared, p.Id)
+	}
+	return shared
+}
+
 // register makes a generation known to Move and Runs.
 func (f *Forwarder) register(s *stream) {
 	f.mu.Lock()
@@ -156,7 +166,7 @@
 		s.backend, s.backup = s.f.Tracker.Find(p.Backend), s.f.Tracker.Find(p.Backup)
 		s.f.Log.Emit(time.Now(), logger.RunPlaced, s.x.id, logger.F("backend", p.Backend), logger.F("copy", p.Backup),
 			logger.F("promptTokens", s.req.PromptTokens), logger.F("hintTokens", s.req.HintTokens),
-			logger.F("maxTokens", s.req.MaxTokens), logger.F("view", p.Reason),
+			logger.F("maxTokens", s.req.MaxTokens), logger.F("view", p.Reason), logger.F("parts", s.parts),
 			logger.F("waited", time.Since(now).Round(time.Millisecond)))
 		if s.backend == nil {
 			s.returnPlacement(p.Backend)
@@ -174,6 +184,7 @@
 		s.f.Log.Emit(time.Now(), logger.ForwardAttemptFailed, s.x.id, logger.F("backend", s.backend.Id),
 			logger.F("cause", err), logger.F("mayHaveRun", s.x.mayHaveRun))
 		if s.x.mayHaveRun {
+			s.recordLoss(ctx, err)
 			s.reportLost(ctx)
 			break
 		}
--- /dev/null
+++ b/internal/fleet/forwarder/loss.go
@@ -0,0 +1,80 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"verbenareach/internal/event/logger"
+	"verbenareach/internal/fleet/sender"
+	"verbenareach/internal/wire/messenger"
+)
+
+type (
+	// loss is a generation that its backend server lost.
+	loss struct {
+		f       *Forwarder
+		run     string
+		backend *messenger.Backend
+		// parts holds the ids of the prompt's parts that other requests may share.
+		parts []string
+		// begun is set if the response header had arrived, sinceBegin earlier; events is the number
+		// of events that followed it.
+		begun      bool
+		sinceBegin time.Duration
+		events     int
+		cause      error
+	}
+
+	// processState is what is known of a backend server's process.
+	processState string
+)
+
+const (
+	// processEnded means that the process no longer listens at its address.
+	processEnded processState = "ended"
+	// processRuns means that it takes connections: it broke off only what it lost.
+	processRuns processState = "runs"
+	// processUnknown means that it could not be reached.
+	processUnknown processState = "unknown"
+)
+
+// maxInspections bounds the attempts to reach a backend server that lost a generation.
+const maxInspections = 2
+
+// recordLoss records that the backend server lost the generation. It does nothing if ctx has ended:
+// then the client's leaving or the deadline ended the generation.
+func (s *stream) recordLoss(ctx context.Context, cause error) {
+	if ctx.Err() != nil {
+		return
+	}
+	l := loss{f: s.f, run: s.x.id, backend: s.backend, parts: s.parts, events: s.eventsHere, cause: cause}
+	if !s.begunAt.IsZero() {
+		l.begun, l.sinceBegin = true, time.Since(s.begunAt).Round(time.Millisecond)
+	}
+	go l.record(context.WithoutCancel(ctx))
+}
+
+// record finds out whether the backend server's process has ended, and logs the loss.
+func (l loss) record(ctx context.Context) {
+	process := inspectProcess(ctx, l.backend.Address)
+	l.f.Log.Emit(time.Now(), logger.RunLost, l.run, logger.F("backend", l.backend.Id), logger.F("process", process),
+		logger.F("begun", l.begun), logger.F("sinceBegin", l.sinceBegin), logger.F("events", l.events),
+		logger.F("parts", l.parts), logger.F("cause", l.cause))
+}
+
+// inspectProcess finds out whether the process at address still runs.
+func inspectProcess(ctx context.Context, address string) processState {
+	for range maxInspections {
+		conn, err := sender.Dial(ctx, address)
+		if err == nil {
+			_ = conn.Close()
+			return processRuns
+		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return processEnded
+		}
+	}
+	return processUnknown
+}
--- a/internal/fleet/forwarder/stream.go
+++ b/internal/fleet/forwarder/stream.go
@@ -23,6 +23,8 @@
 	place          func(ctx context.Context, req *messenger.PlaceRequest) (*messenger.Placement, error)
 	releaseBackend func()
 	req            *messenger.PlaceRequest
+	// parts holds the ids of the prompt's parts that other requests may share.
+	parts []string
 	// response is the response whose events are forwarded; events receives them and is nil once
 	// they have ended. stopReading stops sending them.
 	response    *sender.Response
@@ -31,6 +33,10 @@
 	// backend runs the generation, backup holds a copy of its memory.
 	backend *messenger.Backend
 	backup  *messenger.Backend
+	// begunAt is when the header of response arrived; zero before. eventsHere is the number of
+	// its events that were sent to the client.
+	begunAt    time.Time
+	eventsHere int
 	// lastEventID is the id of the newest event that the client has, eventsSent the number of
 	// events sent to it. Any goroutine may read eventsSentShared, which holds the same number.
 	lastEventID      string
@@ -56,6 +62,7 @@
 // attach makes resp the response whose events are forwarded.
 func (s *stream) attach(resp *sender.Response) {
 	s.response = resp
+	s.begunAt, s.eventsHere = time.Now(), 0
 	s.streamErr = nil
 	s.events, s.stopReading = readEvents(resp)
 }
@@ -101,6 +108,9 @@
 				return
 			}
 			// During a move, finishMove decides how to continue.
+			if s.currentMove == nil {
+				s.recordLoss(ctx, s.streamErr)
+			}
 			if s.currentMove == nil && !s.recover(ctx) {
 				s.abort(ctx, s.streamErr)
 				return
@@ -141,6 +151,7 @@
 	}
 	s.lastEventAt = now
 	s.eventsSent += b.count
+	s.eventsHere += b.count
 	s.eventsSentShared.Store(int32(s.eventsSent)) //nolint:gosec // A client's token limit is far below.
 	if b.lastID != "" {
 		s.lastEventID = b.lastID
