fix: keep requests with a part of a prompt that crashes engines away from engines

Cause: nothing learned from what ran on an engine that ended. Class: a failure that its input causes is treated as one of the server that met it, and so moves on with the input (query of death).

Change: package quarantiner. A part is quarantined once engines ended with it in two rounds, 0.2 s apart, while an answer with it began, and none with it went on since; four rounds if one had gone on within 10 s before. Generations without an answer beside one whose answer began are no suspects, and count half where there is none. That the process ended is asked by opening a connection. Parts that came up together are told apart by requests that hold only some of them. Hosts exchange crashes, and what was sound once it matters; a host that links gets all. Refused at once with 503 and the time that is left; those waiting or in prefill are ended. The quarantine ends after 5 minutes, doubled with each round more, with one request at a time at the host that leads.

--- a/internal/event/logger/fleetevents.go
+++ b/internal/event/logger/fleetevents.go
@@ -49,6 +49,11 @@
 	RunCopyReleased = Event{6406, log.InfoLevel, "copy of a generation released"}
 	RunLost         = Event{6407, log.WarnLevel, "backend server lost a generation"}
 
+	// Events of the parts of prompts that crash engines.
+	PartQuarantined = Event{6501, log.ErrorLevel, "part of prompts is quarantined as engines end with it"}
+	PartReleased    = Event{6502, log.InfoLevel, "part of prompts is no longer quarantined"}
+	PartTried       = Event{6503, log.WarnLevel, "request tries a part whose quarantine is over"}
+
 	fleetEvents = []Event{
 		FleetStarted, FleetStopping, FleetStopped, FleetReloaded, FleetReadiness, FleetPaused, TaskPanicked, FleetLinked, FleetUnlinked,
 		FleetMemberChanged, FleetLogFailed, FleetBackendChanged, FleetDeciderChanged, FleetInformFailed,
@@ -56,5 +61,6 @@
 		FleetConfigSubmitted, FleetConfigRefused, FleetConfigRead, FleetConfigRejected, FleetReportRefused,
 		ForwardMalformed, ForwardRefused, ForwardFailed, ForwardAttemptFailed, ForwardServed, ForwardDisconnected,
 		RunPlaced, RunMoving, RunMoved, RunMoveFailed, RunAborted, RunCopyReleased, RunLost,
+		PartQuarantined, PartReleased, PartTried,
 	}
 )
--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -22,6 +22,7 @@
 	"verbenareach/internal/fleet/balancer"
 	"verbenareach/internal/fleet/budgeter"
 	"verbenareach/internal/fleet/cataloger"
+	"verbenareach/internal/fleet/quarantiner"
 	"verbenareach/internal/fleet/receiver"
 	"verbenareach/internal/fleet/sender"
 	"verbenareach/internal/fleet/tracker"
@@ -43,6 +44,8 @@
 		Tracker *tracker.Tracker
 		Budget  *budgeter.Budgeter
 		Pool    *sender.Pool
+		// Quarantine refuses generations whose prompt has a part that crashes engines.
+		Quarantine *quarantiner.Quarantiner
 		// Place requests a placement for a generation and waits for the decision.
 		Place func(ctx context.Context, req *messenger.PlaceRequest) (*messenger.Placement, error)
 		// ReportState passes the state of a generation on to the scheduler.
@@ -217,7 +220,13 @@
 			logger.F("after", time.Since(x.r.Arrived).Round(time.Millisecond)))
 		x.w.Abort()
 	case !x.mayHaveRun:
-		f.refuse(x, http.StatusServiceUnavailable, reason, retryAfterBusy)
+		retryAfter := retryAfterBusy
+		if quarantined := new(quarantinedError); errors.As(context.Cause(ctx), &quarantined) {
+			reason, retryAfter = quarantined.Error(), quarantined.verdict.RetryAfter
+		}
+		f.refuse(x, http.StatusServiceUnavailable, reason, retryAfter)
+	case errors.As(context.Cause(ctx), new(*quarantinedError)):
+		f.fail(x, http.StatusBadGateway, "generation was ended before its engine answered", context.Cause(ctx))
 	case errors.Is(context.Cause(ctx), receiver.ErrEnding):
 		f.fail(x, http.StatusBadGateway, "host ends before an answer came", cause)
 	case ctx.Err() != nil || time.Now().After(x.deadline):
@@ -229,7 +238,8 @@
 
 // clientLeft reports whether a request's context ended because its client left.
 func clientLeft(ctx context.Context) bool {
-	return errors.Is(ctx.Err(), context.Canceled) && !errors.Is(context.Cause(ctx), receiver.ErrEnding)
+	cause := context.Cause(ctx)
+	return errors.Is(ctx.Err(), context.Canceled) && !errors.Is(cause, receiver.ErrEnding) && !errors.As(cause, new(*quarantinedError))
 }
 
 // localFields returns the header fields of a response that this host makes itself.
--- a/internal/fleet/forwarder/generation.go
+++ b/internal/fleet/forwarder/generation.go
@@ -80,8 +80,13 @@
 		s.place = s.placeLocally
 	}
 	defer func() { s.releaseBackend() }()
+	ctx, s.end = context.WithCancelCause(ctx)
+	defer s.end(nil)
 	f.register(s)
 	defer f.unregister(s)
+	if !s.admitParts(time.Now()) {
+		return
+	}
 	if !s.start(ctx) {
 		return
 	}
--- a/internal/fleet/forwarder/harness_test.go
+++ b/internal/fleet/forwarder/harness_test.go
@@ -16,6 +16,7 @@
 	"verbenareach/internal/fleet/balancer"
 	"verbenareach/internal/fleet/budgeter"
 	"verbenareach/internal/fleet/cataloger"
+	"verbenareach/internal/fleet/quarantiner"
 	"verbenareach/internal/fleet/receiver"
 	"verbenareach/internal/fleet/sender"
 	"verbenareach/internal/fleet/tracker"
@@ -198,8 +199,9 @@
 	}
 	x.forwarder = &Forwarder{
 		Dialect: dialect, Balancer: &balancer.Balancer{Hosts: func() int { return 1 }, ReportLoss: func(string) {}}, Catalog: func() *cataloger.Catalog { return c }, Tracker: x.tracker,
-		Budget: &budgeter.Budgeter{Slack: 100, Window: time.Minute, Hosts: func() int { return 1 }},
-		Pool:   &sender.Pool{IdleTimeout: time.Minute}, Stopping: func() (time.Duration, bool) { return 0, false },
+		Budget:     &budgeter.Budgeter{Slack: 100, Window: time.Minute, Hosts: func() int { return 1 }},
+		Quarantine: &quarantiner.Quarantiner{Publish: func(string, *messenger.CrashReport) {}, OnQuarantine: func(time.Time) {}},
+		Pool:       &sender.Pool{IdleTimeout: time.Minute}, Stopping: func() (time.Duration, bool) { return 0, false },
 		Observe: func(string, string, time.Duration) {}, ObserveFirstEvent: func(time.Duration) {}, ObserveGap: func(time.Duration) {},
 		Place: func(context.Context, *messenger.PlaceRequest) (*messenger.Placement, error) {
 			return &messenger.Placement{Backend: x.place, Backup: x.copy}, nil
--- a/internal/fleet/forwarder/loss.go
+++ b/internal/fleet/forwarder/loss.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"verbenareach/internal/event/logger"
+	"verbenareach/internal/fleet/quarantiner"
 	"verbenareach/internal/fleet/sender"
 	"verbenareach/internal/wire/messenger"
 )
@@ -17,6 +18,7 @@
 		f       *Forwarder
 		run     string
 		backend *messenger.Backend
+		at      time.Time
 		// parts holds the ids of the prompt's parts that other requests may share.
 		parts []string
 		// begun is set if the response header had arrived, sinceBegin earlier; events is the number
@@ -24,7 +26,9 @@
 		begun      bool
 		sinceBegin time.Duration
 		events     int
-		cause      error
+		// settled is set if the generation was beyond its beginning.
+		settled bool
+		cause   error
 	}
 
 	// processState is what is known of a backend server's process.
@@ -43,25 +47,38 @@
 // maxInspections bounds the attempts to reach a backend server that lost a generation.
 const maxInspections = 2
 
-// recordLoss records that the backend server lost the generation. It does nothing if ctx has ended:
-// then the client's leaving or the deadline ended the generation.
-func (s *stream) recordLoss(ctx context.Context, cause error) {
+// recordLoss records that the backend server lost the generation, and closes recorded once that is
+// done. If ctx has ended nothing is recorded: the client's leaving or the deadline ended the generation.
+func (s *stream) recordLoss(ctx context.Context, cause error) (recorded <-chan struct{}) {
+	done := make(chan struct{})
 	if ctx.Err() != nil {
-		return
+		close(done)
+		return done
+	}
+	l := loss{
+		f: s.f, run: s.x.id, backend: s.backend, at: time.Now(), parts: s.parts, settled: s.soundRecorded, events: s.eventsHere, cause: cause,
 	}
-	l := loss{f: s.f, run: s.x.id, backend: s.backend, parts: s.parts, events: s.eventsHere, cause: cause}
 	if !s.begunAt.IsZero() {
-		l.begun, l.sinceBegin = true, time.Since(s.begunAt).Round(time.Millisecond)
+		l.begun, l.sinceBegin = true, l.at.Sub(s.begunAt).Round(time.Millisecond)
 	}
-	go l.record(context.WithoutCancel(ctx))
+	go func() {
+		defer close(done)
+		l.record(context.WithoutCancel(ctx))
+	}()
+	return done
 }
 
-// record finds out whether the backend server's process has ended, and logs the loss.
+// record finds out whether the backend server's process has ended, and logs the loss. If it ended while
+// the generation was beginning, that counts against the parts of the prompt.
 func (l loss) record(ctx context.Context) {
 	process := inspectProcess(ctx, l.backend.Address)
-	l.f.Log.Emit(time.Now(), logger.RunLost, l.run, logger.F("backend", l.backend.Id), logger.F("process", process),
+	now := time.Now()
+	l.f.Log.Emit(now, logger.RunLost, l.run, logger.F("backend", l.backend.Id), logger.F("process", process),
 		logger.F("begun", l.begun), logger.F("sinceBegin", l.sinceBegin), logger.F("events", l.events),
 		logger.F("parts", l.parts), logger.F("cause", l.cause))
+	if process == processEnded && !l.settled {
+		l.f.Quarantine.RecordCrash(now, l.at, l.backend, quarantiner.Beginning{Run: l.run, Parts: l.parts, Begun: l.begun})
+	}
 }
 
 // inspectProcess finds out whether the process at address still runs.
--- a/internal/fleet/forwarder/move.go
+++ b/internal/fleet/forwarder/move.go
@@ -155,12 +155,17 @@
 	return true
 }
 
-// recover resumes a run whose engine was lost, from the backup of its memory. It reports whether
-// the stream continues.
+// recover records that a run's engine was lost and resumes it from the backup of its memory. It
+// reports whether the stream continues.
 func (s *stream) recover(ctx context.Context) bool {
+	recorded := s.recordLoss(ctx, s.streamErr)
 	if s.eventsSent == 0 || s.backup == nil || s.backup.Id == s.backend.Id {
 		return false
 	}
+	if !s.soundRecorded {
+		// The run itself may have ended its engine.
+		<-recorded
+	}
 	b := s.backup
 	s.backup = nil
 	return s.resume(ctx, b, "", b.Address+"/"+s.x.id) == nil
@@ -180,7 +185,7 @@
 	}
 	startedAt := time.Now()
 	from := s.backend.Id
-	resp, err := s.openStream(ctx, to, fields)
+	resp, err := s.openAdmitted(ctx, startedAt, to, fields)
 	if err != nil {
 		s.f.Log.Emit(time.Now(), logger.RunMoveFailed, s.x.id, logger.F("from", from), logger.F("to", to.Id),
 			logger.F("events", s.eventsSent), logger.F("cause", err))
@@ -195,6 +200,16 @@
 	return nil
 }
 
+// openAdmitted is like openStream, unless the prompt has a quarantined part.
+func (s *stream) openAdmitted(
+	ctx context.Context, now time.Time, to *messenger.Backend, fields []sender.Field,
+) (*sender.Response, error) {
+	if v := s.f.Quarantine.Check(now, s.x.id, s.parts); !v.Admitted() {
+		return nil, &quarantinedError{verdict: v}
+	}
+	return s.openStream(ctx, to, fields)
+}
+
 // openStream requests that an engine resume the run, within resumeTimeout. A status other than
 // 200 is returned as errDeclined.
 func (s *stream) openStream(ctx context.Context, to *messenger.Backend, fields []sender.Field) (*sender.Response, error) {
--- /dev/null
+++ b/internal/fleet/forwarder/quarantine.go
@@ -0,0 +1,67 @@
+package forwarder
+
+import (
+	"net/http"
+	"time"
+
+	"verbenareach/internal/fleet/quarantiner"
+)
+
+// quarantinedError is the cause for which a generation ends whose prompt has a quarantined part.
+type quarantinedError struct {
+	verdict quarantiner.Verdict
+}
+
+var _ error = &quarantinedError{}
+
+const (
+	// settledEvents and settledAfter are the number of events and the time after the begin of a
+	// response from which on a generation is beyond its beginning.
+	settledEvents = 8
+	settledAfter  = 500 * time.Millisecond
+)
+
+// Error returns a text with the id of the part.
+func (e *quarantinedError) Error() string {
+	return "part " + e.verdict.Part + " of the prompt crashes engines"
+}
+
+// EndQuarantined ends the generations of this host that have not begun to stream and whose prompt
+// has a quarantined part.
+func (f *Forwarder) EndQuarantined(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.streams {
+		if s.eventsSentShared.Load() > 0 {
+			continue
+		}
+		if v := f.Quarantine.Check(now, s.x.id, s.parts); !v.Admitted() {
+			s.end(&quarantinedError{verdict: v})
+		}
+	}
+}
+
+// admitParts refuses the generation if its prompt has a quarantined part, and reports whether it has
+// none.
+func (s *stream) admitParts(now time.Time) bool {
+	v := s.f.Quarantine.Admit(now, s.x.id, s.parts)
+	if v.Admitted() {
+		return true
+	}
+	s.f.refuse(s.x, http.StatusServiceUnavailable, (&quarantinedError{verdict: v}).Error(), v.RetryAfter)
+	return false
+}
+
+// settled reports whether the generation is beyond its beginning on its present engine.
+func (s *stream) settled(now time.Time) bool {
+	return s.eventsHere >= settledEvents && now.Sub(s.begunAt) >= settledAfter
+}
+
+// recordSettled records once for each engine that the generation began there and went on.
+func (s *stream) recordSettled(now time.Time) {
+	if s.soundRecorded || s.eventsHere == 0 {
+		return
+	}
+	s.soundRecorded = true
+	s.f.Quarantine.RecordSound(now, s.begunAt, s.parts)
+}
--- /dev/null
+++ b/internal/fleet/forwarder/quarantine_test.go
@@ -0,0 +1,130 @@
+package forwarder
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"verbenareach/internal/fleet/quarantiner"
+	"verbenareach/internal/fleet/receiver"
+	"verbenareach/internal/wire/messenger"
+)
+
+// parts is the header line of a prompt with a shared part and one of its own.
+const parts = "T-Parts: shared,own\r\n"
+
+// newPartsFixture returns a fixture whose requests name their parts in the field T-Parts.
+func newPartsFixture(t *testing.T, standIns ...*standIn) *fixture {
+	t.Helper()
+	x := newFixture(t, standIns...)
+	x.forwarder.Dialect.ParseDemand = func(r *receiver.Request) *messenger.PlaceRequest {
+		req := &messenger.PlaceRequest{PromptTokens: 10}
+		for id := range strings.SplitSeq(r.Get("T-Parts"), ",") {
+			req.Parts = append(req.Parts, &messenger.PromptPart{Id: id, Tokens: 5})
+		}
+		return req
+	}
+	x.forwarder.Quarantine.OnQuarantine = x.forwarder.EndQuarantined
+	x.place = "e1"
+	return x
+}
+
+// accuse has engines end with a part until that is quarantined.
+func (x *fixture) accuse(part string) {
+	now := time.Now()
+	for n := range 8 {
+		x.forwarder.Quarantine.RecordCrash(now, now.Add(-time.Duration(n)*time.Second), &messenger.Backend{Id: fmt.Sprint(n)},
+			quarantiner.Beginning{Run: fmt.Sprint(n), Parts: []string{part}, Begun: true})
+	}
+}
+
+// awaitRequest waits until a stand-in has a request.
+func awaitRequest(t *testing.T, s *standIn) {
+	t.Helper()
+	for end := time.Now().Add(2 * time.Second); len(s.requests()) == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("no request arrived")
+		}
+	}
+}
+
+func TestRequestWithAQuarantinedPartIsInvitedToComeBackAtOnce(t *testing.T) {
+	e := newStandIn(t, "e1", streams(1, 3))
+	x := newPartsFixture(t, e)
+	x.accuse("shared")
+	got := x.send("/stream/a", key+parts, "")
+	if got.status != http.StatusServiceUnavailable || len(got.header.Get("Retry-After")) < len("100.000") {
+		t.Errorf("answered with %d, Retry-After %q", got.status, got.header.Get("Retry-After"))
+	}
+	if n := len(e.requests()); n != 0 {
+		t.Errorf("%d requests reached an engine", n)
+	}
+	if got := x.send("/stream/a", key+"T-Parts: other,shared\r\n", ""); got.status != http.StatusOK {
+		t.Errorf("a request whose own part has the same id is answered with %d", got.status)
+	}
+}
+
+func TestRequestInPrefillWithAPartThatBecomesQuarantinedEndsItsEngine(t *testing.T) {
+	left := make(chan struct{})
+	e := newStandIn(t, "e1", func(c net.Conn, _ seenRequest) bool {
+		_, _ = c.Read(make([]byte, 1))
+		close(left)
+		return false
+	})
+	x := newPartsFixture(t, e)
+	done := make(chan reply)
+	go func() { done <- x.send("/stream/a", key+parts, "") }()
+	awaitRequest(t, e)
+	x.accuse("shared")
+	if got := <-done; got.status != http.StatusBadGateway {
+		t.Errorf("a request that may have run is answered with %d", got.status)
+	}
+	<-left
+}
+
+func TestBrokenStreamOfAnEngineThatRunsOnAccusesItsParts(t *testing.T) {
+	x := newPartsFixture(t, newStandIn(t, "e1", func(c net.Conn, seen seenRequest) bool {
+		if seen.n > 6 {
+			return streams(1, 3)(c, seen)
+		}
+		begin(c, seen)
+		return reset(c)
+	}))
+	for range 6 {
+		x.send("/stream/a", key+parts, "")
+		time.Sleep(210 * time.Millisecond)
+	}
+	if got := x.send("/stream/a", key+parts, ""); got.status != http.StatusOK {
+		t.Errorf("answered with %d after streams that their engine broke off", got.status)
+	}
+}
+
+func TestGenerationWithAQuarantinedPartIsResumedElsewhere(t *testing.T) {
+	accused := make(chan struct{})
+	backup := newStandIn(t, "e2", streams(3, 5))
+	x := newPartsFixture(t, newStandIn(t, "e1", func(c net.Conn, seen seenRequest) bool {
+		begin(c, seen)
+		chunk(c, events(1, 2))
+		<-accused
+		return false
+	}), backup)
+	x.copy = "e2"
+	done := make(chan reply)
+	go func() { done <- x.send("/stream/a", key+parts, "") }()
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if runs := x.forwarder.Runs(); len(runs) == 1 && runs[0].MadeTokens > 0 {
+			break
+		}
+	}
+	x.accuse("shared")
+	close(accused)
+	if got := <-done; got.err == nil {
+		t.Errorf("a stream that broke off looks complete: %q", got.body)
+	}
+	if n := len(backup.requests()); n != 0 {
+		t.Errorf("%d requests reached another engine", n)
+	}
+}
--- a/internal/fleet/forwarder/stream.go
+++ b/internal/fleet/forwarder/stream.go
@@ -37,6 +37,10 @@
 	// its events that were sent to the client.
 	begunAt    time.Time
 	eventsHere int
+	// soundRecorded is set once it was recorded that the generation is beyond its beginning on its present engine.
+	soundRecorded bool
+	// end ends the generation for a cause.
+	end context.CancelCauseFunc
 	// lastEventID is the id of the newest event that the client has, eventsSent the number of
 	// events sent to it. Any goroutine may read eventsSentShared, which holds the same number.
 	lastEventID      string
@@ -62,7 +66,7 @@
 // attach makes resp the response whose events are forwarded.
 func (s *stream) attach(resp *sender.Response) {
 	s.response = resp
-	s.begunAt, s.eventsHere = time.Now(), 0
+	s.begunAt, s.eventsHere, s.soundRecorded = time.Now(), 0, false
 	s.streamErr = nil
 	s.events, s.stopReading = readEvents(resp)
 }
@@ -108,9 +112,6 @@
 				return
 			}
 			// During a move, finishMove decides how to continue.
-			if s.currentMove == nil {
-				s.recordLoss(ctx, s.streamErr)
-			}
 			if s.currentMove == nil && !s.recover(ctx) {
 				s.abort(ctx, s.streamErr)
 				return
@@ -159,6 +160,9 @@
 	if first {
 		s.reportState(messenger.RunState_PHASE_STREAMING)
 	}
+	if s.settled(now) {
+		s.recordSettled(now)
+	}
 	return true
 }
 
@@ -168,6 +172,7 @@
 		s.x.w.Begin(s.response.Status, clientFields(s.response.Header))
 	}
 	s.x.w.Finish()
+	s.recordSettled(time.Now())
 	s.stopReading()
 	s.response.Done()
 	s.x.outcome = "served"
--- /dev/null
+++ b/internal/fleet/quarantiner/quarantiner.go
@@ -0,0 +1,199 @@
+// Package quarantiner finds out which parts of prompts crash engines, and keeps requests with such a
+// part away from engines. It learns from generations whose engine ended while their answer began, and
+// from those whose answer began and went on. The hosts of a fleet exchange both, so that each of them
+// decides from what all have seen. The package does no I/O.
+package quarantiner
+
+import (
+	"sync"
+	"time"
+
+	"verbenareach/internal/event/logger"
+	"verbenareach/internal/wire/messenger"
+)
+
+type (
+	// Quarantiner holds what one host knows of the parts of prompts. Its exported fields are set
+	// before first use; it is safe for concurrent use.
+	Quarantiner struct {
+		// Publish passes what is new here on to the other hosts, except the named one. It is called
+		// without the lock.
+		Publish func(except string, report *messenger.CrashReport)
+		// Relay is set if reports of other hosts are passed on as well.
+		Relay bool
+		// MayTry reports whether this host may send a request with a part whose quarantine is over.
+		MayTry func() bool
+		// OnQuarantine is called, without the lock, after requests that were admitted may have
+		// become refused.
+		OnQuarantine func(now time.Time)
+		Log          *logger.Logger
+
+		mu      sync.Mutex
+		history history
+		// trials holds the requests that try parts whose quarantine is over, by part.
+		trials map[string]trial
+		// quarantined holds the parts that were logged as quarantined.
+		quarantined map[string]bool
+	}
+
+	// Verdict is the decision on a request.
+	Verdict struct {
+		// Part is the id of the part for which the request is refused; "" if it is admitted.
+		Part string
+		// RetryAfter is the time after which the request may be admitted.
+		RetryAfter time.Duration
+	}
+
+	// Beginning is a generation that had not been streaming for long when its engine ended.
+	Beginning struct {
+		Run string
+		// Parts holds the ids of the parts of its prompt that other requests may share.
+		Parts []string
+		// Begun is set if its response had begun.
+		Begun bool
+	}
+
+	// trial is a request that tries a part whose quarantine is over.
+	trial struct {
+		run   string
+		until time.Time
+	}
+)
+
+const (
+	// trialTimeout is how long no other request tries a part after one was admitted to.
+	trialTimeout = 30 * time.Second
+	// trialRetryAfter is the retry delay of requests that wait for the outcome of another one's trial.
+	trialRetryAfter = trialTimeout
+)
+
+// Admitted reports whether the request may be sent to an engine.
+func (v Verdict) Admitted() bool { return v.Part == "" }
+
+// Admit decides whether a request with the given shared parts may be sent to an engine. On a host
+// that may try, a request is admitted alone once the quarantine of its part is over.
+func (q *Quarantiner) Admit(now time.Time, run string, parts []string) Verdict {
+	return q.decide(now, run, parts, true)
+}
+
+// Check decides as Admit does, for a request that was admitted before.
+func (q *Quarantiner) Check(now time.Time, run string, parts []string) Verdict {
+	return q.decide(now, run, parts, false)
+}
+
+// RecordCrash records that the process of an engine ended, at a time, while a generation began there.
+func (q *Quarantiner) RecordCrash(now, ended time.Time, engine *messenger.Backend, b Beginning) {
+	q.Merge(now, "", &messenger.CrashReport{Crashes: []*messenger.EngineCrash{{
+		Backend: engine.Id, Started: engine.Started, AgeMs: now.Sub(ended).Milliseconds(),
+		Runs: []*messenger.BeginningRun{{Run: b.Run, Parts: b.Parts, Begun: b.Begun}},
+	}}})
+}
+
+// RecordSound records that a generation with the given shared parts began at a time and went on.
+func (q *Quarantiner) RecordSound(now, begun time.Time, parts []string) {
+	q.mu.Lock()
+	report := &messenger.CrashReport{}
+	for _, id := range parts {
+		if q.history.recordSound(now, begun, id) {
+			report.SoundParts = append(report.SoundParts, q.history.soundPart(now, id))
+		}
+	}
+	if len(report.SoundParts) > 0 || len(q.quarantined) > 0 {
+		q.logChanges(now)
+	}
+	q.mu.Unlock()
+	if len(report.SoundParts) > 0 {
+		q.Publish("", report)
+	}
+}
+
+// Merge records a report of another host; from is its name, "" for this one.
+func (q *Quarantiner) Merge(now time.Time, from string, report *messenger.CrashReport) {
+	q.mu.Lock()
+	news, own := q.history.merge(now, report)
+	q.logChanges(now)
+	quarantine := len(q.quarantined) > 0 && len(news.Crashes) > 0
+	q.mu.Unlock()
+	if from != "" && !q.Relay {
+		news.Reset()
+	}
+	if len(news.Crashes)+len(news.SoundParts) > 0 {
+		q.Publish(from, news)
+	}
+	if len(own.SoundParts) > 0 {
+		q.Publish("", own)
+	}
+	if quarantine {
+		q.OnQuarantine(now)
+	}
+}
+
+// Report returns all that is known here of parts that may crash engines; nil if that is nothing.
+func (q *Quarantiner) Report(now time.Time) *messenger.CrashReport {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.history.report(now)
+}
+
+// decide decides on a request; with claim set, it may become a trial.
+func (q *Quarantiner) decide(now time.Time, run string, parts []string, claim bool) Verdict {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, id := range parts {
+		until, suspect := q.history.suspectUntil(id, parts)
+		if !suspect || q.tries(now, run, id) {
+			continue
+		}
+		if now.Before(until) {
+			return Verdict{Part: id, RetryAfter: until.Sub(now)}
+		}
+		if !claim || now.Before(q.trials[id].until) || !q.MayTry() {
+			return Verdict{Part: id, RetryAfter: trialRetryAfter}
+		}
+		q.claim(now, run, id)
+	}
+	return Verdict{}
+}
+
+// tries reports whether a request tries a part. The lock is held.
+func (q *Quarantiner) tries(now time.Time, run, id string) bool {
+	t := q.trials[id]
+	return t.run == run && now.Before(t.until)
+}
+
+// claim has a request try a part. The lock is held.
+func (q *Quarantiner) claim(now time.Time, run, id string) {
+	if q.trials == nil {
+		q.trials = make(map[string]trial)
+	}
+	for other, t := range q.trials {
+		if !now.Before(t.until) {
+			delete(q.trials, other)
+		}
+	}
+	q.trials[id] = trial{run: run, until: now.Add(trialTimeout)}
+	q.Log.Emit(now, logger.PartTried, run, logger.F("part", id))
+}
+
+// logChanges logs the parts that became quarantined or were released. The lock is held.
+func (q *Quarantiner) logChanges(now time.Time) {
+	if q.quarantined == nil {
+		q.quarantined = make(map[string]bool)
+	}
+	for id := range q.quarantined {
+		if _, enough := q.history.convicted(id); !enough {
+			delete(q.quarantined, id)
+			q.Log.Emit(now, logger.PartReleased, "", logger.F("part", id))
+		}
+	}
+	for id := range q.history.byPart {
+		c, enough := q.history.convicted(id)
+		if !enough || q.quarantined[id] {
+			continue
+		}
+		q.quarantined[id] = true
+		_, alone := q.history.suspectUntil(id, []string{id})
+		q.Log.Emit(now, logger.PartQuarantined, "", logger.F("part", id), logger.F("engines", c.engines),
+			logger.F("rounds", c.rounds), logger.F("alone", alone), logger.F("for", c.until.Sub(now).Round(time.Second)))
+	}
+}
--- a/internal/fleet/runner/build.go
+++ b/internal/fleet/runner/build.go
@@ -12,6 +12,7 @@
 	"verbenareach/internal/fleet/keeper"
 	"verbenareach/internal/fleet/linker"
 	"verbenareach/internal/fleet/prober"
+	"verbenareach/internal/fleet/quarantiner"
 	"verbenareach/internal/fleet/receiver"
 	"verbenareach/internal/fleet/sender"
 	"verbenareach/internal/fleet/tracker"
@@ -46,9 +47,13 @@
 		Runs: func() []*messenger.RunState { return h.forwarder.Runs() },
 	}
 	h.balancer = &balancer.Balancer{FailureDomain: s.Host.FailureDomain, Hosts: h.estimateHosts, ReportLoss: h.publishLoss}
+	h.quarantiner = &quarantiner.Quarantiner{
+		Publish: h.publishCrashes, Relay: s.Host.Hub, MayTry: func() bool { return h.leaderTerm.Load() > 0 },
+		OnQuarantine: func(now time.Time) { h.forwarder.EndQuarantined(now) }, Log: h.Log,
+	}
 	h.forwarder = &forwarder.Forwarder{
 		Dialect: h.Dialect, Balancer: h.balancer, StartedAt: time.Now(), FailureDomain: s.Host.FailureDomain, Catalog: h.catalog.Load, Tracker: h.tracker,
-		Budget: budget, Pool: h.pool, Place: h.allocator.Place, ReportState: h.allocator.Report,
+		Quarantine: h.quarantiner, Budget: budget, Pool: h.pool, Place: h.allocator.Place, ReportState: h.allocator.Report,
 		Stopping: h.timeLeft, Log: h.Log, Observe: h.meter.Request,
 		ObserveFirstEvent: h.meter.FirstToken, ObserveGap: h.meter.Gap,
 	}
--- a/internal/fleet/runner/distribution.go
+++ b/internal/fleet/runner/distribution.go
@@ -169,11 +169,18 @@
 	m.Leads = h.leaderTerm.Load()
 }
 
-// linkUp sends the states of all backend servers to a host that has just been linked.
+// linkUp sends the states of all backend servers, and what is known of prompts that crash engines, to
+// a host that has just been linked.
 func (h *Runner) linkUp(host *messenger.FleetHost) {
 	h.Log.Emit(time.Now(), logger.FleetLinked, "", logger.F("host", host.Name), logger.F("address", host.Address))
 	all := h.tracker.All()
-	h.linker.Enqueue(host.Name, func(m *messenger.LinkMessage) { m.Backends = append(m.Backends, all...) })
+	crashes := h.quarantiner.Report(time.Now())
+	h.linker.Enqueue(host.Name, func(m *messenger.LinkMessage) {
+		m.Backends = append(m.Backends, all...)
+		if crashes != nil {
+			m.CrashReports = append(m.CrashReports, crashes)
+		}
+	})
 }
 
 // linkDown tells the allocator that a host is no longer linked.
@@ -189,6 +196,9 @@
 	h.informer.Receive(now, from.Name, m.Backends)
 	h.allocator.Receive(now, from, m)
 	h.receiveLosses(now, from, m.Losses)
+	for _, report := range m.CrashReports {
+		h.quarantiner.Merge(now, from.Name, report)
+	}
 	if m.ConfigVersion > h.version() && from.Hub && h.fetching.CompareAndSwap(false, true) {
 		go h.fetch(from, m.ConfigVersion)
 	}
@@ -271,6 +281,11 @@
 	})
 }
 
+// publishCrashes passes on what is new of prompts that crash engines, to all linked hosts but one.
+func (h *Runner) publishCrashes(except string, report *messenger.CrashReport) {
+	h.linker.EnqueueAll(except, func(m *messenger.LinkMessage) { m.CrashReports = append(m.CrashReports, report) })
+}
+
 // receiveLosses handles lost responses that another host reports. A loss with Relay is sent
 // on to the linked hosts that are not hubs; the hubs have it from the reporting host.
 func (h *Runner) receiveLosses(now time.Time, from *messenger.FleetHost, losses []*messenger.Loss) {
--- a/internal/fleet/runner/runner.go
+++ b/internal/fleet/runner/runner.go
@@ -30,6 +30,7 @@
 	"verbenareach/internal/fleet/keeper"
 	"verbenareach/internal/fleet/linker"
 	"verbenareach/internal/fleet/prober"
+	"verbenareach/internal/fleet/quarantiner"
 	"verbenareach/internal/fleet/receiver"
 	"verbenareach/internal/fleet/sender"
 	"verbenareach/internal/fleet/tracker"
@@ -57,13 +58,14 @@
 		informer *informer.Informer
 		prober   *prober.Prober
 		// keeper is nil unless this host is a hub.
-		keeper    *keeper.Keeper
-		allocator *allocator.Allocator
-		balancer  *balancer.Balancer
-		forwarder *forwarder.Forwarder
-		receiver  *receiver.Receiver
-		pool      *sender.Pool
-		meter     *meter.Meter
+		keeper      *keeper.Keeper
+		allocator   *allocator.Allocator
+		balancer    *balancer.Balancer
+		quarantiner *quarantiner.Quarantiner
+		forwarder   *forwarder.Forwarder
+		receiver    *receiver.Receiver
+		pool        *sender.Pool
+		meter       *meter.Meter
 
 		seeds atomic.Pointer[[]string]
 		// catalog is the configuration in force; nil until there is one.
