fix: keep what is known of prompts that crash engines on the hubs' disks

Cause: the evidence lived in memory alone; with all hosts gone, each part is found again at the cost of two engines or more. Change: hubs store it, in the background and gathered over 0.1 s, as one file that is replaced whole; it is read before the first request. A stalled, full or torn disk costs the memory only (VR6504). The file layer's replacement of a file is now for all to use. TestPromptPartThatCrashesEnginesIsForgottenWhenAllHostsRestart failed before: 6 requests with the part reached engines after the restart, want 0.

--- a/internal/control/recorder/open.go
+++ b/internal/control/recorder/open.go
@@ -68,7 +68,7 @@
 	}
 	old := new(messenger.LogIdentity)
 	if slices.Contains(names, identityName) {
-		if err := r.readFile(r.identityPath(), old); err != nil {
+		if err := r.Files.Load(r.identityPath(), old); err != nil {
 			old = new(messenger.LogIdentity)
 		}
 	}
@@ -155,7 +155,7 @@
 // is fresh until its first segment is created.
 func (r *Recorder) loadIdentity(names []string) error {
 	id := new(messenger.LogIdentity)
-	err := r.readFile(r.identityPath(), id)
+	err := r.Files.Load(r.identityPath(), id)
 	if err == nil {
 		r.identity = id
 		return nil
@@ -170,7 +170,7 @@
 }
 
 func (r *Recorder) writeIdentity(id *messenger.LogIdentity) error {
-	if err := r.replaceFile(r.identityPath(), id); err != nil {
+	if err := r.Files.Replace(r.identityPath(), id); err != nil {
 		return eris.Wrap(err, "write identity")
 	}
 	r.identity = id
--- a/internal/control/recorder/recorder.go
+++ b/internal/control/recorder/recorder.go
@@ -274,7 +274,7 @@
 // WriteSnapshot writes the file of a snapshot durably, without replacing the current
 // snapshot. It fails with FullError if the disk is full.
 func (r *Recorder) WriteSnapshot(snap *messenger.LogSnapshot) error {
-	err := r.replaceFile(snapshotPath(r.Folder, snap.Index), snap)
+	err := r.Files.Replace(snapshotPath(r.Folder, snap.Index), snap)
 	if isFull(err) {
 		return &FullError{Cause: err}
 	}
--- a/internal/control/recorder/snapshot.go
+++ b/internal/control/recorder/snapshot.go
@@ -18,7 +18,7 @@
 	snapshotSuffix = ".snapshot"
 	tempSuffix     = ".tmp"
 	// maxSnapshotBytes bounds the uncompressed state in a snapshot, and the payload of any
-	// file that readFile reads.
+	// file that Load reads.
 	maxSnapshotBytes = 1 << 30
 )
 
@@ -56,37 +56,37 @@
 	return n, err == nil
 }
 
-// replaceFile replaces the file at path with one frame that holds m. After a crash, either
-// the old or the new file is there, complete.
-func (r *Recorder) replaceFile(path string, m proto.Message) error {
+// Replace replaces the file at path with one that holds m. After a crash, either the old or the new
+// file is there, complete.
+func (f Files) Replace(path string, m proto.Message) error {
 	data, err := appendFrame(nil, m)
 	if err != nil {
 		return err
 	}
 	temp := path + tempSuffix
-	f, err := r.Files.Create(temp)
+	file, err := f.Create(temp)
 	if err != nil {
 		return err
 	}
-	if _, err := f.Write(data); err != nil {
-		return errors.Join(err, f.Close(), r.Files.Remove(temp))
+	if _, err := file.Write(data); err != nil {
+		return errors.Join(err, file.Close(), f.Remove(temp))
 	}
-	if err := f.Sync(); err != nil {
-		return errors.Join(err, f.Close())
+	if err := file.Sync(); err != nil {
+		return errors.Join(err, file.Close())
 	}
-	if err := f.Close(); err != nil {
+	if err := file.Close(); err != nil {
 		return err
 	}
-	if err := r.Files.Rename(temp, path); err != nil {
+	if err := f.Rename(temp, path); err != nil {
 		return err
 	}
-	return r.Files.SyncFolder(filepath.Dir(path))
+	return f.SyncFolder(filepath.Dir(path))
 }
 
-// readFile reads a file written by replaceFile into m. It fails with DamagedError if the
-// content can't be read, and with os.ErrNotExist if there is no file.
-func (r *Recorder) readFile(path string, m proto.Message) error {
-	data, err := r.Files.Read(path)
+// Load reads a file written by Replace into m. It fails with DamagedError if the content can't be
+// read, and with os.ErrNotExist if there is no file.
+func (f Files) Load(path string, m proto.Message) error {
+	data, err := f.Read(path)
 	if err != nil {
 		return err
 	}
@@ -114,7 +114,7 @@
 		return nil, nil
 	}
 	snap := new(messenger.LogSnapshot)
-	if err := r.readFile(snapshotPath(r.Folder, newest), snap); err != nil {
+	if err := r.Files.Load(snapshotPath(r.Folder, newest), snap); err != nil {
 		return nil, err
 	}
 	return snap, nil
--- a/internal/event/logger/fleetevents.go
+++ b/internal/event/logger/fleetevents.go
@@ -53,6 +53,7 @@
 	PartQuarantined = Event{6501, log.ErrorLevel, "part of prompts is quarantined as engines end with it"}
 	PartReleased    = Event{6502, log.InfoLevel, "part of prompts is no longer quarantined"}
 	PartTried       = Event{6503, log.WarnLevel, "request tries a part whose quarantine is over"}
+	PartsNotStored  = Event{6504, log.ErrorLevel, "what is known of parts of prompts could not be stored or read"}
 
 	fleetEvents = []Event{
 		FleetStarted, FleetStopping, FleetStopped, FleetReloaded, FleetReadiness, FleetPaused, TaskPanicked, FleetLinked, FleetUnlinked,
@@ -61,6 +62,6 @@
 		FleetConfigSubmitted, FleetConfigRefused, FleetConfigRead, FleetConfigRejected, FleetReportRefused,
 		ForwardMalformed, ForwardRefused, ForwardFailed, ForwardAttemptFailed, ForwardServed, ForwardDisconnected,
 		RunPlaced, RunMoving, RunMoved, RunMoveFailed, RunAborted, RunCopyReleased, RunLost,
-		PartQuarantined, PartReleased, PartTried,
+		PartQuarantined, PartReleased, PartTried, PartsNotStored,
 	}
 )
--- a/internal/fleet/forwarder/harness_test.go
+++ b/internal/fleet/forwarder/harness_test.go
@@ -200,7 +200,7 @@
 	x.forwarder = &Forwarder{
 		Dialect: dialect, Balancer: &balancer.Balancer{Hosts: func() int { return 1 }, ReportLoss: func(string) {}}, Catalog: func() *cataloger.Catalog { return c }, Tracker: x.tracker,
 		Budget:     &budgeter.Budgeter{Slack: 100, Window: time.Minute, Hosts: func() int { return 1 }},
-		Quarantine: &quarantiner.Quarantiner{Publish: func(string, *messenger.CrashReport) {}, OnQuarantine: func(time.Time) {}},
+		Quarantine: &quarantiner.Quarantiner{Publish: func(string, *messenger.CrashReport) {}, OnQuarantine: func(time.Time) {}, OnChange: func() {}},
 		Pool:       &sender.Pool{IdleTimeout: time.Minute}, Stopping: func() (time.Duration, bool) { return 0, false },
 		Observe: func(string, string, time.Duration) {}, ObserveFirstEvent: func(time.Duration) {}, ObserveGap: func(time.Duration) {},
 		Place: func(context.Context, *messenger.PlaceRequest) (*messenger.Placement, error) {
--- a/internal/fleet/quarantiner/quarantiner.go
+++ b/internal/fleet/quarantiner/quarantiner.go
@@ -26,7 +26,9 @@
 		// OnQuarantine is called, without the lock, after requests that were admitted may have
 		// become refused.
 		OnQuarantine func(now time.Time)
-		Log          *logger.Logger
+		// OnChange is called, without the lock, after Report may return something else.
+		OnChange func()
+		Log      *logger.Logger
 
 		mu      sync.Mutex
 		history history
@@ -103,6 +105,7 @@
 	}
 	q.mu.Unlock()
 	if len(report.SoundParts) > 0 {
+		q.OnChange()
 		q.Publish("", report)
 	}
 }
@@ -114,6 +117,9 @@
 	q.logChanges(now)
 	quarantine := len(q.quarantined) > 0 && len(news.Crashes) > 0
 	q.mu.Unlock()
+	if len(news.Crashes)+len(news.SoundParts) > 0 {
+		q.OnChange()
+	}
 	if from != "" && !q.Relay {
 		news.Reset()
 	}
--- a/internal/fleet/quarantiner/quarantiner_test.go
+++ b/internal/fleet/quarantiner/quarantiner_test.go
@@ -35,7 +35,7 @@
 
 func (f *fleet) newHost(n int) *Quarantiner {
 	return &Quarantiner{
-		Relay: n < 2, MayTry: func() bool { return n == 0 }, OnQuarantine: func(time.Time) { f.ended++ },
+		Relay: n < 2, MayTry: func() bool { return n == 0 }, OnQuarantine: func(time.Time) { f.ended++ }, OnChange: func() {},
 		Publish: func(except string, report *messenger.CrashReport) {
 			for to, h := range f.hosts {
 				linked := n < 2 || to < 2
--- a/internal/fleet/runner/build.go
+++ b/internal/fleet/runner/build.go
@@ -49,7 +49,11 @@
 	h.balancer = &balancer.Balancer{FailureDomain: s.Host.FailureDomain, Hosts: h.estimateHosts, ReportLoss: h.publishLoss}
 	h.quarantiner = &quarantiner.Quarantiner{
 		Publish: h.publishCrashes, Relay: s.Host.Hub, MayTry: func() bool { return h.leaderTerm.Load() > 0 },
-		OnQuarantine: func(now time.Time) { h.forwarder.EndQuarantined(now) }, Log: h.Log,
+		OnQuarantine: func(now time.Time) { h.forwarder.EndQuarantined(now) }, OnChange: func() {}, Log: h.Log,
+	}
+	if s.Host.Hub {
+		h.crashStore = newCrashStore(h.quarantiner, s.DataFolder, h.Log)
+		h.quarantiner.OnChange = h.crashStore.signal
 	}
 	h.forwarder = &forwarder.Forwarder{
 		Dialect: h.Dialect, Balancer: h.balancer, StartedAt: time.Now(), FailureDomain: s.Host.FailureDomain, Catalog: h.catalog.Load, Tracker: h.tracker,
--- a/internal/fleet/runner/runner.go
+++ b/internal/fleet/runner/runner.go
@@ -62,10 +62,12 @@
 		allocator   *allocator.Allocator
 		balancer    *balancer.Balancer
 		quarantiner *quarantiner.Quarantiner
-		forwarder   *forwarder.Forwarder
-		receiver    *receiver.Receiver
-		pool        *sender.Pool
-		meter       *meter.Meter
+		// crashStore is nil unless this host is a hub.
+		crashStore *crashStore
+		forwarder  *forwarder.Forwarder
+		receiver   *receiver.Receiver
+		pool       *sender.Pool
+		meter      *meter.Meter
 
 		seeds atomic.Pointer[[]string]
 		// catalog is the configuration in force; nil until there is one.
@@ -197,6 +199,8 @@
 	})
 	if h.keeper != nil {
 		g.Go(func() error { return h.runLog(ctx) })
+		// Not in the group: a disk that stalls must not delay the stop.
+		go h.crashStore.run(ctx)
 	}
 	g.Go(func() error { return serveHTTP(ctx, l.control, h.Control) })
 	g.Go(func() error { return serveHTTP(ctx, l.ready, http.HandlerFunc(h.serveReady)) })
