fix: do not take a connection that ends before the first event for a whole stream

An engine that ends once it has sent a header with neither a length nor chunks left an empty answer with status 200, which looked complete; its parts counted as sound. Cause: the end of a connection ends such a body, whatever came before. A stream without an event now counts as broken off if nothing else marks its end. Ends within an event and after whole events were right already. TestStreamThatEndsWithItsConnection failed in one of four cases before.

--- a/internal/fleet/forwarder/eventreader.go
+++ b/internal/fleet/forwarder/eventreader.go
@@ -42,6 +42,7 @@
 
 	errEventTooLarge  = errors.New("event is too large")
 	errTruncatedEvent = errors.New("stream ends within an event")
+	errNoEvent        = errors.New("connection ends before the first event")
 )
 
 // readEvents sends the events of a response on a channel, which it closes at the end. stop, to
--- a/internal/fleet/forwarder/quarantine_test.go
+++ b/internal/fleet/forwarder/quarantine_test.go
@@ -128,3 +128,36 @@
 		t.Errorf("%d requests reached another engine", n)
 	}
 }
+
+// beginUntilClose sends the header of a stream that ends with its connection.
+func beginUntilClose(c net.Conn, seen seenRequest) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nT-Id: %s\r\n%sContent-Type: text/event-stream\r\n\r\n", seen.Header.Get("T-Id"), signed)
+}
+
+func TestStreamThatEndsWithItsConnection(t *testing.T) {
+	tests := []struct {
+		name string
+		body string
+		// status is that of the response, whole whether it looks complete.
+		status int
+		whole  bool
+	}{
+		{"after whole events it is complete", events(1, 3), http.StatusOK, true},
+		{"within an event it was broken off", events(1, 3) + event(4)[:7], http.StatusOK, false},
+		{"within the first event it was broken off", event(1)[:7], http.StatusBadGateway, true},
+		{"before the first event it was broken off", "", http.StatusBadGateway, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			x := newPartsFixture(t, newStandIn(t, "e1", func(c net.Conn, seen seenRequest) bool {
+				beginUntilClose(c, seen)
+				_, _ = fmt.Fprint(c, tt.body)
+				return false
+			}))
+			got := x.send("/stream/a", key+parts, "")
+			if got.status != tt.status || (got.err == nil) != tt.whole {
+				t.Errorf("answered with %d %q, %v", got.status, got.body, got.err)
+			}
+		})
+	}
+}
--- a/internal/fleet/forwarder/stream.go
+++ b/internal/fleet/forwarder/stream.go
@@ -132,6 +132,10 @@
 func (s *stream) forward(b eventBatch) bool {
 	if b.err != nil {
 		s.streamErr = b.err
+		if errors.Is(b.err, io.EOF) && s.eventsHere == 0 && !s.response.Framed {
+			// Nothing but the end of the connection says that the stream is whole.
+			s.streamErr = errNoEvent
+		}
 		return false
 	}
 	first := s.eventsSent == 0
--- a/internal/fleet/sender/response.go
+++ b/internal/fleet/sender/response.go
@@ -39,6 +39,9 @@
 		Status int
 		Header http.Header
 		Body   io.Reader
+		// Framed is set if a length or chunks tell the end of the body; otherwise it ends with the
+		// connection.
+		Framed bool
 
 		pool *Pool
 		conn *Conn
@@ -208,10 +211,9 @@
 		}
 		resp.body = &bodyReader{Reader: next.Body}
 		resp.Status, resp.Header, resp.Body = next.StatusCode, next.Header, resp.body
-		// Without framing, the body ends only when the connection does.
-		framed := next.ContentLength >= 0 || len(next.TransferEncoding) > 0
+		resp.Framed = next.ContentLength >= 0 || len(next.TransferEncoding) > 0
 		resp.conn.serverIdleTimeout = keepAliveTimeout(next.Header)
-		resp.reusable = framed && !next.Close && skipped == 0 && !closesConnection(next.Header)
+		resp.reusable = resp.Framed && !next.Close && skipped == 0 && !closesConnection(next.Header)
 		return nil
 	}
 }
