feat: tell which limit on its requests a backend server names

The answers' field was not read; VR6601 tells when a host reads that a limit was set, changed or ended. An answer without one counts only if its request was sent after the limit was read. Values that are no rate change nothing; of several the lowest counts.

--- a/internal/event/logger/fleetevents.go
+++ b/internal/event/logger/fleetevents.go
@@ -55,6 +55,9 @@
 	PartTried       = Event{6503, log.WarnLevel, "request tries a part whose quarantine is over"}
 	PartsNotStored  = Event{6504, log.ErrorLevel, "what is known of parts of prompts could not be stored or read"}
 
+	// Events of the limits that backend servers set.
+	BackendLimited = Event{6601, log.InfoLevel, "backend server changed the limit on its requests"}
+
 	fleetEvents = []Event{
 		FleetStarted, FleetStopping, FleetStopped, FleetReloaded, FleetReadiness, FleetPaused, TaskPanicked, FleetLinked, FleetUnlinked,
 		FleetMemberChanged, FleetLogFailed, FleetBackendChanged, FleetDeciderChanged, FleetInformFailed,
@@ -63,5 +66,6 @@
 		ForwardMalformed, ForwardRefused, ForwardFailed, ForwardAttemptFailed, ForwardServed, ForwardDisconnected,
 		RunPlaced, RunMoving, RunMoved, RunMoveFailed, RunAborted, RunCopyReleased, RunLost,
 		PartQuarantined, PartReleased, PartTried, PartsNotStored,
+		BackendLimited,
 	}
 )
--- a/internal/fleet/forwarder/call.go
+++ b/internal/fleet/forwarder/call.go
@@ -158,7 +158,7 @@
 	if err != nil {
 		return nil, &sender.UnsentError{Cause: err}
 	}
-	resp, err := f.Pool.Send(ctx, conn, f.backendRequest(x, now, b.Id))
+	resp, err := f.sendTo(ctx, x, now, conn, b)
 	if err != nil {
 		unsent := new(sender.UnsentError)
 		x.mayHaveRun = x.mayHaveRun || !errors.As(err, &unsent)
--- a/internal/fleet/forwarder/dialect.go
+++ b/internal/fleet/forwarder/dialect.go
@@ -26,6 +26,9 @@
 		Signature string
 		// NotRun names the field that is set on responses to requests that were not run.
 		NotRun string
+		// RateLimit names the field in which a backend server's answers name the number of requests a
+		// second that it takes from all hosts together.
+		RateLimit string
 		// Backup names the field with the address of the engine to copy memory to as it grows.
 		// Continue names the one with the memory to resume from: an address, a slash, and the run
 		// id of a backup there or the handle of a copy made from there. LastEvent names the one
--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -25,6 +25,7 @@
 	"verbenareach/internal/fleet/quarantiner"
 	"verbenareach/internal/fleet/receiver"
 	"verbenareach/internal/fleet/sender"
+	"verbenareach/internal/fleet/throttler"
 	"verbenareach/internal/fleet/tracker"
 	"verbenareach/internal/wire/messenger"
 )
@@ -46,6 +47,7 @@
 		Pool    *sender.Pool
 		// Quarantine refuses generations whose prompt has a part that crashes engines.
 		Quarantine *quarantiner.Quarantiner
+		Throttler  *throttler.Throttler
 		// Place requests a placement for a generation and waits for the decision.
 		Place func(ctx context.Context, req *messenger.PlaceRequest) (*messenger.Placement, error)
 		// ReportState passes the state of a generation on to the scheduler.
@@ -280,6 +282,18 @@
 	return out
 }
 
+// sendTo sends the request to a backend server and returns its response, as sender.Pool.Send does.
+func (f *Forwarder) sendTo(
+	ctx context.Context, x *exchange, now time.Time, conn *sender.Conn, b *messenger.Backend, extra ...sender.Field,
+) (*sender.Response, error) {
+	resp, err := f.Pool.Send(ctx, conn, f.backendRequest(x, now, b.Id, extra...))
+	if err != nil {
+		return nil, err
+	}
+	f.Throttler.RecordAnswer(time.Now(), now, b, resp.Header.Values(f.Dialect.RateLimit))
+	return resp, nil
+}
+
 // listItems returns the items of a header field whose value is a list.
 func listItems(value string) []string {
 	items := strings.Split(value, ",")
--- a/internal/fleet/forwarder/generation.go
+++ b/internal/fleet/forwarder/generation.go
@@ -270,7 +270,7 @@
 		limit := time.AfterFunc(within, func() { _ = conn.Close() })
 		defer limit.Stop()
 	}
-	resp, err := s.f.Pool.Send(ctx, conn, s.f.backendRequest(s.x, now, b.Id, extra...))
+	resp, err := s.f.sendTo(ctx, s.x, now, conn, b, extra...)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/fleet/forwarder/harness_test.go
+++ b/internal/fleet/forwarder/harness_test.go
@@ -19,6 +19,7 @@
 	"verbenareach/internal/fleet/quarantiner"
 	"verbenareach/internal/fleet/receiver"
 	"verbenareach/internal/fleet/sender"
+	"verbenareach/internal/fleet/throttler"
 	"verbenareach/internal/fleet/tracker"
 	"verbenareach/internal/wire/messenger"
 )
@@ -201,6 +202,7 @@
 		Dialect: dialect, Balancer: &balancer.Balancer{Hosts: func() int { return 1 }, ReportLoss: func(string) {}}, Catalog: func() *cataloger.Catalog { return c }, Tracker: x.tracker,
 		Budget:     &budgeter.Budgeter{Slack: 100, Window: time.Minute, Hosts: func() int { return 1 }},
 		Quarantine: &quarantiner.Quarantiner{Publish: func(string, *messenger.CrashReport) {}, OnQuarantine: func(time.Time) {}, OnChange: func() {}},
+		Throttler:  &throttler.Throttler{},
 		Pool:       &sender.Pool{IdleTimeout: time.Minute}, Stopping: func() (time.Duration, bool) { return 0, false },
 		Observe: func(string, string, time.Duration) {}, ObserveFirstEvent: func(time.Duration) {}, ObserveGap: func(time.Duration) {},
 		Place: func(context.Context, *messenger.PlaceRequest) (*messenger.Placement, error) {
--- a/internal/fleet/runner/build.go
+++ b/internal/fleet/runner/build.go
@@ -15,6 +15,7 @@
 	"verbenareach/internal/fleet/quarantiner"
 	"verbenareach/internal/fleet/receiver"
 	"verbenareach/internal/fleet/sender"
+	"verbenareach/internal/fleet/throttler"
 	"verbenareach/internal/fleet/tracker"
 	"verbenareach/internal/wire/messenger"
 )
@@ -55,9 +56,10 @@
 		h.crashStore = newCrashStore(h.quarantiner, s.DataFolder, h.Log)
 		h.quarantiner.OnChange = h.crashStore.signal
 	}
+	h.throttler = &throttler.Throttler{Log: h.Log}
 	h.forwarder = &forwarder.Forwarder{
 		Dialect: h.Dialect, Balancer: h.balancer, StartedAt: time.Now(), FailureDomain: s.Host.FailureDomain, Catalog: h.catalog.Load, Tracker: h.tracker,
-		Quarantine: h.quarantiner, Budget: budget, Pool: h.pool, Place: h.allocator.Place, ReportState: h.allocator.Report,
+		Quarantine: h.quarantiner, Throttler: h.throttler, Budget: budget, Pool: h.pool, Place: h.allocator.Place, ReportState: h.allocator.Report,
 		Stopping: h.timeLeft, Log: h.Log, Observe: h.meter.Request,
 		ObserveFirstEvent: h.meter.FirstToken, ObserveGap: h.meter.Gap,
 	}
--- a/internal/fleet/runner/runner.go
+++ b/internal/fleet/runner/runner.go
@@ -33,6 +33,7 @@
 	"verbenareach/internal/fleet/quarantiner"
 	"verbenareach/internal/fleet/receiver"
 	"verbenareach/internal/fleet/sender"
+	"verbenareach/internal/fleet/throttler"
 	"verbenareach/internal/fleet/tracker"
 	"verbenareach/internal/wire/messenger"
 	"verbenareach/internal/wire/recoverer"
@@ -64,6 +65,7 @@
 		quarantiner *quarantiner.Quarantiner
 		// crashStore is nil unless this host is a hub.
 		crashStore *crashStore
+		throttler  *throttler.Throttler
 		forwarder  *forwarder.Forwarder
 		receiver   *receiver.Receiver
 		pool       *sender.Pool
