fix: keep the limit that a backend server names over all hosts together

Cause: the field was not read. Class: back pressure that a server states is no input of the choice of servers; and what one host is told concerns all.

Change: package throttler. Hosts pass changed limits on to each other; the newest answer counts. A request to a server with a limit needs the permission of the host that also schedules generations, which keeps one virtual schedule for each server: permission is granted with a time, at once refused with the wait if that is beyond what the request has. Hosts remember the wait and choose another server meanwhile. If all are limited, requests wait in order, for the objective at most, and what the limits forecast beyond it is refused at once with that time as Retry-After. Generations take a permission with their placement; moves and continued generations count. A host that is linked to no hub grants its share. The limit ends with the first answer without it to a later request.

Found on the way, with a test of the load: a generation that had just arrived went before those that waited for an engine's limit, as only changed engines are evaluated for these.

--- a/internal/fleet/allocator/allocator.go
+++ b/internal/fleet/allocator/allocator.go
@@ -14,6 +14,7 @@
 	"verbenareach/internal/fleet/cataloger"
 	"verbenareach/internal/fleet/forwarder"
 	"verbenareach/internal/fleet/scheduler"
+	"verbenareach/internal/fleet/throttler"
 	"verbenareach/internal/wire/messenger"
 )
 
@@ -31,7 +32,9 @@
 		Move func(m *messenger.MoveOrder) error
 		// Runs returns the states of this host's generations that have a placement.
 		Runs func() []*messenger.RunState
-		Log  *logger.Logger
+		// Throttler holds the limits that backend servers set.
+		Throttler *throttler.Throttler
+		Log       *logger.Logger
 
 		mu sync.Mutex
 		// sched decides for the hosts that have this one as their decider, and for this host
@@ -43,9 +46,13 @@
 		// decider is the name of the host that decides for this one, which may be this host.
 		decider string
 		// pending holds the requests of this host without a decision, by run.
-		pending  map[string]*pendingRequest
-		engines  map[string]cataloger.Engine
-		backends []*messenger.Backend
+		pending map[string]*pendingRequest
+		// permits holds the requests for permission that wait for a reply, by id; lastPermit is the
+		// newest id.
+		permits    map[uint64]chan *messenger.PermitReply
+		lastPermit uint64
+		engines    map[string]cataloger.Engine
+		backends   []*messenger.Backend
 	}
 
 	pendingRequest struct {
@@ -118,8 +125,8 @@
 	a.sched.Advance(now)
 }
 
-// Receive handles the term, reports, requests, placements and move orders in a message from
-// another host. With AllRuns set, they replace all that is known of that host's runs and requests.
+// Receive handles the term, reports, requests, placements, move orders and permissions in a message
+// from another host. With AllRuns set, they replace all that is known of that host's runs and requests.
 func (a *Allocator) Receive(now time.Time, from *messenger.FleetHost, m *messenger.LinkMessage) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -139,6 +146,10 @@
 	for _, o := range m.Moves {
 		a.handleMove(now, o)
 	}
+	a.replyPermits(now, from.Name, m.PermitRequests)
+	for _, r := range m.PermitReplies {
+		a.deliverPermit(r)
+	}
 }
 
 // HostDown drops a host whose link is lost, with its runs and requests.
@@ -156,8 +167,9 @@
 		return
 	}
 	a.pending, a.hubs = make(map[string]*pendingRequest), make(map[string]uint64)
+	a.permits = make(map[uint64]chan *messenger.PermitReply)
 	a.decider = a.Name
-	a.sched = &scheduler.Scheduler{Send: a.send, Random: rand.Float64}
+	a.sched = &scheduler.Scheduler{Send: a.send, Random: rand.Float64, Throttler: a.Throttler}
 }
 
 // setHub records a hub and the term in which it leads, 0 if it does not. The lock is held.
--- a/internal/fleet/balancer/balancer.go
+++ b/internal/fleet/balancer/balancer.go
@@ -57,6 +57,8 @@
 	Failed
 	// Lost requests got no complete answer and may have run.
 	Lost
+	// Unused requests were not sent.
+	Unused
 )
 
 // MinOutstanding is the least limit on one host's outstanding requests at a backend server;
@@ -145,6 +147,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	st.outstanding--
+	if outcome == Unused {
+		return
+	}
 	st.decay(now)
 	failed, lost := 0.0, 0.0
 	if outcome != Answered {
--- a/internal/fleet/forwarder/call.go
+++ b/internal/fleet/forwarder/call.go
@@ -45,7 +45,7 @@
 	errDeclined  = errors.New("backend server declined")
 	errTooLarge  = errors.New("response is too large")
 	errInternal  = errors.New("backend server returned status 500")
-	errFull      = errors.New("all backend servers have as many requests from this host as they take")
+	errFull      = errors.New("all backend servers are full")
 )
 
 const (
@@ -65,26 +65,21 @@
 	maxIdleUnrepeatable = 3 * time.Second
 )
 
-// call serves a request whose response is read whole before it is forwarded. While all backend
-// servers are full, it waits until the route's objective has passed.
+// call serves a request whose response is read whole before it is forwarded.
 func (f *Forwarder) call(ctx context.Context, x *exchange) {
 	f.awaitStartup(ctx, func() bool {
 		return len(f.Tracker.Ready(time.Now(), x.service.Name)) > 0
 	})
 	t := &attempts{reason: "no backend server is ready", cause: errNoBackend}
 	for len(t.tried) < maxBackendsTried && ctx.Err() == nil {
-		now := time.Now()
-		b, done, full := f.Balancer.Choose(now, f.Tracker.Ready(now, x.service.Name), t.tried)
-		if full && now.Sub(x.r.Arrived) < x.route.Objective {
-			time.Sleep(pollInterval)
-			continue
-		}
-		if full {
-			t.reason, t.cause = "all backend servers are full", errFull
+		b, done, err := f.choose(ctx, x, t.tried)
+		if err != nil && ctx.Err() == nil && !errors.Is(err, errNoBackend) {
+			t.reason, t.cause = err.Error(), err
 		}
 		if b == nil {
 			break
 		}
+		now := time.Now()
 		if t.reached > 0 && !f.Budget.AllowRetry(now, x.service.Name) {
 			done(now, balancer.Answered)
 			break
--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -47,7 +47,10 @@
 		Pool    *sender.Pool
 		// Quarantine refuses generations whose prompt has a part that crashes engines.
 		Quarantine *quarantiner.Quarantiner
-		Throttler  *throttler.Throttler
+		// Throttler holds the limits that backend servers set, and Permit asks for permission to send a
+		// request to one of them, as allocator.Allocator.Permit does.
+		Throttler *throttler.Throttler
+		Permit    func(ctx context.Context, b *messenger.Backend, maxWait time.Duration) (wait time.Duration, granted bool)
 		// Place requests a placement for a generation and waits for the decision.
 		Place func(ctx context.Context, req *messenger.PlaceRequest) (*messenger.Placement, error)
 		// ReportState passes the state of a generation on to the scheduler.
@@ -72,6 +75,12 @@
 		streams map[string]*stream
 	}
 
+	// refusal is a reason to refuse a request that tells when it may be sent again.
+	refusal interface {
+		error
+		retryAfter() time.Duration
+	}
+
 	// exchange is one client request that is being served.
 	exchange struct {
 		w *receiver.Writer
@@ -223,8 +232,9 @@
 		x.w.Abort()
 	case !x.mayHaveRun:
 		retryAfter := retryAfterBusy
-		if quarantined := new(quarantinedError); errors.As(context.Cause(ctx), &quarantined) {
-			reason, retryAfter = quarantined.Error(), quarantined.verdict.RetryAfter
+		var known refusal
+		if errors.As(context.Cause(ctx), &known) || errors.As(cause, &known) {
+			reason, retryAfter = known.Error(), known.retryAfter()
 		}
 		f.refuse(x, http.StatusServiceUnavailable, reason, retryAfter)
 	case errors.As(context.Cause(ctx), new(*quarantinedError)):
--- a/internal/fleet/forwarder/generation.go
+++ b/internal/fleet/forwarder/generation.go
@@ -200,14 +200,13 @@
 }
 
 // placeLocally replaces Forwarder.Place for a service without engines. It chooses a backend
-// server with this host's balancer and waits for none.
-func (s *stream) placeLocally(context.Context, *messenger.PlaceRequest) (*messenger.Placement, error) {
+// server as for calls.
+func (s *stream) placeLocally(ctx context.Context, _ *messenger.PlaceRequest) (*messenger.Placement, error) {
 	s.releaseBackend()
 	s.releaseBackend = func() {}
-	now := time.Now()
-	b, done, _ := s.f.Balancer.Choose(now, s.f.Tracker.Ready(now, s.x.service.Name), s.req.Avoid)
+	b, done, err := s.f.choose(ctx, s.x, s.req.Avoid)
 	if b == nil {
-		return &messenger.Placement{RetryAfterMs: retryAfterBusy.Milliseconds(), Reason: "no backend server is ready"}, nil
+		return nil, err
 	}
 	s.releaseBackend = func() {
 		ended := balancer.Answered
--- a/internal/fleet/forwarder/harness_test.go
+++ b/internal/fleet/forwarder/harness_test.go
@@ -67,7 +67,7 @@
 // dialect has names of its own, so that no test depends on the platform's.
 var dialect = Dialect{
 	RequestID: "T-Id", Deadline: "T-Left", Expect: "T-Only", Workspace: "T-Workspace", Signature: "T-Signed",
-	NotRun: "T-Not-Run", Backup: "T-Backup", Continue: "T-Continue", LastEvent: "T-Last",
+	NotRun: "T-Not-Run", RateLimit: "T-Limit", Backup: "T-Backup", Continue: "T-Continue", LastEvent: "T-Last",
 	Reserved:    []string{"t-reserved"},
 	ParseDemand: func(*receiver.Request) *messenger.PlaceRequest { return &messenger.PlaceRequest{PromptTokens: 10} },
 	Copy:        copyByCall, Release: releaseByCall,
@@ -202,7 +202,7 @@
 		Dialect: dialect, Balancer: &balancer.Balancer{Hosts: func() int { return 1 }, ReportLoss: func(string) {}}, Catalog: func() *cataloger.Catalog { return c }, Tracker: x.tracker,
 		Budget:     &budgeter.Budgeter{Slack: 100, Window: time.Minute, Hosts: func() int { return 1 }},
 		Quarantine: &quarantiner.Quarantiner{Publish: func(string, *messenger.CrashReport) {}, OnQuarantine: func(time.Time) {}, OnChange: func() {}},
-		Throttler:  &throttler.Throttler{},
+		Throttler:  &throttler.Throttler{Publish: func(string, []*messenger.RateLimit) {}, Share: func() float64 { return 1 }},
 		Pool:       &sender.Pool{IdleTimeout: time.Minute}, Stopping: func() (time.Duration, bool) { return 0, false },
 		Observe: func(string, string, time.Duration) {}, ObserveFirstEvent: func(time.Duration) {}, ObserveGap: func(time.Duration) {},
 		Place: func(context.Context, *messenger.PlaceRequest) (*messenger.Placement, error) {
@@ -214,6 +214,9 @@
 			x.states = append(x.states, s)
 		},
 	}
+	x.forwarder.Permit = func(_ context.Context, b *messenger.Backend, maxWait time.Duration) (time.Duration, bool) {
+		return x.forwarder.Throttler.Reserve(time.Now(), b, maxWait)
+	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/fleet/forwarder/load_test.go
+++ b/internal/fleet/forwarder/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -85,3 +86,46 @@
 		t.Errorf("%d requests lost at a backend server that resets, want 1 at most", failed)
 	}
 }
+
+func TestRequestThatTheLimitsHoldUpIsRefusedAtItsDeadline(t *testing.T) {
+	s := newStandIn(t, "s", func(c net.Conn, seen seenRequest) bool {
+		return answer(c, seen, http.StatusOK, signed+"T-Limit: 0.5\r\n", "whole")
+	})
+	x := newFixture(t, s)
+	served := 0
+	begun := time.Now()
+	var got reply
+	for range 4 {
+		if got = x.send("/once/a", key, ""); got.status == http.StatusOK {
+			served++
+		}
+	}
+	if served > 2 || got.status != http.StatusServiceUnavailable {
+		t.Errorf("%d served of 4 with a limit of 0.5 a second, the last answered with %d", served, got.status)
+	}
+	if took := time.Since(begun); took > 500*time.Millisecond {
+		t.Errorf("refused after %v", took)
+	}
+	if seconds, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64); err != nil || seconds < 1 {
+		t.Errorf("Retry-After is %q", got.header.Get("Retry-After"))
+	}
+	if n := len(s.requests()); n != served {
+		t.Errorf("%d requests reached the backend server, %d are served", n, served)
+	}
+}
+
+func TestBackendServerWhoseLimitIsReachedLeavesRequestsToOthers(t *testing.T) {
+	limited := newStandIn(t, "a", func(c net.Conn, seen seenRequest) bool {
+		return answer(c, seen, http.StatusOK, signed+"T-Limit: 0.5\r\n", "whole")
+	})
+	free := newStandIn(t, "b", answerOK)
+	x := newFixture(t, limited, free)
+	for n := range 20 {
+		if got := x.send("/once/a", key, ""); got.status != http.StatusOK {
+			t.Errorf("request %d is answered with %d", n, got.status)
+		}
+	}
+	if n := len(limited.requests()); n > 3 {
+		t.Errorf("%d requests reached the backend server with the limit", n)
+	}
+}
--- a/internal/fleet/forwarder/quarantine.go
+++ b/internal/fleet/forwarder/quarantine.go
@@ -12,7 +12,7 @@
 	verdict quarantiner.Verdict
 }
 
-var _ error = &quarantinedError{}
+var _ refusal = &quarantinedError{}
 
 const (
 	// settledEvents and settledAfter are the number of events and the time after the begin of a
@@ -26,6 +26,8 @@
 	return "part " + e.verdict.Part + " of the prompt crashes engines"
 }
 
+func (e *quarantinedError) retryAfter() time.Duration { return e.verdict.RetryAfter }
+
 // EndQuarantined ends the generations of this host that have not begun to stream and whose prompt
 // has a quarantined part.
 func (f *Forwarder) EndQuarantined(now time.Time) {
--- a/internal/fleet/runner/build.go
+++ b/internal/fleet/runner/build.go
@@ -42,8 +42,9 @@
 		OnLeaving: h.informer.Depart, Log: h.Log,
 	}
 	budget := &budgeter.Budgeter{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow, Hosts: h.estimateHosts}
+	h.throttler = &throttler.Throttler{Publish: h.publishLimits, Relay: s.Host.Hub, Share: h.limitShare, Log: h.Log}
 	h.allocator = &allocator.Allocator{
-		Name: s.Host.Name, Enqueue: h.linker.Enqueue, Log: h.Log,
+		Name: s.Host.Name, Enqueue: h.linker.Enqueue, Throttler: h.throttler, Log: h.Log,
 		Move: func(m *messenger.MoveOrder) error { return h.forwarder.Move(m) },
 		Runs: func() []*messenger.RunState { return h.forwarder.Runs() },
 	}
@@ -56,10 +57,9 @@
 		h.crashStore = newCrashStore(h.quarantiner, s.DataFolder, h.Log)
 		h.quarantiner.OnChange = h.crashStore.signal
 	}
-	h.throttler = &throttler.Throttler{Log: h.Log}
 	h.forwarder = &forwarder.Forwarder{
 		Dialect: h.Dialect, Balancer: h.balancer, StartedAt: time.Now(), FailureDomain: s.Host.FailureDomain, Catalog: h.catalog.Load, Tracker: h.tracker,
-		Quarantine: h.quarantiner, Throttler: h.throttler, Budget: budget, Pool: h.pool, Place: h.allocator.Place, ReportState: h.allocator.Report,
+		Quarantine: h.quarantiner, Throttler: h.throttler, Permit: h.allocator.Permit, Budget: budget, Pool: h.pool, Place: h.allocator.Place, ReportState: h.allocator.Report,
 		Stopping: h.timeLeft, Log: h.Log, Observe: h.meter.Request,
 		ObserveFirstEvent: h.meter.FirstToken, ObserveGap: h.meter.Gap,
 	}
--- a/internal/fleet/runner/distribution.go
+++ b/internal/fleet/runner/distribution.go
@@ -169,14 +169,16 @@
 	m.Leads = h.leaderTerm.Load()
 }
 
-// linkUp sends the states of all backend servers, and what is known of prompts that crash engines, to
-// a host that has just been linked.
+// linkUp sends the states and limits of all backend servers, and what is known of prompts that crash
+// engines, to a host that has just been linked.
 func (h *Runner) linkUp(host *messenger.FleetHost) {
 	h.Log.Emit(time.Now(), logger.FleetLinked, "", logger.F("host", host.Name), logger.F("address", host.Address))
 	all := h.tracker.All()
-	crashes := h.quarantiner.Report(time.Now())
+	now := time.Now()
+	crashes, limits := h.quarantiner.Report(now), h.throttler.Report(now)
 	h.linker.Enqueue(host.Name, func(m *messenger.LinkMessage) {
 		m.Backends = append(m.Backends, all...)
+		m.RateLimits = append(m.RateLimits, limits...)
 		if crashes != nil {
 			m.CrashReports = append(m.CrashReports, crashes)
 		}
@@ -194,6 +196,7 @@
 func (h *Runner) receiveMessage(from *messenger.FleetHost, m *messenger.LinkMessage) {
 	now := time.Now()
 	h.informer.Receive(now, from.Name, m.Backends)
+	h.throttler.Merge(now, from.Name, m.RateLimits)
 	h.allocator.Receive(now, from, m)
 	h.receiveLosses(now, from, m.Losses)
 	for _, report := range m.CrashReports {
@@ -286,6 +289,20 @@
 	h.linker.EnqueueAll(except, func(m *messenger.LinkMessage) { m.CrashReports = append(m.CrashReports, report) })
 }
 
+// publishLimits passes changed limits of backend servers on, to all linked hosts but one.
+func (h *Runner) publishLimits(except string, limits []*messenger.RateLimit) {
+	h.linker.EnqueueAll(except, func(m *messenger.LinkMessage) { m.RateLimits = append(m.RateLimits, limits...) })
+}
+
+// limitShare returns the share of each limit of a backend server that this host may grant: a host that
+// is not a hub grants only while it is linked to none.
+func (h *Runner) limitShare() float64 {
+	if h.Settings.Host.Hub {
+		return 1
+	}
+	return 1 / float64(h.estimateHosts())
+}
+
 // receiveLosses handles lost responses that another host reports. A loss with Relay is sent
 // on to the linked hosts that are not hubs; the hubs have it from the reporting host.
 func (h *Runner) receiveLosses(now time.Time, from *messenger.FleetHost, losses []*messenger.Loss) {
--- a/internal/fleet/scheduler/backend.go
+++ b/internal/fleet/scheduler/backend.go
@@ -33,6 +33,8 @@
 	forecast memoryForecast
 	// changed is set when something changed that may let a waiting request fit here.
 	changed bool
+	// wasThrottled is set if the engine's limit allowed no request when that was asked last.
+	wasThrottled bool
 	// prefills holds the runs whose prompt the engine is processing; it is valid only while
 	// prefillsKnown is set.
 	prefills      []*run
--- a/internal/fleet/scheduler/moves.go
+++ b/internal/fleet/scheduler/moves.go
@@ -102,6 +102,7 @@
 		from.remove(r, false)
 		r.backend = to
 		to.add(r, false)
+		s.Throttler.Charge(now, to.report)
 	} else {
 		from.outgoing, to.incoming = r, r
 		r.source, r.destination = from, to
--- a/internal/fleet/scheduler/placement.go
+++ b/internal/fleet/scheduler/placement.go
@@ -13,6 +13,7 @@
 	}
 	s.runs[r.id] = r
 	b.add(r, false)
+	s.Throttler.Charge(now, b.report)
 	p := &messenger.Placement{Run: r.id, Backend: b.report.Id, Reason: s.describe(now, b)}
 	if backup := s.chooseBackup(now, r, b); backup != nil {
 		p.Backup = backup.report.Id
@@ -24,7 +25,7 @@
 // request and are expected to meet its objective; nil if there is none.
 func (s *Scheduler) bestBackend(now time.Time, w *queuedRequest, candidates []*backend) *backend {
 	return s.cheapestBackend(now, w.req, &w.need, candidates, func(b *backend, fill float64) (cost float64, ok bool) {
-		if len(b.prefilling()) >= maxPrefills || !s.prefillsInTime(now, b, w) {
+		if s.throttled(now, b) || len(b.prefilling()) >= maxPrefills || !s.prefillsInTime(now, b, w) {
 			return 0, false
 		}
 		cost = fill + float64(len(b.prefilling())) + s.slowdownCost(now, b)
@@ -39,7 +40,7 @@
 // objective; nil if there is none.
 func (s *Scheduler) idleBackend(now time.Time, w *queuedRequest) *backend {
 	return s.cheapestBackend(now, w.req, &w.need, s.ordered, func(b *backend, fill float64) (cost float64, ok bool) {
-		return fill, len(b.prefilling()) == 0 && fill <= idleFillLimit
+		return fill, len(b.prefilling()) == 0 && fill <= idleFillLimit && !s.throttled(now, b)
 	})
 }
 
@@ -51,7 +52,11 @@
 		if b == from || b.incoming != nil {
 			return 0, false
 		}
-		return fillWeight*(fill+float64(len(b.prefilling()))) + s.transferEnd(now, from, b, need.held).Sub(now).Seconds(), true
+		cost = fillWeight*(fill+float64(len(b.prefilling()))) + s.transferEnd(now, from, b, need.held).Sub(now).Seconds()
+		if s.throttled(now, b) {
+			cost += throttledCost
+		}
+		return cost, true
 	})
 }
 
@@ -83,11 +88,12 @@
 
 // farCost and farBackupCost are the costs of another failure domain for a run and for a
 // backup, in shares of an engine's memory. fillWeight is the cost of a full engine's
-// memory in seconds of transfer.
+// memory in seconds of transfer, throttledCost that of exceeding an engine's limit.
 const (
 	farCost       = 0.12
 	farBackupCost = 0.25
 	fillWeight    = 0.3
+	throttledCost = 2
 )
 
 // prefillsInTime reports whether a request placed now on b is expected to meet its objective.
--- a/internal/fleet/scheduler/queue.go
+++ b/internal/fleet/scheduler/queue.go
@@ -21,6 +21,14 @@
 	evaluated bool
 }
 
+// line is the part of the queue that waits for one service.
+type line struct {
+	// ahead is the number of requests that are kept so far.
+	ahead int
+	// throttle is what the limits of the service's engines allow; nil until it is needed.
+	throttle *throttle
+}
+
 func (s *Scheduler) newQueuedRequest(now time.Time, entry string, req *messenger.PlaceRequest) *queuedRequest {
 	w := &queuedRequest{entry: entry, req: req, arrived: now, outputLength: s.expect(req)}
 	w.need = needOf(footprintOf(req, w.outputLength, 0))
@@ -49,13 +57,20 @@
 	}
 	changed := s.takeChanged(now)
 	kept := s.queue[:0]
+	lines := make(map[string]*line)
 	for _, w := range s.queue {
 		candidates := changed
 		if !w.evaluated {
 			candidates = s.ordered
 		}
-		if !s.decide(now, w, candidates) {
+		l := lines[w.req.Service]
+		if l == nil {
+			l = &line{}
+			lines[w.req.Service] = l
+		}
+		if !s.decide(now, w, candidates, l) {
 			kept = append(kept, w)
+			l.ahead++
 		}
 	}
 	clear(s.queue[len(kept):])
@@ -65,7 +80,9 @@
 // takeChanged returns the engines that changed since the last call and may take a request.
 func (s *Scheduler) takeChanged(now time.Time) (changed []*backend) {
 	for _, b := range s.ordered {
-		if !b.changed {
+		// Otherwise a request that has just arrived would go before those that wait for the limit.
+		unthrottled := b.wasThrottled && !s.throttled(now, b)
+		if !b.changed && !unthrottled {
 			continue
 		}
 		b.changed = false
@@ -77,16 +94,21 @@
 }
 
 // decide places or refuses a request and reports whether it did either. candidates holds the
-// engines that may take it, of all services.
-func (s *Scheduler) decide(now time.Time, w *queuedRequest, candidates []*backend) bool {
+// engines that may take it, of all services; l holds the requests for its service that are before it
+// in the queue.
+func (s *Scheduler) decide(now time.Time, w *queuedRequest, candidates []*backend, l *line) bool {
 	w.evaluated = true
 	if b := s.bestBackend(now, w, candidates); b != nil {
 		s.place(now, w, b)
 		return true
 	}
 	prefill := time.Duration(float64(prefillTime(int(w.req.PromptTokens))) * s.slowdown)
+	if l.throttle == nil {
+		l.throttle = s.throttle(now, w.req.Service)
+	}
+	left := w.objectiveEnd().Sub(now) - prefill - deliveryTime
 	// The request waits while an engine without other prefills could still meet its objective.
-	if !now.Add(prefill + deliveryTime).After(w.objectiveEnd()) {
+	if left >= 0 && l.throttle.allows(l.ahead, left) {
 		return false
 	}
 	if b := s.idleBackend(now, w); b != nil {
@@ -94,15 +116,16 @@
 		return true
 	}
 	s.Send(w.entry, Decision{Placement: &messenger.Placement{
-		Run: w.req.Run, RetryAfterMs: s.retryAfter(w).Milliseconds(), Reason: s.shortage(now, w).String(),
+		Run: w.req.Run, RetryAfterMs: s.retryAfter(w, l.throttle.wait(l.ahead)).Milliseconds(), Reason: s.shortage(now, w).String(),
 	}})
 	return true
 }
 
-// retryAfter returns the retry delay of a refused request: its objective, spread so that clients
-// that were refused together do not return together.
-func (s *Scheduler) retryAfter(w *queuedRequest) time.Duration {
-	delay := max(minRetryAfter, time.Duration(w.req.ObjectiveMs)*time.Millisecond)
+// retryAfter returns the retry delay of a refused request: its objective or, if that is longer, the
+// time for which limits would hold it up, spread so that clients that were refused together do not
+// return together.
+func (s *Scheduler) retryAfter(w *queuedRequest, throttled time.Duration) time.Duration {
+	delay := max(minRetryAfter, time.Duration(w.req.ObjectiveMs)*time.Millisecond, throttled)
 	if s.Random == nil {
 		return delay
 	}
--- a/internal/fleet/scheduler/runs.go
+++ b/internal/fleet/scheduler/runs.go
@@ -46,6 +46,7 @@
 		r.backend.remove(r, false)
 		r.backend = b
 		b.add(r, false)
+		s.Throttler.Charge(now, b.report)
 	}
 	backup := s.backends[state.Backup]
 	if r.backup != nil && r.backup != backup {
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"verbenareach/internal/fleet/cataloger"
+	"verbenareach/internal/fleet/throttler"
 	"verbenareach/internal/length/estimator"
 	"verbenareach/internal/wire/messenger"
 )
@@ -26,6 +27,8 @@
 		Send func(entry string, d Decision)
 		// Random returns a random number from 0 up to 1, which spreads retry delays; nil for no spread.
 		Random func() float64
+		// Throttler holds the limits that engines set; nil if none is known.
+		Throttler *throttler.Throttler
 
 		engines  map[string]cataloger.Engine
 		backends map[string]*backend
--- a/internal/fleet/scheduler/shortage.go
+++ b/internal/fleet/scheduler/shortage.go
@@ -12,19 +12,24 @@
 type shortage struct {
 	// ready counts the engines in state ready.
 	ready int
-	// resting counts those that are avoided after a failure or have no free slot, reading
+	// throttled counts those whose limit allows no request now,
+	// resting those that are avoided after a failure or have no free slot, reading
 	// those with too many prefills or too slow ones, full those without memory for the request,
 	// whose forecast peak is need tokens.
-	resting, reading, full int
-	need                   int
+	throttled, resting, reading, full int
+	need                              int
 	// fill is the share of the memory of the service's ready engines that is forecast to be taken.
 	fill float64
 }
 
 // String formats s as the reason of a refusal.
 func (s shortage) String() string {
-	return fmt.Sprintf("no engine has room in time: %d ready, %d resting, %d reading, %d without %d tokens, %.2f of memory taken",
+	text := fmt.Sprintf("no engine has room in time: %d ready, %d resting, %d reading, %d without %d tokens, %.2f of memory taken",
 		s.ready, s.resting, s.reading, s.full, s.need, s.fill)
+	if s.throttled > 0 {
+		text += fmt.Sprintf(", %d throttled", s.throttled)
+	}
+	return text
 }
 
 // shortage counts why the engines of a request's service can't take it now.
@@ -36,6 +41,8 @@
 		}
 		counts.ready++
 		switch {
+		case s.throttled(now, b):
+			counts.throttled++
 		case !b.accepts(now, w.req):
 			counts.resting++
 		case !s.fits(now, b, &w.need):
