fix: wait for a limit for half of the objective at most

Callers whose requests waited for a backend server's limit were served just after their objective: with more demand than the limits allow, the wait settles at its bound, which was the whole objective. Bounded to half of what is left of it. TestRequestThatWaitedForALimitIsServedAfterItsObjective failed before (4 of 44 late).

--- a/internal/fleet/forwarder/choice.go
+++ b/internal/fleet/forwarder/choice.go
@@ -20,6 +20,10 @@
 
 var _ refusal = &throttledError{}
 
+// throttleShare is the share of the time left of its objective that a request may wait for a limit: a
+// longer queue would make all that pass it late.
+const throttleShare = 0.5
+
 // retrySpread is the share of a retry delay by which it is prolonged at random, so that clients that
 // were refused together do not return together.
 const retrySpread = 0.5
@@ -36,8 +40,8 @@
 
 // choose chooses the backend server for the next attempt of a request, other than those in tried, and
 // counts an outstanding request there until done is called. While all are full or their limits are
-// reached, it waits until the route's objective has passed, but not for a limit that ends later. err
-// says why there is none.
+// reached, it waits, until the route's objective has passed at most, but not for a limit that allows it
+// too late. err says why there is none.
 func (f *Forwarder) choose(ctx context.Context, x *exchange, tried []string) (b *messenger.Backend, done balancer.Done, err error) {
 	for ctx.Err() == nil {
 		now := time.Now()
@@ -45,11 +49,11 @@
 		unthrottled, next := f.splitThrottled(now, x.service.Name, tried)
 		candidates, maxWait := unthrottled, time.Duration(0)
 		if len(unthrottled) == 0 && next != nil {
-			wait := f.Throttler.Wait(now, next)
-			if wait > max(left, 0) {
+			maxWait = time.Duration(throttleShare * float64(max(left, 0)))
+			if wait := f.Throttler.Wait(now, next); wait > maxWait {
 				return nil, nil, &throttledError{wait: wait}
 			}
-			candidates, maxWait = []*messenger.Backend{next}, max(left, 0)
+			candidates = []*messenger.Backend{next}
 		}
 		b, done, full := f.Balancer.Choose(now, candidates, tried)
 		switch {
--- a/internal/fleet/forwarder/load_test.go
+++ b/internal/fleet/forwarder/load_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -129,3 +130,36 @@
 		t.Errorf("%d requests reached the backend server with the limit", n)
 	}
 }
+
+func TestRequestThatWaitedForALimitIsServedAfterItsObjective(t *testing.T) {
+	const serviceTime, objective = 200 * time.Millisecond, time.Second
+	s := newStandIn(t, "s", func(c net.Conn, seen seenRequest) bool {
+		time.Sleep(serviceTime)
+		return answer(c, seen, http.StatusOK, signed+"T-Limit: 10\r\n", "whole")
+	})
+	x := newFixture(t, s)
+	x.send("/once/a", key, "")
+	var wg sync.WaitGroup
+	var served, late atomic.Int32
+	const sent, interval = 60, 50 * time.Millisecond
+	for range sent {
+		wg.Go(func() {
+			begun := time.Now()
+			if x.send("/once/a", key, "").status != http.StatusOK {
+				return
+			}
+			served.Add(1)
+			if time.Since(begun) > objective {
+				late.Add(1)
+			}
+		})
+		time.Sleep(interval)
+	}
+	wg.Wait()
+	if late.Load() > 0 {
+		t.Errorf("%d of %d served requests are later than their objective", late.Load(), served.Load())
+	}
+	if want := int32(0.8 * 10 * (sent * interval).Seconds()); served.Load() < want {
+		t.Errorf("%d of %d requests are served, want %d at least", served.Load(), sent, want)
+	}
+}
