--- a/internal/fleet/quarantiner/quarantiner_test.go
+++ b/internal/fleet/quarantiner/quarantiner_test.go
@@ -127,6 +127,19 @@
 			nil,
 			[][]string{{"first", "own"}},
 		},
+		{
+			"engines that end within one round trip, and then another one, accuse their part",
+			func(f *fleet) {
+				for n := range 5 {
+					f.crash(n%4, true, "first", "bad")
+					f.after(2 * time.Millisecond)
+				}
+				f.after(time.Second)
+				f.crash(1, true, "first", "bad")
+			},
+			[][]string{{"first", "bad"}},
+			[][]string{{"first", "own"}},
+		},
 		{
 			"engines that end one by one accuse no part that others answer with in between",
 			func(f *fleet) {
