--- a/internal/fleet/balancer/balancer_test.go
+++ b/internal/fleet/balancer/balancer_test.go
@@ -56,6 +56,35 @@
 	}
 }
 
+func TestRequestThatWasNotSentCountsAsFailed(t *testing.T) {
+	b := newFleet(1)[0]
+	for range 100 {
+		_, done, _ := b.Choose(start, servers("unused"), nil)
+		done(start, Unused)
+	}
+	for range 3 {
+		b.Choose(start, servers("busy"), nil)
+	}
+	if best, _, _ := b.Choose(start, servers("unused", "busy"), nil); best.Id != "unused" {
+		t.Errorf("chose %s, which has three requests, before one that has none", best.Id)
+	}
+}
+
+func TestRequestThatWasNotSentHidesLosses(t *testing.T) {
+	b := newFleet(1)[0]
+	for range 10 {
+		_, done, _ := b.Choose(start, servers("bad"), nil)
+		done(start, Lost)
+	}
+	for range 100 {
+		_, done, _ := b.Choose(start, servers("bad"), nil)
+		done(start, Unused)
+	}
+	if best, _, _ := b.Choose(start, servers("bad", "good"), nil); best.Id != "good" {
+		t.Errorf("chose %s, which lost each request that was sent there", best.Id)
+	}
+}
+
 func TestOutstandingRequestsAreBounded(t *testing.T) {
 	b := newFleet(1)[0]
 	ready := servers("a")
--- a/internal/fleet/forwarder/load_test.go
+++ b/internal/fleet/forwarder/load_test.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"strconv"
@@ -10,6 +11,7 @@
 	"time"
 
 	"verbenareach/internal/fleet/balancer"
+	"verbenareach/internal/wire/messenger"
 )
 
 // TestSoleBackendServerIsNotOverloaded guards against the load after a restart of all
@@ -163,3 +165,23 @@
 		t.Errorf("%d of %d requests are served, want %d at least", served.Load(), sent, want)
 	}
 }
+
+func TestHostAsksForPermissionThoughItKnowsTheWait(t *testing.T) {
+	x := newFixture(t, newStandIn(t, "s", func(c net.Conn, seen seenRequest) bool {
+		return answer(c, seen, http.StatusOK, signed+"T-Limit: 10\r\n", "whole")
+	}))
+	x.send("/once/a", key, "")
+	var asked atomic.Int32
+	x.forwarder.Permit = func(context.Context, *messenger.Backend, time.Duration) (time.Duration, bool) {
+		asked.Add(1)
+		return time.Minute, false
+	}
+	for range 5 {
+		if got := x.send("/once/a", key, ""); got.status != http.StatusServiceUnavailable {
+			t.Errorf("answered with %d", got.status)
+		}
+	}
+	if n := asked.Load(); n != 1 {
+		t.Errorf("asked %d times for permission that is a minute away", n)
+	}
+}
--- a/internal/fleet/forwarder/quarantine_test.go
+++ b/internal/fleet/forwarder/quarantine_test.go
@@ -86,19 +86,22 @@
 }
 
 func TestBrokenStreamOfAnEngineThatRunsOnAccusesItsParts(t *testing.T) {
-	x := newPartsFixture(t, newStandIn(t, "e1", func(c net.Conn, seen seenRequest) bool {
-		if seen.n > 6 {
-			return streams(1, 3)(c, seen)
-		}
-		begin(c, seen)
-		return reset(c)
-	}))
-	for range 6 {
+	var engines []*standIn
+	for n := range 6 {
+		engines = append(engines, newStandIn(t, fmt.Sprintf("e%d", n), func(c net.Conn, seen seenRequest) bool {
+			begin(c, seen)
+			return reset(c)
+		}))
+	}
+	x := newPartsFixture(t, append(engines, newStandIn(t, "e-sound", streams(1, 3)))...)
+	for _, e := range engines {
+		x.place = e.id
 		x.send("/stream/a", key+parts, "")
 		time.Sleep(210 * time.Millisecond)
 	}
+	x.place = "e-sound"
 	if got := x.send("/stream/a", key+parts, ""); got.status != http.StatusOK {
-		t.Errorf("answered with %d after streams that their engine broke off", got.status)
+		t.Errorf("answered with %d after streams that engines broke off", got.status)
 	}
 }
 
--- a/internal/fleet/quarantiner/quarantiner_test.go
+++ b/internal/fleet/quarantiner/quarantiner_test.go
@@ -166,6 +166,21 @@
 			nil,
 			[][]string{{"first"}},
 		},
+		{
+			"ends of engines from before a part was sound do not count",
+			func(f *fleet) {
+				for range 4 {
+					f.crash(0, true, "part")
+					f.after(time.Second)
+				}
+				f.sound(1, "part")
+				f.after(2 * soundMemory)
+				f.crash(0, true, "part")
+				f.after(time.Second)
+			},
+			nil,
+			[][]string{{"part"}},
+		},
 		{
 			"a part that becomes deadly is refused by the fifth end",
 			func(f *fleet) {
