--- a/internal/event/logger/fleetevents.go
+++ b/internal/event/logger/fleetevents.go
@@ -52,7 +52,7 @@
 	// Events of the parts of prompts that crash engines.
 	PartQuarantined = Event{6501, log.ErrorLevel, "part of prompts is quarantined as engines end with it"}
 	PartReleased    = Event{6502, log.InfoLevel, "part of prompts is no longer quarantined"}
-	PartTried       = Event{6503, log.WarnLevel, "request tries a part whose quarantine is over"}
+	PartProbed      = Event{6503, log.WarnLevel, "request probes a part whose quarantine is over"}
 	PartsNotStored  = Event{6504, log.ErrorLevel, "what is known of parts of prompts could not be stored or read"}
 
 	// Events of the limits that backend servers set.
@@ -65,7 +65,7 @@
 		FleetConfigSubmitted, FleetConfigRefused, FleetConfigRead, FleetConfigRejected, FleetReportRefused,
 		ForwardMalformed, ForwardRefused, ForwardFailed, ForwardAttemptFailed, ForwardServed, ForwardDisconnected,
 		RunPlaced, RunMoving, RunMoved, RunMoveFailed, RunAborted, RunCopyReleased, RunLost,
-		PartQuarantined, PartReleased, PartTried, PartsNotStored,
+		PartQuarantined, PartReleased, PartProbed, PartsNotStored,
 		BackendLimited,
 	}
 )
--- a/internal/fleet/forwarder/loss.go
+++ b/internal/fleet/forwarder/loss.go
@@ -56,7 +56,7 @@
 		return done
 	}
 	l := loss{
-		f: s.f, run: s.x.id, backend: s.backend, at: time.Now(), parts: s.parts, settled: s.soundRecorded, events: s.eventsHere, cause: cause,
+		f: s.f, run: s.x.id, backend: s.backend, at: time.Now(), parts: s.parts, settled: s.healthRecorded, events: s.eventsHere, cause: cause,
 	}
 	if !s.begunAt.IsZero() {
 		l.begun, l.sinceBegin = true, l.at.Sub(s.begunAt).Round(time.Millisecond)
--- a/internal/fleet/forwarder/move.go
+++ b/internal/fleet/forwarder/move.go
@@ -162,7 +162,7 @@
 	if s.eventsSent == 0 || s.backup == nil || s.backup.Id == s.backend.Id {
 		return false
 	}
-	if !s.soundRecorded {
+	if !s.healthRecorded {
 		// The run itself may have ended its engine.
 		<-recorded
 	}
@@ -205,7 +205,7 @@
 	ctx context.Context, now time.Time, to *messenger.Backend, fields []sender.Field,
 ) (*sender.Response, error) {
 	if v := s.f.Quarantine.Check(now, s.x.id, s.parts); !v.Admitted() {
-		return nil, &quarantinedError{verdict: v}
+		return nil, &quarantinedError{decision: v}
 	}
 	return s.openStream(ctx, to, fields)
 }
--- a/internal/fleet/forwarder/quarantine.go
+++ b/internal/fleet/forwarder/quarantine.go
@@ -9,7 +9,7 @@
 
 // quarantinedError is the cause for which a generation ends whose prompt has a quarantined part.
 type quarantinedError struct {
-	verdict quarantiner.Verdict
+	decision quarantiner.Decision
 }
 
 var _ refusal = &quarantinedError{}
@@ -23,10 +23,10 @@
 
 // Error returns a text with the id of the part.
 func (e *quarantinedError) Error() string {
-	return "part " + e.verdict.Part + " of the prompt crashes engines"
+	return "part " + e.decision.Part + " of the prompt crashes engines"
 }
 
-func (e *quarantinedError) retryAfter() time.Duration { return e.verdict.RetryAfter }
+func (e *quarantinedError) retryAfter() time.Duration { return e.decision.RetryAfter }
 
 // EndQuarantined ends the generations of this host that have not begun to stream and whose prompt
 // has a quarantined part.
@@ -38,7 +38,7 @@
 			continue
 		}
 		if v := f.Quarantine.Check(now, s.x.id, s.parts); !v.Admitted() {
-			s.end(&quarantinedError{verdict: v})
+			s.end(&quarantinedError{decision: v})
 		}
 	}
 }
@@ -50,7 +50,7 @@
 	if v.Admitted() {
 		return true
 	}
-	s.f.refuse(s.x, http.StatusServiceUnavailable, (&quarantinedError{verdict: v}).Error(), v.RetryAfter)
+	s.f.refuse(s.x, http.StatusServiceUnavailable, (&quarantinedError{decision: v}).Error(), v.RetryAfter)
 	return false
 }
 
@@ -61,9 +61,9 @@
 
 // recordSettled records once for each engine that the generation began there and went on.
 func (s *stream) recordSettled(now time.Time) {
-	if s.soundRecorded || s.eventsHere == 0 {
+	if s.healthRecorded || s.eventsHere == 0 {
 		return
 	}
-	s.soundRecorded = true
-	s.f.Quarantine.RecordSound(now, s.begunAt, s.parts)
+	s.healthRecorded = true
+	s.f.Quarantine.RecordHealthy(now, s.begunAt, s.parts)
 }
--- a/internal/fleet/forwarder/quarantine_test.go
+++ b/internal/fleet/forwarder/quarantine_test.go
@@ -32,8 +32,8 @@
 	return x
 }
 
-// accuse has engines end with a part until that is quarantined.
-func (x *fixture) accuse(part string) {
+// quarantine has engines end with a part until that is quarantined.
+func (x *fixture) quarantine(part string) {
 	now := time.Now()
 	for n := range 8 {
 		x.forwarder.Quarantine.RecordCrash(now, now.Add(-time.Duration(n)*time.Second), &messenger.Backend{Id: fmt.Sprint(n)},
@@ -54,7 +54,7 @@
 func TestRequestWithAQuarantinedPartIsInvitedToComeBackAtOnce(t *testing.T) {
 	e := newStandIn(t, "e1", streams(1, 3))
 	x := newPartsFixture(t, e)
-	x.accuse("shared")
+	x.quarantine("shared")
 	got := x.send("/stream/a", key+parts, "")
 	if got.status != http.StatusServiceUnavailable || len(got.header.Get("Retry-After")) < len("100.000") {
 		t.Errorf("answered with %d, Retry-After %q", got.status, got.header.Get("Retry-After"))
@@ -78,14 +78,14 @@
 	done := make(chan reply)
 	go func() { done <- x.send("/stream/a", key+parts, "") }()
 	awaitRequest(t, e)
-	x.accuse("shared")
+	x.quarantine("shared")
 	if got := <-done; got.status != http.StatusBadGateway {
 		t.Errorf("a request that may have run is answered with %d", got.status)
 	}
 	<-left
 }
 
-func TestBrokenStreamOfAnEngineThatRunsOnAccusesItsParts(t *testing.T) {
+func TestBrokenStreamOfAnEngineThatRunsOnCountsAgainstItsParts(t *testing.T) {
 	var engines []*standIn
 	for n := range 6 {
 		engines = append(engines, newStandIn(t, fmt.Sprintf("e%d", n), func(c net.Conn, seen seenRequest) bool {
@@ -93,25 +93,25 @@
 			return reset(c)
 		}))
 	}
-	x := newPartsFixture(t, append(engines, newStandIn(t, "e-sound", streams(1, 3)))...)
+	x := newPartsFixture(t, append(engines, newStandIn(t, "e-healthy", streams(1, 3)))...)
 	for _, e := range engines {
 		x.place = e.id
 		x.send("/stream/a", key+parts, "")
 		time.Sleep(210 * time.Millisecond)
 	}
-	x.place = "e-sound"
+	x.place = "e-healthy"
 	if got := x.send("/stream/a", key+parts, ""); got.status != http.StatusOK {
 		t.Errorf("answered with %d after streams that engines broke off", got.status)
 	}
 }
 
 func TestGenerationWithAQuarantinedPartIsResumedElsewhere(t *testing.T) {
-	accused := make(chan struct{})
+	crashed := make(chan struct{})
 	backup := newStandIn(t, "e2", streams(3, 5))
 	x := newPartsFixture(t, newStandIn(t, "e1", func(c net.Conn, seen seenRequest) bool {
 		begin(c, seen)
 		chunk(c, events(1, 2))
-		<-accused
+		<-crashed
 		return false
 	}), backup)
 	x.copy = "e2"
@@ -122,8 +122,8 @@
 			break
 		}
 	}
-	x.accuse("shared")
-	close(accused)
+	x.quarantine("shared")
+	close(crashed)
 	if got := <-done; got.err == nil {
 		t.Errorf("a stream that broke off looks complete: %q", got.body)
 	}
--- a/internal/fleet/forwarder/stream.go
+++ b/internal/fleet/forwarder/stream.go
@@ -37,8 +37,8 @@
 	// its events that were sent to the client.
 	begunAt    time.Time
 	eventsHere int
-	// soundRecorded is set once it was recorded that the generation is beyond its beginning on its present engine.
-	soundRecorded bool
+	// healthRecorded is set once it was recorded that the generation is beyond its beginning on its present engine.
+	healthRecorded bool
 	// end ends the generation for a cause.
 	end context.CancelCauseFunc
 	// lastEventID is the id of the newest event that the client has, eventsSent the number of
@@ -66,7 +66,7 @@
 // attach makes resp the response whose events are forwarded.
 func (s *stream) attach(resp *sender.Response) {
 	s.response = resp
-	s.begunAt, s.eventsHere, s.soundRecorded = time.Now(), 0, false
+	s.begunAt, s.eventsHere, s.healthRecorded = time.Now(), 0, false
 	s.streamErr = nil
 	s.events, s.stopReading = readEvents(resp)
 }
--- a/internal/fleet/quarantiner/history.go
+++ b/internal/fleet/quarantiner/history.go
@@ -15,10 +15,10 @@
 		// each may have been due to, oldest first.
 		crashes map[process]*crash
 		byPart  map[string][]*crash
-		// sound holds the parts with which a generation began and went on; old ones were dropped from
-		// it at soundDropped.
-		sound        map[string]soundness
-		soundDropped time.Time
+		// healthy holds the parts with which a generation began and went on; old ones were dropped from
+		// it at healthyDropped.
+		healthy        map[string]health
+		healthyDropped time.Time
 	}
 
 	// process is one process of an engine.
@@ -36,14 +36,14 @@
 		suspects map[string]int
 	}
 
-	// soundness is when the newest generation with a part began that went on: known here, and as
+	// health is when the newest generation with a part began that went on: known here, and as
 	// it was exchanged between hosts.
-	soundness struct {
+	health struct {
 		known, exchanged time.Time
 	}
 
-	// conviction is the evidence against a part.
-	conviction struct {
+	// evidence is the evidence against a part.
+	evidence struct {
 		// engines counts the processes that ended with the part, rounds those of them that ended
 		// roundGap after another one. score is the weight of the rounds.
 		engines, rounds, score int
@@ -60,29 +60,29 @@
 	// had begun, and of one in which none had.
 	begunWeight  = 2
 	placedWeight = 1
-	// convictingScore is the score from which on a part is quarantined, and recentlySoundScore
-	// that of a part that was sound within soundMemory before the first crash.
-	convictingScore    = 2 * begunWeight
-	recentlySoundScore = 4 * begunWeight
-	soundMemory        = 10 * time.Second
-	// soundStep is the least difference for which a newer time is passed on that clears no crash.
-	soundStep = time.Second
+	// quarantineScore is the score from which on a part is quarantined, and recentlyHealthyScore
+	// that of a part that was healthy within healthMemory before the first crash.
+	quarantineScore      = 2 * begunWeight
+	recentlyHealthyScore = 4 * begunWeight
+	healthMemory         = 10 * time.Second
+	// healthStep is the least difference for which a newer time is passed on that clears no crash.
+	healthStep = time.Second
 	// firstQuarantine is how long a part is quarantined; the time doubles with each further
 	// round, up to maxQuarantine.
 	firstQuarantine = 5 * time.Minute
 	maxQuarantine   = time.Hour
 	// crashMemory is how long a crash is remembered.
 	crashMemory = 2 * maxQuarantine
-	// maxCrashes and maxSound bound the crashes and the sound parts that are remembered;
+	// maxCrashes and maxHealthy bound the crashes and the healthy parts that are remembered;
 	// maxRunsPerCrash bounds the generations of one crash, maxParts the parts of each.
 	maxCrashes      = 256
-	maxSound        = 8192
+	maxHealthy      = 8192
 	maxRunsPerCrash = 64
 	maxParts        = 64
 )
 
 // merge adds a report. It returns what of it is new here, and the newest times at which parts in it
-// were sound as far as only this host knows them.
+// were healthy as far as only this host knows them.
 func (h *history) merge(now time.Time, report *messenger.CrashReport) (news, own *messenger.CrashReport) {
 	news, own = &messenger.CrashReport{}, &messenger.CrashReport{}
 	for _, c := range report.GetCrashes() {
@@ -94,13 +94,13 @@
 		h.forget(now)
 		h.index()
 	}
-	for _, p := range report.GetSoundParts() {
-		if h.addSound(now, p) {
-			news.SoundParts = append(news.SoundParts, p)
+	for _, p := range report.GetHealthyParts() {
+		if h.addHealthy(now, p) {
+			news.HealthyParts = append(news.HealthyParts, p)
 		}
 	}
 	for _, c := range news.Crashes {
-		own.SoundParts = append(own.SoundParts, h.unexchanged(now, c)...)
+		own.HealthyParts = append(own.HealthyParts, h.unexchanged(now, c)...)
 	}
 	return news, own
 }
@@ -194,52 +194,52 @@
 	return suspects
 }
 
-// convicted returns the evidence against a part since it was last sound, and whether it is enough.
-func (h *history) convicted(id string) (c conviction, enough bool) {
-	soundAt := h.sound[id].known
-	required, roundWeight := convictingScore, 0
+// evidence returns the evidence against a part since it was last healthy, and whether it is enough.
+func (h *history) evidence(id string) (e evidence, enough bool) {
+	healthyAt := h.healthy[id].known
+	required, roundWeight := quarantineScore, 0
 	var first, lastRound time.Time
 	for _, crash := range h.byPart[id] {
-		if !crash.at.After(soundAt) {
+		if !crash.at.After(healthyAt) {
 			continue
 		}
 		if first.IsZero() {
 			first = crash.at
 		}
-		c.engines++
-		if c.rounds == 0 || crash.at.Sub(lastRound) >= roundGap {
+		e.engines++
+		if e.rounds == 0 || crash.at.Sub(lastRound) >= roundGap {
 			lastRound, roundWeight = crash.at, 0
-			c.rounds++
+			e.rounds++
 		}
-		c.score += max(crash.suspects[id]-roundWeight, 0)
+		e.score += max(crash.suspects[id]-roundWeight, 0)
 		roundWeight = max(crash.suspects[id], roundWeight)
 	}
-	if !soundAt.IsZero() && first.Sub(soundAt) <= soundMemory {
-		required = recentlySoundScore
+	if !healthyAt.IsZero() && first.Sub(healthyAt) <= healthMemory {
+		required = recentlyHealthyScore
 	}
-	if c.score < required {
-		return c, false
+	if e.score < required {
+		return e, false
 	}
-	beyond := (c.score - required) / begunWeight
-	c.until = lastRound.Add(min(firstQuarantine<<min(beyond, maxDoublings), maxQuarantine))
-	return c, true
+	beyond := (e.score - required) / begunWeight
+	e.until = lastRound.Add(min(firstQuarantine<<min(beyond, maxDoublings), maxQuarantine))
+	return e, true
 }
 
 // maxDoublings is the number of doublings from which on a quarantine lasts maxQuarantine.
 const maxDoublings = 10
 
-// suspectUntil returns the end of the quarantine of one of the parts of a request, and whether it is
+// refusedUntil returns the end of the quarantine of one of the parts of a request, and whether it is
 // quarantined for this request. It is not if each crash with the part is explained by another
 // quarantined part that the request does not have.
-func (h *history) suspectUntil(id string, parts []string) (until time.Time, suspect bool) {
-	c, enough := h.convicted(id)
+func (h *history) refusedUntil(id string, parts []string) (until time.Time, suspect bool) {
+	e, enough := h.evidence(id)
 	if !enough {
 		return time.Time{}, false
 	}
-	soundAt := h.sound[id].known
+	healthyAt := h.healthy[id].known
 	for _, crash := range h.byPart[id] {
-		if crash.at.After(soundAt) && !h.explained(crash, parts) {
-			return c.until, true
+		if crash.at.After(healthyAt) && !h.explained(crash, parts) {
+			return e.until, true
 		}
 	}
 	return time.Time{}, false
@@ -251,29 +251,29 @@
 		if slices.Contains(parts, other) {
 			continue
 		}
-		if _, enough := h.convicted(other); enough {
+		if _, enough := h.evidence(other); enough {
 			return true
 		}
 	}
 	return false
 }
 
-// recordSound records that a generation with a part began at a time and went on. It reports whether
+// recordHealthy records that a generation with a part began at a time and went on. It reports whether
 // the other hosts need to know.
-func (h *history) recordSound(now, begun time.Time, id string) bool {
-	s := h.sound[id]
+func (h *history) recordHealthy(now, begun time.Time, id string) bool {
+	s := h.healthy[id]
 	if !begun.After(s.known) {
 		return false
 	}
 	cleared := h.crashBetween(id, s.exchanged, begun)
-	if !h.hasSoundRoom(now) && !cleared {
+	if !h.hasHealthyRoom(now) && !cleared {
 		return false
 	}
 	s.known = begun
 	if cleared {
 		s.exchanged = begun
 	}
-	h.sound[id] = s
+	h.healthy[id] = s
 	return cleared
 }
 
@@ -282,69 +282,69 @@
 	return slices.ContainsFunc(h.byPart[id], func(c *crash) bool { return c.at.After(after) && c.at.Before(before) })
 }
 
-// hasSoundRoom reports whether another sound part can be remembered. If there are maxSound, it first
-// drops, at most once in soundStep, those that were sound last before soundMemory and with which no
+// hasHealthyRoom reports whether another healthy part can be remembered. If there are maxHealthy, it first
+// drops, at most once in healthStep, those that were healthy last before healthMemory and with which no
 // engine ended.
-func (h *history) hasSoundRoom(now time.Time) bool {
-	if h.sound == nil {
-		h.sound = make(map[string]soundness)
+func (h *history) hasHealthyRoom(now time.Time) bool {
+	if h.healthy == nil {
+		h.healthy = make(map[string]health)
 	}
-	if len(h.sound) < maxSound || now.Sub(h.soundDropped) < soundStep {
-		return len(h.sound) < maxSound
+	if len(h.healthy) < maxHealthy || now.Sub(h.healthyDropped) < healthStep {
+		return len(h.healthy) < maxHealthy
 	}
-	h.soundDropped = now
-	for id, s := range h.sound {
-		if now.Sub(s.known) > soundMemory && len(h.byPart[id]) == 0 {
-			delete(h.sound, id)
+	h.healthyDropped = now
+	for id, s := range h.healthy {
+		if now.Sub(s.known) > healthMemory && len(h.byPart[id]) == 0 {
+			delete(h.healthy, id)
 		}
 	}
-	return len(h.sound) < maxSound
+	return len(h.healthy) < maxHealthy
 }
 
-// addSound adds what another host knows of a part, and reports whether that is new.
-func (h *history) addSound(now time.Time, m *messenger.SoundPart) bool {
+// addHealthy adds what another host knows of a part, and reports whether that is new.
+func (h *history) addHealthy(now time.Time, m *messenger.HealthyPart) bool {
 	begun := now.Add(-age(m.AgeMs))
 	suspected := len(h.byPart[m.Id]) > 0
-	if !h.hasSoundRoom(now) && !suspected {
+	if !h.hasHealthyRoom(now) && !suspected {
 		return false
 	}
-	s := h.sound[m.Id]
-	isNew := suspected && (begun.Sub(s.exchanged) >= soundStep || h.crashBetween(m.Id, s.exchanged, begun))
+	s := h.healthy[m.Id]
+	isNew := suspected && (begun.Sub(s.exchanged) >= healthStep || h.crashBetween(m.Id, s.exchanged, begun))
 	if begun.After(s.exchanged) {
 		s.exchanged = begun
 	}
 	if begun.After(s.known) {
 		s.known = begun
 	}
-	h.sound[m.Id] = s
+	h.healthy[m.Id] = s
 	return isNew
 }
 
-// unexchanged returns the times at which the parts of a crash were sound, as far as other hosts may
+// unexchanged returns the times at which the parts of a crash were healthy, as far as other hosts may
 // not know them, and counts them as exchanged.
-func (h *history) unexchanged(now time.Time, m *messenger.EngineCrash) []*messenger.SoundPart {
-	var list []*messenger.SoundPart
+func (h *history) unexchanged(now time.Time, m *messenger.EngineCrash) []*messenger.HealthyPart {
+	var list []*messenger.HealthyPart
 	for _, r := range m.Runs {
 		for _, id := range r.Parts {
-			s := h.sound[id]
-			isNews := s.known.Sub(s.exchanged) >= soundStep || h.crashBetween(id, s.exchanged, s.known)
-			if !isNews || now.Sub(s.known) > soundMemory+age(m.AgeMs) {
+			s := h.healthy[id]
+			isNews := s.known.Sub(s.exchanged) >= healthStep || h.crashBetween(id, s.exchanged, s.known)
+			if !isNews || now.Sub(s.known) > healthMemory+age(m.AgeMs) {
 				continue
 			}
 			s.exchanged = s.known
-			h.sound[id] = s
-			list = append(list, h.soundPart(now, id))
+			h.healthy[id] = s
+			list = append(list, h.healthyPart(now, id))
 		}
 	}
 	return list
 }
 
-// soundPart returns what is known of a part as a message.
-func (h *history) soundPart(now time.Time, id string) *messenger.SoundPart {
-	return &messenger.SoundPart{Id: id, AgeMs: now.Sub(h.sound[id].known).Milliseconds()}
+// healthyPart returns what is known of a part as a message.
+func (h *history) healthyPart(now time.Time, id string) *messenger.HealthyPart {
+	return &messenger.HealthyPart{Id: id, AgeMs: now.Sub(h.healthy[id].known).Milliseconds()}
 }
 
-// report returns all crashes, and when their parts were sound last; nil if there are none.
+// report returns all crashes, and when their parts were healthy last; nil if there are none.
 func (h *history) report(now time.Time) *messenger.CrashReport {
 	if len(h.crashes) == 0 {
 		return nil
@@ -358,8 +358,8 @@
 		report.Crashes = append(report.Crashes, m)
 	}
 	for id := range h.byPart {
-		if !h.sound[id].known.IsZero() {
-			report.SoundParts = append(report.SoundParts, h.soundPart(now, id))
+		if !h.healthy[id].known.IsZero() {
+			report.HealthyParts = append(report.HealthyParts, h.healthyPart(now, id))
 		}
 	}
 	return report
--- a/internal/fleet/quarantiner/quarantiner.go
+++ b/internal/fleet/quarantiner/quarantiner.go
@@ -21,8 +21,8 @@
 		Publish func(except string, report *messenger.CrashReport)
 		// Relay is set if reports of other hosts are passed on as well.
 		Relay bool
-		// MayTry reports whether this host may send a request with a part whose quarantine is over.
-		MayTry func() bool
+		// MayProbe reports whether this host may send a request with a part whose quarantine is over.
+		MayProbe func() bool
 		// OnQuarantine is called, without the lock, after requests that were admitted may have
 		// become refused.
 		OnQuarantine func(now time.Time)
@@ -32,14 +32,14 @@
 
 		mu      sync.Mutex
 		history history
-		// trials holds the requests that try parts whose quarantine is over, by part.
-		trials map[string]trial
+		// probes holds the requests that probe parts whose quarantine is over, by part.
+		probes map[string]probe
 		// quarantined holds the parts that were logged as quarantined.
 		quarantined map[string]bool
 	}
 
-	// Verdict is the decision on a request.
-	Verdict struct {
+	// Decision is the decision on a request.
+	Decision struct {
 		// Part is the id of the part for which the request is refused; "" if it is admitted.
 		Part string
 		// RetryAfter is the time after which the request may be admitted.
@@ -55,31 +55,31 @@
 		Begun bool
 	}
 
-	// trial is a request that tries a part whose quarantine is over.
-	trial struct {
+	// probe is a request that probes a part whose quarantine is over.
+	probe struct {
 		run   string
 		until time.Time
 	}
 )
 
 const (
-	// trialTimeout is how long no other request tries a part after one was admitted to.
-	trialTimeout = 30 * time.Second
-	// trialRetryAfter is the retry delay of requests that wait for the outcome of another one's trial.
-	trialRetryAfter = trialTimeout
+	// probeTimeout is how long no other request probes a part after one was admitted to.
+	probeTimeout = 30 * time.Second
+	// probeRetryAfter is the retry delay of requests that wait for the outcome of another one's probe.
+	probeRetryAfter = probeTimeout
 )
 
 // Admitted reports whether the request may be sent to an engine.
-func (v Verdict) Admitted() bool { return v.Part == "" }
+func (d Decision) Admitted() bool { return d.Part == "" }
 
 // Admit decides whether a request with the given shared parts may be sent to an engine. On a host
-// that may try, a request is admitted alone once the quarantine of its part is over.
-func (q *Quarantiner) Admit(now time.Time, run string, parts []string) Verdict {
+// that may probe, a request is admitted alone once the quarantine of its part is over.
+func (q *Quarantiner) Admit(now time.Time, run string, parts []string) Decision {
 	return q.decide(now, run, parts, true)
 }
 
 // Check decides as Admit does, for a request that was admitted before.
-func (q *Quarantiner) Check(now time.Time, run string, parts []string) Verdict {
+func (q *Quarantiner) Check(now time.Time, run string, parts []string) Decision {
 	return q.decide(now, run, parts, false)
 }
 
@@ -91,20 +91,20 @@
 	}}})
 }
 
-// RecordSound records that a generation with the given shared parts began at a time and went on.
-func (q *Quarantiner) RecordSound(now, begun time.Time, parts []string) {
+// RecordHealthy records that a generation with the given shared parts began at a time and went on.
+func (q *Quarantiner) RecordHealthy(now, begun time.Time, parts []string) {
 	q.mu.Lock()
 	report := &messenger.CrashReport{}
 	for _, id := range parts {
-		if q.history.recordSound(now, begun, id) {
-			report.SoundParts = append(report.SoundParts, q.history.soundPart(now, id))
+		if q.history.recordHealthy(now, begun, id) {
+			report.HealthyParts = append(report.HealthyParts, q.history.healthyPart(now, id))
 		}
 	}
-	if len(report.SoundParts) > 0 || len(q.quarantined) > 0 {
+	if len(report.HealthyParts) > 0 || len(q.quarantined) > 0 {
 		q.logChanges(now)
 	}
 	q.mu.Unlock()
-	if len(report.SoundParts) > 0 {
+	if len(report.HealthyParts) > 0 {
 		q.OnChange()
 		q.Publish("", report)
 	}
@@ -117,16 +117,16 @@
 	q.logChanges(now)
 	quarantine := len(q.quarantined) > 0 && len(news.Crashes) > 0
 	q.mu.Unlock()
-	if len(news.Crashes)+len(news.SoundParts) > 0 {
+	if len(news.Crashes)+len(news.HealthyParts) > 0 {
 		q.OnChange()
 	}
 	if from != "" && !q.Relay {
 		news.Reset()
 	}
-	if len(news.Crashes)+len(news.SoundParts) > 0 {
+	if len(news.Crashes)+len(news.HealthyParts) > 0 {
 		q.Publish(from, news)
 	}
-	if len(own.SoundParts) > 0 {
+	if len(own.HealthyParts) > 0 {
 		q.Publish("", own)
 	}
 	if quarantine {
@@ -141,44 +141,44 @@
 	return q.history.report(now)
 }
 
-// decide decides on a request; with claim set, it may become a trial.
-func (q *Quarantiner) decide(now time.Time, run string, parts []string, claim bool) Verdict {
+// decide decides on a request; with mayProbe set, it may become a probe.
+func (q *Quarantiner) decide(now time.Time, run string, parts []string, mayProbe bool) Decision {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, id := range parts {
-		until, suspect := q.history.suspectUntil(id, parts)
-		if !suspect || q.tries(now, run, id) {
+		until, suspect := q.history.refusedUntil(id, parts)
+		if !suspect || q.isProbe(now, run, id) {
 			continue
 		}
 		if now.Before(until) {
-			return Verdict{Part: id, RetryAfter: until.Sub(now)}
+			return Decision{Part: id, RetryAfter: until.Sub(now)}
 		}
-		if !claim || now.Before(q.trials[id].until) || !q.MayTry() {
-			return Verdict{Part: id, RetryAfter: trialRetryAfter}
+		if !mayProbe || now.Before(q.probes[id].until) || !q.MayProbe() {
+			return Decision{Part: id, RetryAfter: probeRetryAfter}
 		}
-		q.claim(now, run, id)
+		q.startProbe(now, run, id)
 	}
-	return Verdict{}
+	return Decision{}
 }
 
-// tries reports whether a request tries a part. The lock is held.
-func (q *Quarantiner) tries(now time.Time, run, id string) bool {
-	t := q.trials[id]
-	return t.run == run && now.Before(t.until)
+// isProbe reports whether a request probes a part. The lock is held.
+func (q *Quarantiner) isProbe(now time.Time, run, id string) bool {
+	p := q.probes[id]
+	return p.run == run && now.Before(p.until)
 }
 
-// claim has a request try a part. The lock is held.
-func (q *Quarantiner) claim(now time.Time, run, id string) {
-	if q.trials == nil {
-		q.trials = make(map[string]trial)
+// startProbe has a request probe a part. The lock is held.
+func (q *Quarantiner) startProbe(now time.Time, run, id string) {
+	if q.probes == nil {
+		q.probes = make(map[string]probe)
 	}
-	for other, t := range q.trials {
-		if !now.Before(t.until) {
-			delete(q.trials, other)
+	for other, p := range q.probes {
+		if !now.Before(p.until) {
+			delete(q.probes, other)
 		}
 	}
-	q.trials[id] = trial{run: run, until: now.Add(trialTimeout)}
-	q.Log.Emit(now, logger.PartTried, run, logger.F("part", id))
+	q.probes[id] = probe{run: run, until: now.Add(probeTimeout)}
+	q.Log.Emit(now, logger.PartProbed, run, logger.F("part", id))
 }
 
 // logChanges logs the parts that became quarantined or were released. The lock is held.
@@ -187,19 +187,19 @@
 		q.quarantined = make(map[string]bool)
 	}
 	for id := range q.quarantined {
-		if _, enough := q.history.convicted(id); !enough {
+		if _, enough := q.history.evidence(id); !enough {
 			delete(q.quarantined, id)
 			q.Log.Emit(now, logger.PartReleased, "", logger.F("part", id))
 		}
 	}
 	for id := range q.history.byPart {
-		c, enough := q.history.convicted(id)
+		e, enough := q.history.evidence(id)
 		if !enough || q.quarantined[id] {
 			continue
 		}
 		q.quarantined[id] = true
-		_, alone := q.history.suspectUntil(id, []string{id})
-		q.Log.Emit(now, logger.PartQuarantined, "", logger.F("part", id), logger.F("engines", c.engines),
-			logger.F("rounds", c.rounds), logger.F("alone", alone), logger.F("for", c.until.Sub(now).Round(time.Second)))
+		_, alone := q.history.refusedUntil(id, []string{id})
+		q.Log.Emit(now, logger.PartQuarantined, "", logger.F("part", id), logger.F("engines", e.engines),
+			logger.F("rounds", e.rounds), logger.F("alone", alone), logger.F("for", e.until.Sub(now).Round(time.Second)))
 	}
 }
--- a/internal/fleet/quarantiner/quarantiner_test.go
+++ b/internal/fleet/quarantiner/quarantiner_test.go
@@ -35,7 +35,7 @@
 
 func (f *fleet) newHost(n int) *Quarantiner {
 	return &Quarantiner{
-		Relay: n < 2, MayTry: func() bool { return n == 0 }, OnQuarantine: func(time.Time) { f.ended++ }, OnChange: func() {},
+		Relay: n < 2, MayProbe: func() bool { return n == 0 }, OnQuarantine: func(time.Time) { f.ended++ }, OnChange: func() {},
 		Publish: func(except string, report *messenger.CrashReport) {
 			for to, h := range f.hosts {
 				linked := n < 2 || to < 2
@@ -61,8 +61,8 @@
 		Beginning{Run: fmt.Sprintf("r%d", f.next), Parts: parts, Begun: begun})
 }
 
-// sound has a generation that begins now go on.
-func (f *fleet) sound(host int, parts ...string) { f.hosts[host].RecordSound(f.now, f.now, parts) }
+// healthy has a generation that begins now go on.
+func (f *fleet) healthy(host int, parts ...string) { f.hosts[host].RecordHealthy(f.now, f.now, parts) }
 
 func (f *fleet) after(d time.Duration) { f.now = f.now.Add(d) }
 
@@ -94,13 +94,13 @@
 			[][]string{{"first", "second"}, {"first", "own"}, {"second"}, {"own"}},
 		},
 		{
-			"a companion that was sound since does not excuse the part",
+			"a companion that was healthy since does not clear the part",
 			func(f *fleet) {
 				f.crash(0, true, "first", "bad")
 				f.after(time.Second)
 				f.crash(3, true, "first", "bad")
 				f.after(time.Second)
-				f.sound(2, "first", "own")
+				f.healthy(2, "first", "own")
 			},
 			[][]string{{"first", "bad"}, {"other", "bad"}},
 			[][]string{{"first"}, {"first", "own"}},
@@ -117,7 +117,7 @@
 			[][]string{{"first", "own"}},
 		},
 		{
-			"engines that end together, as with a failure domain, accuse no part",
+			"engines that end together, as with a failure domain, count against no part",
 			func(f *fleet) {
 				for n := range 8 {
 					f.crash(n%4, true, "first", "own")
@@ -128,7 +128,7 @@
 			[][]string{{"first", "own"}},
 		},
 		{
-			"engines that end within one round trip, and then another one, accuse their part",
+			"engines that end within one round trip, and then another one, count against their part",
 			func(f *fleet) {
 				for n := range 5 {
 					f.crash(n%4, true, "first", "bad")
@@ -141,12 +141,12 @@
 			[][]string{{"first", "own"}},
 		},
 		{
-			"engines that end one by one accuse no part that others answer with in between",
+			"engines that end one by one count against no part that others answer with in between",
 			func(f *fleet) {
 				for range 10 {
 					f.crash(0, true, "first", "own")
 					f.after(300 * time.Millisecond)
-					f.sound(3, "first", "own")
+					f.healthy(3, "first", "own")
 					f.after(300 * time.Millisecond)
 				}
 			},
@@ -154,9 +154,9 @@
 			[][]string{{"first", "own"}},
 		},
 		{
-			"a part that was sound a moment before needs more evidence",
+			"a part that was healthy a moment before needs more evidence",
 			func(f *fleet) {
-				f.sound(2, "first")
+				f.healthy(2, "first")
 				f.after(time.Second)
 				for range 3 {
 					f.crash(0, true, "first")
@@ -167,14 +167,14 @@
 			[][]string{{"first"}},
 		},
 		{
-			"ends of engines from before a part was sound do not count",
+			"ends of engines from before a part was healthy do not count",
 			func(f *fleet) {
 				for range 4 {
 					f.crash(0, true, "part")
 					f.after(time.Second)
 				}
-				f.sound(1, "part")
-				f.after(2 * soundMemory)
+				f.healthy(1, "part")
+				f.after(2 * healthMemory)
 				f.crash(0, true, "part")
 				f.after(time.Second)
 			},
@@ -182,9 +182,9 @@
 			[][]string{{"part"}},
 		},
 		{
-			"a part that becomes deadly is refused by the fifth end",
+			"a part that starts to crash engines is refused by the fifth end",
 			func(f *fleet) {
-				f.sound(2, "part")
+				f.healthy(2, "part")
 				f.after(time.Second)
 				for range 5 {
 					f.crash(0, true, "part")
@@ -272,7 +272,7 @@
 	}
 }
 
-func TestQuarantineEndsWithOneTrialAtATime(t *testing.T) {
+func TestQuarantineEndsWithOneProbeAtATime(t *testing.T) {
 	f := newFleet(t, 3)
 	f.crash(1, true, "bad")
 	f.after(time.Second)
@@ -282,42 +282,42 @@
 	}
 	v := f.hosts[2].Admit(f.now, "a", []string{"bad"})
 	if v.Part != "bad" || v.RetryAfter != firstQuarantine {
-		t.Errorf("verdict is %+v", v)
+		t.Errorf("decision is %+v", v)
 	}
 	f.after(firstQuarantine)
 	if f.hosts[1].Admit(f.now, "a", []string{"bad"}).Admitted() {
-		t.Error("a host that does not lead tries the part")
+		t.Error("a host that does not lead probes the part")
 	}
 	lead := f.hosts[0]
 	if !lead.Admit(f.now, "b", []string{"bad"}).Admitted() || !lead.Check(f.now, "b", []string{"bad"}).Admitted() {
-		t.Error("no request tries the part")
+		t.Error("no request probes the part")
 	}
 	if lead.Admit(f.now, "c", []string{"bad"}).Admitted() {
-		t.Error("a second request tries the part at the same time")
+		t.Error("a second request probes the part at the same time")
 	}
 	f.crash(0, true, "bad")
 	if v := f.hosts[2].Admit(f.now, "d", []string{"bad"}); v.RetryAfter != 2*firstQuarantine {
-		t.Errorf("verdict after a trial that failed is %+v", v)
+		t.Errorf("decision after a probe that failed is %+v", v)
 	}
 	f.after(2 * firstQuarantine)
 	if !lead.Admit(f.now, "e", []string{"bad"}).Admitted() {
-		t.Error("no request tries the part again")
+		t.Error("no request probes the part again")
 	}
 	f.after(time.Second)
-	f.sound(0, "bad")
-	f.expect("after a trial that went on", true, "bad")
+	f.healthy(0, "bad")
+	f.expect("after a probe that went on", true, "bad")
 }
 
 func TestReportsArePassedOnABoundedNumberOfTimes(t *testing.T) {
 	f := newFleet(t, 20)
 	for n := range f.hosts {
-		f.sound(n, "first")
+		f.healthy(n, "first")
 	}
 	f.after(time.Second)
 	f.crash(5, true, "first", "bad")
 	f.after(time.Second)
 	for n := range f.hosts {
-		f.sound(n, "first")
+		f.healthy(n, "first")
 	}
 	if limit := 8 * len(f.hosts); f.messages > limit {
 		t.Errorf("%d messages for one crash among %d hosts, want %d at most", f.messages, len(f.hosts), limit)
@@ -325,7 +325,7 @@
 	f.messages = 0
 	for range 100 {
 		f.after(time.Second)
-		f.sound(7, "first", "other")
+		f.healthy(7, "first", "other")
 	}
 	if f.messages > 0 {
 		t.Errorf("%d messages about parts that are not suspected", f.messages)
@@ -340,7 +340,7 @@
 		for range 30 {
 			parts := []string{"first", fmt.Sprintf("p%d", rnd.IntN(6))}
 			if rnd.IntN(3) == 0 {
-				f.sound(rnd.IntN(4), parts...)
+				f.healthy(rnd.IntN(4), parts...)
 			} else {
 				f.crash(rnd.IntN(4), rnd.IntN(4) > 0, parts...)
 			}
@@ -371,16 +371,16 @@
 func TestWhatIsRememberedIsBounded(t *testing.T) {
 	f := newFleet(t, 1)
 	h := &f.hosts[0].history
-	for n := range 3 * maxSound {
-		f.sound(0, fmt.Sprintf("s%d", n))
+	for n := range 3 * maxHealthy {
+		f.healthy(0, fmt.Sprintf("s%d", n))
 		f.after(time.Millisecond)
 	}
 	for n := range 2 * maxCrashes {
 		f.crash(0, true, slices.Repeat([]string{fmt.Sprintf("c%d", n)}, 2*maxParts)...)
 		f.after(time.Second)
 	}
-	if len(h.crashes) > maxCrashes || len(h.sound) > maxSound+maxCrashes*maxParts {
-		t.Errorf("%d crashes and %d sound parts are remembered", len(h.crashes), len(h.sound))
+	if len(h.crashes) > maxCrashes || len(h.healthy) > maxHealthy+maxCrashes*maxParts {
+		t.Errorf("%d crashes and %d healthy parts are remembered", len(h.crashes), len(h.healthy))
 	}
 	f.after(2 * crashMemory)
 	f.crash(0, true, "new")
--- a/internal/fleet/runner/build.go
+++ b/internal/fleet/runner/build.go
@@ -50,7 +50,7 @@
 	}
 	h.balancer = &balancer.Balancer{FailureDomain: s.Host.FailureDomain, Hosts: h.estimateHosts, ReportLoss: h.publishLoss}
 	h.quarantiner = &quarantiner.Quarantiner{
-		Publish: h.publishCrashes, Relay: s.Host.Hub, MayTry: func() bool { return h.leaderTerm.Load() > 0 },
+		Publish: h.publishCrashes, Relay: s.Host.Hub, MayProbe: func() bool { return h.leaderTerm.Load() > 0 },
 		OnQuarantine: func(now time.Time) { h.forwarder.EndQuarantined(now) }, OnChange: func() {}, Log: h.Log,
 	}
 	if s.Host.Hub {
--- a/internal/fleet/runner/crashstore.go
+++ b/internal/fleet/runner/crashstore.go
@@ -80,7 +80,7 @@
 	for _, c := range stored.Report.GetCrashes() {
 		c.AgeMs += elapsed
 	}
-	for _, p := range stored.Report.GetSoundParts() {
+	for _, p := range stored.Report.GetHealthyParts() {
 		p.AgeMs += elapsed
 	}
 	s.quarantiner.Merge(now, "", stored.Report)
--- a/internal/fleet/scheduler/shortage.go
+++ b/internal/fleet/scheduler/shortage.go
@@ -12,10 +12,9 @@
 type shortage struct {
 	// ready counts the engines in state ready.
 	ready int
-	// throttled counts those whose limit allows no request now,
-	// resting those that are avoided after a failure or have no free slot, reading
-	// those with too many prefills or too slow ones, full those without memory for the request,
-	// whose forecast peak is need tokens.
+	// throttled counts those whose limit allows no request now, resting those that are avoided
+	// after a failure or have no free slot, reading those with too many prefills or too slow ones,
+	// full those without memory for the request, whose forecast peak is need tokens.
 	throttled, resting, reading, full int
 	need                              int
 	// fill is the share of the memory of the service's ready engines that is forecast to be taken.
