chore: one way to tell that a client left, and one that opens a resumed stream

A request's context that ended without a cause of its own means that the client left: the list of other causes, which each new cause had to join, is gone (receiver cancels without a cause, EndRequests and quarantine with one, a deadline with its own). openAdmitted wrapped its only callee and is part of it. Choose no longer leaves out again what splitThrottled left out. No change of behaviour: all tests of internal/fleet pass with the race detector.

--- a/internal/fleet/forwarder/choice.go
+++ b/internal/fleet/forwarder/choice.go
@@ -55,7 +55,7 @@
 			}
 			candidates = []*messenger.Backend{next}
 		}
-		b, done, full := f.Balancer.Choose(now, candidates, tried)
+		b, done, full := f.Balancer.Choose(now, candidates, nil)
 		switch {
 		case b != nil && f.permitted(ctx, b, maxWait):
 			return b, done, nil
--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -248,10 +248,10 @@
 	}
 }
 
-// clientLeft reports whether a request's context ended because its client left.
+// clientLeft reports whether a request's context ended because its client left: all other ends have
+// a cause of their own.
 func clientLeft(ctx context.Context) bool {
-	cause := context.Cause(ctx)
-	return errors.Is(ctx.Err(), context.Canceled) && !errors.Is(cause, receiver.ErrEnding) && !errors.As(cause, new(*quarantinedError))
+	return errors.Is(context.Cause(ctx), context.Canceled)
 }
 
 // localFields returns the header fields of a response that this host makes itself.
--- a/internal/fleet/forwarder/move.go
+++ b/internal/fleet/forwarder/move.go
@@ -185,7 +185,7 @@
 	}
 	startedAt := time.Now()
 	from := s.backend.Id
-	resp, err := s.openAdmitted(ctx, startedAt, to, fields)
+	resp, err := s.openStream(ctx, startedAt, to, fields)
 	if err != nil {
 		s.f.Log.Emit(time.Now(), logger.RunMoveFailed, s.x.id, logger.F("from", from), logger.F("to", to.Id),
 			logger.F("events", s.eventsSent), logger.F("cause", err))
@@ -200,19 +200,14 @@
 	return nil
 }
 
-// openAdmitted is like openStream, unless the prompt has a quarantined part.
-func (s *stream) openAdmitted(
+// openStream requests that an engine resume the run, within resumeTimeout. A status other than
+// 200 is returned as errDeclined, a quarantined part of the prompt as a quarantinedError.
+func (s *stream) openStream(
 	ctx context.Context, now time.Time, to *messenger.Backend, fields []sender.Field,
 ) (*sender.Response, error) {
-	if v := s.f.Quarantine.Check(now, s.x.id, s.parts); !v.Admitted() {
-		return nil, &quarantinedError{decision: v}
+	if d := s.f.Quarantine.Check(now, s.x.id, s.parts); !d.Admitted() {
+		return nil, &quarantinedError{decision: d}
 	}
-	return s.openStream(ctx, to, fields)
-}
-
-// openStream requests that an engine resume the run, within resumeTimeout. A status other than
-// 200 is returned as errDeclined.
-func (s *stream) openStream(ctx context.Context, to *messenger.Backend, fields []sender.Field) (*sender.Response, error) {
 	resp, err := s.open(ctx, to, resumeTimeout, fields...)
 	if err != nil {
 		return nil, err
--- a/internal/fleet/forwarder/quarantine.go
+++ b/internal/fleet/forwarder/quarantine.go
@@ -37,8 +37,8 @@
 		if s.eventsSentShared.Load() > 0 {
 			continue
 		}
-		if v := f.Quarantine.Check(now, s.x.id, s.parts); !v.Admitted() {
-			s.end(&quarantinedError{decision: v})
+		if d := f.Quarantine.Check(now, s.x.id, s.parts); !d.Admitted() {
+			s.end(&quarantinedError{decision: d})
 		}
 	}
 }
@@ -46,11 +46,11 @@
 // admitParts refuses the generation if its prompt has a quarantined part, and reports whether it has
 // none.
 func (s *stream) admitParts(now time.Time) bool {
-	v := s.f.Quarantine.Admit(now, s.x.id, s.parts)
-	if v.Admitted() {
+	d := s.f.Quarantine.Admit(now, s.x.id, s.parts)
+	if d.Admitted() {
 		return true
 	}
-	s.f.refuse(s.x, http.StatusServiceUnavailable, (&quarantinedError{decision: v}).Error(), v.RetryAfter)
+	s.f.refuse(s.x, http.StatusServiceUnavailable, (&quarantinedError{decision: d}).Error(), d.RetryAfter)
 	return false
 }
 
