feat: tell when a membership change starts, when a hub is learned or can't be dialed, and what an opened log holds

The hypotheses on hubs replaced in a row could not be told apart: a change of the membership left a line at its end only, nothing told since when a hub was known before its link came up, and what a restarted hub found on its disk beyond what it knew to be committed was told nowhere. VR6110, VR6111, VR6112 (first error of a series), VR1405. No change of logic.

--- a/internal/control/replicator/replicator.go
+++ b/internal/control/replicator/replicator.go
@@ -496,6 +496,8 @@
 	}
 	r.running = true
 	r.updatePeers()
+	r.emit(logger.ControlLogOpened, logger.F("term", r.term), logger.F("last", r.lastIndex()), logger.F("commit", r.commit),
+		logger.F("applied", r.applied), logger.F("members", r.memberNames()))
 	return nil
 }
 
--- a/internal/event/logger/fleetevents.go
+++ b/internal/event/logger/fleetevents.go
@@ -22,6 +22,9 @@
 	FleetInformFailed   = Event{6107, log.WarnLevel, "report of a backend server could not be passed on by call"}
 	FleetUnknownGone    = Event{6108, log.WarnLevel, "departure of a backend server that is unknown here"}
 	FleetEngineProbed   = Event{6109, log.InfoLevel, "engine whose keeper is lost was asked for its state"}
+	FleetMemberChanging = Event{6110, log.InfoLevel, "membership change of the replicated log started"}
+	FleetHubLearned     = Event{6111, log.InfoLevel, "hub learned"}
+	FleetDialFailed     = Event{6112, log.WarnLevel, "hub could not be dialed"}
 
 	// Events of the configuration.
 	FleetConfigAdopted   = Event{6201, log.InfoLevel, "configuration applied"}
@@ -61,7 +64,7 @@
 	fleetEvents = []Event{
 		FleetStarted, FleetStopping, FleetStopped, FleetReloaded, FleetReadiness, FleetPaused, TaskPanicked, FleetLinked, FleetUnlinked,
 		FleetMemberChanged, FleetLogFailed, FleetBackendChanged, FleetDeciderChanged, FleetInformFailed,
-		FleetUnknownGone, FleetEngineProbed, FleetConfigAdopted,
+		FleetUnknownGone, FleetEngineProbed, FleetMemberChanging, FleetHubLearned, FleetDialFailed, FleetConfigAdopted,
 		FleetConfigSubmitted, FleetConfigRefused, FleetConfigRead, FleetConfigRejected, FleetReportRefused,
 		ForwardMalformed, ForwardRefused, ForwardFailed, ForwardAttemptFailed, ForwardServed, ForwardDisconnected,
 		RunPlaced, RunMoving, RunMoved, RunMoveFailed, RunAborted, RunCopyReleased, RunLost,
--- a/internal/event/logger/replicationevents.go
+++ b/internal/event/logger/replicationevents.go
@@ -8,6 +8,7 @@
 	ControlLeaderLost        = Event{1402, log.WarnLevel, "control host lost leadership: no quorum of voters replies"}
 	ControlMembersChanged    = Event{1403, log.InfoLevel, "membership of control hosts changed"}
 	ControlNotMember         = Event{1404, log.ErrorLevel, "control host is not a member: its data folder is new"}
+	ControlLogOpened         = Event{1405, log.InfoLevel, "replicated log opened"}
 	ControlSnapshotSaved     = Event{1411, log.DebugLevel, "snapshot saved"}
 	ControlSnapshotInstalled = Event{1412, log.InfoLevel, "snapshot installed from another control host"}
 	ControlSnapshotFailed    = Event{1413, log.ErrorLevel, "snapshot failed"}
@@ -17,7 +18,7 @@
 	ControlDiskFailed        = Event{1424, log.ErrorLevel, "control host stops: its log can't be read or written"}
 
 	replicationEvents = []Event{
-		ControlLeaderElected, ControlLeaderLost, ControlMembersChanged, ControlNotMember, ControlSnapshotSaved,
+		ControlLeaderElected, ControlLeaderLost, ControlMembersChanged, ControlNotMember, ControlLogOpened, ControlSnapshotSaved,
 		ControlSnapshotInstalled, ControlSnapshotFailed, ControlLogDamaged, ControlDiskFull, ControlDiskSpaceFreed,
 		ControlDiskFailed,
 	}
--- a/internal/fleet/keeper/membership.go
+++ b/internal/fleet/keeper/membership.go
@@ -76,9 +76,12 @@
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
 	target := next.remove
-	var err error
 	if next.add != nil {
 		target = next.add.Name
+	}
+	k.Log.Emit(time.Now(), logger.FleetMemberChanging, "", logger.F("host", target), logger.F("added", next.add != nil))
+	var err error
+	if next.add != nil {
 		err = r.Add(ctx, replicator.Peer{Name: target, Address: next.add.Address})
 	} else {
 		err = r.Remove(ctx, target)
--- a/internal/fleet/linker/link_test.go
+++ b/internal/fleet/linker/link_test.go
@@ -28,6 +28,7 @@
 func newBareLinker() *Linker {
 	return &Linker{
 		Self: &messenger.FleetHost{Name: "self"}, Fill: func(*messenger.LinkMessage) {},
+		HubLearned: func(*messenger.FleetHost) {}, DialFailed: func(*messenger.FleetHost, error) {},
 		LinkUp: func(*messenger.FleetHost) {}, LinkDown: func(*messenger.FleetHost) {},
 		Receive: func(*messenger.FleetHost, *messenger.LinkMessage) {},
 	}
--- a/internal/fleet/linker/linker.go
+++ b/internal/fleet/linker/linker.go
@@ -34,6 +34,10 @@
 		MinFounders int
 		// Fill adds the current state of this host to a message that is about to be sent.
 		Fill func(m *messenger.LinkMessage)
+		// HubLearned is called with each hub that becomes known, or known at another address.
+		HubLearned func(hub *messenger.FleetHost)
+		// DialFailed is called with the first error of a series when a hub is dialed.
+		DialFailed func(hub *messenger.FleetHost, err error)
 		// LinkUp is called when a link to a host is up, LinkDown once the host's last link is
 		// down. A link that replaces another one gets another LinkUp.
 		LinkUp   func(host *messenger.FleetHost)
@@ -230,6 +234,14 @@
 // learnHubs adds the hubs among the given hosts. What is known of a hub is replaced by what
 // was received last, which may have another address.
 func (l *Linker) learnHubs(now time.Time, hubs []*messenger.FleetHost) {
+	for _, h := range l.recordHubs(now, hubs) {
+		l.HubLearned(h)
+	}
+}
+
+// recordHubs records the hubs among the given hosts, and returns those that are new or have
+// another address.
+func (l *Linker) recordHubs(now time.Time, hubs []*messenger.FleetHost) (learned []*messenger.FleetHost) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.hubs == nil {
@@ -239,12 +251,17 @@
 		if !h.Hub || h.Name == "" {
 			continue
 		}
-		if known := l.hubs[h.Name]; known != nil {
-			known.host = h
-			continue
+		known := l.hubs[h.Name]
+		if known == nil {
+			known = &knownHub{lastSeen: now}
+			l.hubs[h.Name] = known
 		}
-		l.hubs[h.Name] = &knownHub{host: h, lastSeen: now}
+		if known.host.GetAddress() != h.Address {
+			learned = append(learned, h)
+		}
+		known.host = h
 	}
+	return learned
 }
 
 // dialHubs starts a goroutine for each new hub to which this host dials the link, and
@@ -286,12 +303,17 @@
 
 // keepLink keeps the link to a hub up until ctx ends or the hub is forgotten.
 func (l *Linker) keepLink(ctx context.Context, name string) {
+	failing := false
 	for ctx.Err() == nil {
 		host := l.hubToDial(name)
 		if host == nil {
 			return
 		}
-		l.dialLink(ctx, host)
+		err := l.dialLink(ctx, host)
+		if err != nil && !failing && ctx.Err() == nil {
+			l.DialFailed(host, err)
+		}
+		failing = err != nil
 		select {
 		case <-ctx.Done():
 		case <-time.After(redialDelay):
@@ -299,20 +321,21 @@
 	}
 }
 
-// dialLink opens a link to a host and serves it until it ends. An error only means that
-// keepLink dials again.
-func (l *Linker) dialLink(ctx context.Context, host *messenger.FleetHost) {
+// dialLink opens a link to a host and serves it until it ends. It returns an error if the
+// link could not be opened.
+func (l *Linker) dialLink(ctx context.Context, host *messenger.FleetHost) error {
 	raw, err := dial(ctx, host.Address)
 	if err != nil {
-		return
+		return err
 	}
 	conn := drpcconn.NewWithOptions(raw, connOptions())
 	defer func() { _ = conn.Close() }()
 	stream, err := messenger.NewDRPCFleetClient(conn).Link(ctx)
 	if err != nil {
-		return
+		return err
 	}
 	l.serve(ctx, stream, raw)
+	return nil
 }
 
 // allHubsLinked reports whether a host is linked and so are all known hubs other than this host.
--- a/internal/fleet/linker/linker_test.go
+++ b/internal/fleet/linker/linker_test.go
@@ -25,7 +25,9 @@
 	if first {
 		self = introduction(1, true, true).Host
 	}
-	return &Linker{Self: self, Seeds: func() []string { return seeds }, Bootstrap: true, MinFounders: 3}
+	l := newBareLinker()
+	l.Self, l.Seeds, l.Bootstrap, l.MinFounders = self, func() []string { return seeds }, true, 3
+	return l
 }
 
 func TestFounders(t *testing.T) {
--- a/internal/fleet/runner/build.go
+++ b/internal/fleet/runner/build.go
@@ -27,7 +27,8 @@
 	h.tracker = &tracker.Tracker{Name: s.Host.Name, SilenceTimeout: time.Duration(maxMissedHeartbeats * float64(s.Heartbeat))}
 	h.linker = &linker.Linker{
 		Self: s.Host, Seeds: func() []string { return *h.seeds.Load() }, Bootstrap: s.Bootstrap,
-		MinFounders: 2*s.MaxLostHubs + 1, Fill: h.fillMessage, LinkUp: h.linkUp, LinkDown: h.linkDown, Receive: h.receiveSafely,
+		MinFounders: 2*s.MaxLostHubs + 1, Fill: h.fillMessage, HubLearned: h.hubLearned, DialFailed: h.dialFailed,
+		LinkUp: h.linkUp, LinkDown: h.linkDown, Receive: h.receiveSafely,
 	}
 	h.informer = &informer.Informer{
 		Self: s.Host, Tracker: h.tracker, Linked: h.linker.Linked, Alone: h.alone, EnqueueAll: h.linker.EnqueueAll,
--- a/internal/fleet/runner/distribution.go
+++ b/internal/fleet/runner/distribution.go
@@ -169,6 +169,17 @@
 	m.Leads = h.leaderTerm.Load()
 }
 
+// hubLearned logs a hub that this host has heard of.
+func (h *Runner) hubLearned(hub *messenger.FleetHost) {
+	h.Log.Emit(time.Now(), logger.FleetHubLearned, "", logger.F("host", hub.Name), logger.F("address", hub.Address))
+}
+
+// dialFailed logs that a hub could not be dialed.
+func (h *Runner) dialFailed(hub *messenger.FleetHost, err error) {
+	h.Log.Emit(time.Now(), logger.FleetDialFailed, "", logger.F("host", hub.Name), logger.F("address", hub.Address),
+		logger.F("error", err))
+}
+
 // linkUp sends the states and limits of all backend servers, and what is known of prompts that crash
 // engines, to a host that has just been linked.
 func (h *Runner) linkUp(host *messenger.FleetHost) {
