--- /dev/null
+++ b/internal/fleet/keeper/keeper_test.go
@@ -0,0 +1,198 @@
+package keeper
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"verbenareach/internal/control/replicator"
+	"verbenareach/internal/wire/messenger"
+)
+
+type (
+	// testFleet is a few hubs on loopback addresses.
+	testFleet struct {
+		t *testing.T
+
+		mu   sync.Mutex
+		hubs []*testHub
+	}
+
+	testHub struct {
+		*Keeper
+		// linked is set while the others have a link to the hub.
+		linked bool
+		stop   context.CancelFunc
+		done   sync.WaitGroup
+	}
+
+	// peerServer answers the calls of other hubs once the keeper has created its replica.
+	peerServer struct {
+		keeper *Keeper
+	}
+)
+
+// catchUp is how soon after its start a hub must have taken a lost one's place.
+const catchUp = 4 * time.Second
+
+func (s peerServer) Ask(ctx context.Context, req *messenger.PeerRequest) (*messenger.PeerReply, error) {
+	r := s.keeper.Replicator()
+	if r == nil {
+		return nil, ErrNotRunning
+	}
+	return r.Answer(ctx, req), nil
+}
+
+func (s peerServer) Exchange(stream messenger.DRPCPeers_ExchangeStream) error {
+	r := s.keeper.Replicator()
+	if r == nil {
+		return ErrNotRunning
+	}
+	return (&replicator.Service{Replicator: r}).Exchange(stream)
+}
+
+// newTestFleet starts hubs with the given names and waits until one of them leads.
+func newTestFleet(t *testing.T, names ...string) *testFleet {
+	t.Helper()
+	f := &testFleet{t: t}
+	t.Cleanup(func() {
+		for _, h := range f.hubs {
+			h.stop()
+			h.done.Wait()
+		}
+	})
+	var founders []*messenger.FleetHost
+	for _, name := range names {
+		founders = append(founders, &messenger.FleetHost{Name: name, Address: freeAddress(t), Hub: true})
+	}
+	for _, host := range founders {
+		f.start(host, founders)
+	}
+	f.await(catchUp, "a leader", func() bool { return f.leader() != nil })
+	return f
+}
+
+// start runs an empty hub, at the first start of the fleet with its founders.
+func (f *testFleet) start(self *messenger.FleetHost, founders []*messenger.FleetHost) *testHub {
+	f.t.Helper()
+	h := &testHub{linked: true}
+	h.Keeper = &Keeper{
+		Self: self, Folder: f.t.TempDir(), MinVoters: 3, OnChange: func(uint64, []byte) {},
+		Candidates: func() []*messenger.FleetHost { return f.linkedTo(self.Name) },
+		Founders:   func(context.Context) ([]*messenger.FleetHost, error) { return founders, nil },
+	}
+	mux := drpcmux.New()
+	if err := messenger.DRPCRegisterPeers(mux, peerServer{h.Keeper}); err != nil {
+		f.t.Fatal(err)
+	}
+	l := listenOn(f.t, self.Address)
+	ctx, cancel := context.WithCancel(context.Background())
+	h.stop = cancel
+	h.done.Go(func() { _ = drpcserver.NewWithOptions(mux, replicator.ServerOptions()).Serve(ctx, l) })
+	h.done.Go(func() { _ = h.Run(ctx, founders != nil) })
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hubs = append(f.hubs, h)
+	return h
+}
+
+// lose ends a hub for good. Calls to its address get no answer.
+func (f *testFleet) lose(h *testHub) {
+	f.t.Helper()
+	h.stop()
+	h.done.Wait()
+	// Connections are taken by the kernel and never accepted.
+	l := listenOn(f.t, h.Self.Address)
+	f.t.Cleanup(func() { _ = l.Close() })
+}
+
+// unlink ends the links to a hub.
+func (f *testFleet) unlink(h *testHub) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	h.linked = false
+}
+
+// leader returns the hub that leads; nil for none.
+func (f *testFleet) leader() *testHub {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, h := range f.hubs {
+		if h.LeaderTerm() > 0 {
+			return h
+		}
+	}
+	return nil
+}
+
+// follower returns a hub that does not lead.
+func (f *testFleet) follower() *testHub {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	i := slices.IndexFunc(f.hubs, func(h *testHub) bool { return h.LeaderTerm() == 0 })
+	return f.hubs[i]
+}
+
+// linkedTo returns the hubs to which the named one has a link.
+func (f *testFleet) linkedTo(name string) (hosts []*messenger.FleetHost) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, h := range f.hubs {
+		if h.linked && h.Self.Name != name {
+			hosts = append(hosts, h.Self)
+		}
+	}
+	return hosts
+}
+
+// votes reports whether the leader counts a hub as a voter.
+func (f *testFleet) votes(name string) bool {
+	leader := f.leader()
+	return leader != nil && slices.ContainsFunc(leader.Replicator().Status().Members, func(m replicator.MemberStatus) bool {
+		return m.Name == name && m.Voter
+	})
+}
+
+func (f *testFleet) await(timeout time.Duration, what string, done func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(timeout); !done(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			f.t.Fatalf("not within %v: %s", timeout, what)
+		}
+	}
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l := listenOn(t, "127.0.0.1:0")
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func listenOn(t *testing.T, address string) net.Listener {
+	t.Helper()
+	l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// TestLostHubThatIsStillLinkedDelaysItsSuccessor: links end later than the replication takes a hub for silent.
+func TestLostHubThatIsStillLinkedDelaysItsSuccessor(t *testing.T) {
+	f := newTestFleet(t, "a", "b", "c")
+	lost := f.follower()
+	f.lose(lost)
+	time.Sleep(electionTimeout + 2*checkInterval)
+	f.start(&messenger.FleetHost{Name: "d", Address: freeAddress(t), Hub: true}, nil)
+	f.unlink(lost)
+	f.await(catchUp, "the successor votes and the lost hub does not", func() bool {
+		return f.votes("d") && !f.votes(lost.Self.Name)
+	})
+}
