fix: let no membership change wait for a hub that does not answer

Cause: the leader took a hub for one to be added while it was linked and no voter of its name answered. Links end 0.8 to 1.0 s after the loss, replication takes a peer for silent after 0.9 s: a hub that was just lost was 'added', its identity asked for at an address that does not answer, with a bound of 8 s, in the loop that makes all changes one after the other. The successor waited in line; the next loss took the quorum. Change: identities are asked for in the background (identifier), so a silent hub is no change at all; a hub with a known identity is added as a learner, and made a voter once it has caught up, each a step of its own that waits for voters only, 2 s at most; a leader that steps down ends the wait of its change at once. Ruled out: a shorter bound alone, as the loop would still spend it on a hub that can't answer.

--- a/internal/control/replicator/membership.go
+++ b/internal/control/replicator/membership.go
@@ -26,11 +26,14 @@
 // whose data are lost. If ctx ends before, the host stays a learner; the call may be
 // repeated.
 func (r *Replicator) Add(ctx context.Context, host Peer) error {
-	id, err := r.AddLearner(ctx, host)
+	identity, err := r.Identify(ctx, host)
 	if err != nil {
 		return err
 	}
-	return r.Promote(ctx, id)
+	if err := r.AddLearner(ctx, identity); err != nil {
+		return err
+	}
+	return r.Promote(ctx, identity.ID)
 }
 
 // SubmitAdd is Add callable on any host: it forwards the request to the leader.
@@ -59,45 +62,23 @@
 	})
 }
 
-// AddLearner adds a host that receives the log but does not vote, and returns its id.
-func (r *Replicator) AddLearner(ctx context.Context, host Peer) (id string, err error) {
-	reply, err := r.Ask(ctx, host.Address, &messenger.PeerRequest{
-		Body: &messenger.PeerRequest_Hello{Hello: &messenger.HelloRequest{Name: r.Name}},
-	})
-	if err != nil {
-		return "", &RefusedError{Reason: fmt.Sprintf("%s does not answer at %s: %v", host.Name, host.Address, err)}
-	}
-	hello := reply.GetHello()
-	if hello.GetName() == host.Name && hello.GetId() == "" {
-		return "", &RefusedError{Reason: host.Name + " is still starting: try again"}
-	}
-	if hello.GetName() != host.Name {
-		return "", &RefusedError{Reason: fmt.Sprintf("host at %s calls itself %q", host.Address, hello.GetName())}
-	}
-	err = r.changeMembership(ctx, func(members []*messenger.LogMember) ([]*messenger.LogMember, error) {
+// AddLearner adds an identified host that receives the log but does not vote.
+func (r *Replicator) AddLearner(ctx context.Context, host Identity) error {
+	return r.changeMembership(ctx, func(members []*messenger.LogMember) ([]*messenger.LogMember, error) {
 		for _, m := range members {
-			if m.Id == hello.Id {
+			if m.Id == host.ID {
 				return members, nil
 			}
 			if m.Address == host.Address && m.Name != host.Name {
 				return nil, &RefusedError{Reason: fmt.Sprintf("address belongs to %s", m.Name)}
 			}
 		}
-		if len(hello.Members) > 0 && !shareMember(members, hello.Members) {
+		if len(host.members) > 0 && !shareMember(members, host.members) {
 			return nil, &RefusedError{Reason: fmt.Sprintf("%s belongs to a membership already", host.Name)}
 		}
-		learner := &messenger.LogMember{Name: host.Name, Id: hello.Id, Address: host.Address}
+		learner := &messenger.LogMember{Name: host.Name, Id: host.ID, Address: host.Address}
 		return append(slices.Clone(members), learner), nil
 	})
-	return hello.Id, err
-}
-
-// shareMember reports whether two memberships share an identity. Memberships of the same
-// log do, even if one of them is outdated.
-func shareMember(a, b []*messenger.LogMember) bool {
-	return slices.ContainsFunc(a, func(m *messenger.LogMember) bool {
-		return slices.ContainsFunc(b, func(o *messenger.LogMember) bool { return o.Id == m.Id })
-	})
 }
 
 // Promote waits until a learner has caught up and makes it a voter. id is the
@@ -204,7 +185,7 @@
 			return true
 		}
 		p := r.peers[m.Id]
-		return p.match >= target && p.match+maxLag >= r.commit && r.alive(p)
+		return p.match >= target && r.caughtUp(p)
 	})
 	if err == nil && (r.role != leader || r.term != term) {
 		return r.notLeader()
@@ -212,6 +193,12 @@
 	return err
 }
 
+// caughtUp reports whether a peer is alive, holds a part of the log and lags the commit index by
+// at most maxLag entries.
+func (r *Replicator) caughtUp(p *peer) bool {
+	return p.match > 0 && p.match+maxLag >= r.commit && r.alive(p)
+}
+
 // transferTarget returns the live voter that holds most of the log, nil if no other voter
 // is alive.
 func (r *Replicator) transferTarget() *peer {
@@ -267,7 +254,7 @@
 	if err != nil {
 		return err
 	}
-	err = r.await(ctx, func() bool { return r.commit >= index || r.term != term })
+	err = r.await(ctx, func() bool { return r.commit >= index || !leads() })
 	if err != nil {
 		return &OutcomeUnknownError{Cause: err}
 	}
--- a/internal/control/replicator/replicator.go
+++ b/internal/control/replicator/replicator.go
@@ -163,7 +163,8 @@
 		DiskFull bool `json:"diskFull"`
 	}
 
-	// MemberStatus is a host's view of a member. Only the leader knows Match and Alive.
+	// MemberStatus is a host's view of a member. Only the leader knows Match, Alive
+	// and CaughtUp.
 	MemberStatus struct {
 		Name    string `json:"name"`
 		ID      string `json:"id"`
@@ -173,6 +174,8 @@
 		Match uint64 `json:"match"`
 		// Alive is set if the member replied within the election timeout.
 		Alive bool `json:"alive"`
+		// CaughtUp is set if the member is alive and may become a voter at once.
+		CaughtUp bool `json:"caughtUp"`
 	}
 
 	role int
@@ -255,10 +258,12 @@
 		if p := r.peers[m.Id]; r.role == leader && p != nil {
 			status.Match = p.match
 			status.Alive = r.alive(p)
+			status.CaughtUp = r.caughtUp(p)
 		}
 		if r.role == leader && m.Id == s.ID {
 			status.Match = r.selfMatch
 			status.Alive = true
+			status.CaughtUp = true
 		}
 		s.Members = append(s.Members, status)
 	}
--- a/internal/event/logger/fleetevents.go
+++ b/internal/event/logger/fleetevents.go
@@ -25,6 +25,7 @@
 	FleetMemberChanging = Event{6110, log.InfoLevel, "membership change of the replicated log started"}
 	FleetHubLearned     = Event{6111, log.InfoLevel, "hub learned"}
 	FleetDialFailed     = Event{6112, log.WarnLevel, "hub could not be dialed"}
+	FleetIdentifyFailed = Event{6113, log.WarnLevel, "linked hub did not tell its identity"}
 
 	// Events of the configuration.
 	FleetConfigAdopted   = Event{6201, log.InfoLevel, "configuration applied"}
@@ -64,7 +65,7 @@
 	fleetEvents = []Event{
 		FleetStarted, FleetStopping, FleetStopped, FleetReloaded, FleetReadiness, FleetPaused, TaskPanicked, FleetLinked, FleetUnlinked,
 		FleetMemberChanged, FleetLogFailed, FleetBackendChanged, FleetDeciderChanged, FleetInformFailed,
-		FleetUnknownGone, FleetEngineProbed, FleetMemberChanging, FleetHubLearned, FleetDialFailed, FleetConfigAdopted,
+		FleetUnknownGone, FleetEngineProbed, FleetMemberChanging, FleetHubLearned, FleetDialFailed, FleetIdentifyFailed, FleetConfigAdopted,
 		FleetConfigSubmitted, FleetConfigRefused, FleetConfigRead, FleetConfigRejected, FleetReportRefused,
 		ForwardMalformed, ForwardRefused, ForwardFailed, ForwardAttemptFailed, ForwardServed, ForwardDisconnected,
 		RunPlaced, RunMoving, RunMoved, RunMoveFailed, RunAborted, RunCopyReleased, RunLost,
--- a/internal/fleet/keeper/membership.go
+++ b/internal/fleet/keeper/membership.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
 	"verbenareach/internal/control/replicator"
 	"verbenareach/internal/event/logger"
-	"verbenareach/internal/wire/messenger"
 )
 
 type (
@@ -21,20 +21,29 @@
 		minVoters int
 		// silentSince holds the time since which each silent member has not answered, by identity.
 		silentSince map[string]time.Time
-		// retryAfter holds the time before which a failed change is not retried, by hub name for
-		// additions and by identity for removals.
+		// retryAfter holds the time before which a failed change is not retried, by identity.
 		retryAfter map[string]time.Time
 	}
 
-	// memberChange is one change of the membership: a hub to add, or an identity to remove. The
-	// zero value is no change.
+	// memberChange is one change of the membership that waits for no other hub than those that
+	// vote. The zero value is no change.
 	memberChange struct {
-		add    *messenger.FleetHost
-		remove string
+		action memberAction
+		// id is the identity that is added, promoted or removed; name is the hub's name.
+		id, name string
+		// learner is the hub to add.
+		learner replicator.Identity
 	}
+
+	memberAction int
 )
 
 const (
+	noChange memberAction = iota
+	addLearner
+	promote
+	remove
+
 	// checkInterval is the pause between checks of the membership.
 	checkInterval = 250 * time.Millisecond
 	// removeAfter is how long a voter must be silent before it is removed. A host that merely
@@ -44,14 +53,15 @@
 	// tolerated, and the removal of a silent voter would raise that number.
 	urgentRemoveAfter = time.Second
 	// retryDelay is the wait after a change failed.
-	retryDelay = 2 * time.Second
-	// changeTimeout bounds one change of the membership.
-	changeTimeout = 8 * time.Second
+	retryDelay = 500 * time.Millisecond
+	// changeTimeout bounds one change of the membership. The others wait meanwhile.
+	changeTimeout = 2 * time.Second
 )
 
 // manage adapts the membership to the linked hubs while this hub leads.
 func (k *Keeper) manage(ctx context.Context, r *replicator.Replicator) {
 	p := &planner{self: k.Self.Name, minVoters: k.MinVoters}
+	i := &identifier{Ask: r.Identify, Log: k.Log}
 	for {
 		select {
 		case <-ctx.Done():
@@ -63,52 +73,88 @@
 			p.silentSince = nil
 			continue
 		}
-		next := p.next(time.Now(), s.Members, k.Candidates())
-		if next.add != nil || next.remove != "" {
+		now := time.Now()
+		next := p.next(now, s.Members, k.identifyNew(ctx, now, i, s.Members))
+		if next.action != noChange {
 			k.change(ctx, r, p, next)
 		}
 	}
 }
 
+// identifyNew returns the identities of the linked hubs of which no member answers, as far as
+// they are known.
+func (k *Keeper) identifyNew(ctx context.Context, now time.Time, i *identifier, members []replicator.MemberStatus) []replicator.Identity {
+	var identities []replicator.Identity
+	for _, h := range k.Candidates() {
+		if hasLiveMember(members, h.Name) {
+			continue
+		}
+		if identity, known := i.identify(ctx, now, h); known {
+			identities = append(identities, identity)
+		}
+	}
+	return identities
+}
+
 // change makes one change of the membership and logs it. A failed change is logged with its
 // error and postponed.
 func (k *Keeper) change(ctx context.Context, r *replicator.Replicator, p *planner, next memberChange) {
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
-	target := next.remove
-	if next.add != nil {
-		target = next.add.Name
-	}
-	k.Log.Emit(time.Now(), logger.FleetMemberChanging, "", logger.F("host", target), logger.F("added", next.add != nil))
-	var err error
-	if next.add != nil {
-		err = r.Add(ctx, replicator.Peer{Name: target, Address: next.add.Address})
-	} else {
-		err = r.Remove(ctx, target)
-	}
+	fields := []logger.Field{logger.F("host", next.name), logger.F("identity", next.id), logger.F("action", next.action)}
+	k.Log.Emit(time.Now(), logger.FleetMemberChanging, "", fields...)
+	err := next.make(ctx, r)
 	if err != nil {
-		p.postpone(time.Now(), target)
+		p.postpone(time.Now(), next.id)
 	}
-	k.Log.Emit(time.Now(), logger.FleetMemberChanged, "", logger.F("host", target), logger.F("added", next.add != nil),
-		logger.F("error", err))
+	k.Log.Emit(time.Now(), logger.FleetMemberChanged, "", append(fields, logger.F("error", err))...)
 }
 
-// next returns the change that is due. Linked hubs are added as voters first. Then the voter
-// that has been silent for longest is removed, if that is long enough, more than minVoters vote
-// and at least minVoters answer.
-func (p *planner) next(now time.Time, members []replicator.MemberStatus, candidates []*messenger.FleetHost) memberChange {
+// make makes the change at the leader r.
+func (c memberChange) make(ctx context.Context, r *replicator.Replicator) error {
+	switch c.action {
+	case addLearner:
+		return r.AddLearner(ctx, c.learner)
+	case promote:
+		return r.Promote(ctx, c.id)
+	case remove:
+		return r.Remove(ctx, c.id)
+	default:
+		return nil
+	}
+}
+
+// String returns the action as it is logged.
+func (a memberAction) String() string {
+	return [...]string{"none", "addLearner", "promote", "remove"}[a]
+}
+
+// next returns the change that is due. Learners that have caught up become voters first, then
+// identified hubs are added as learners. Then the voter that has been silent for longest is
+// removed, if that is long enough, more than minVoters vote and at least minVoters answer.
+func (p *planner) next(now time.Time, members []replicator.MemberStatus, identified []replicator.Identity) memberChange {
 	p.observe(now, members)
-	for _, h := range candidates {
-		if !isLiveVoter(members, h.Name) && !now.Before(p.retryAfter[h.Name]) {
-			return memberChange{add: h}
+	for _, m := range members {
+		if !m.Voter && m.CaughtUp && !now.Before(p.retryAfter[m.ID]) {
+			return memberChange{action: promote, id: m.ID, name: m.Name}
+		}
+	}
+	for _, h := range identified {
+		if !isMember(members, h.ID) && !now.Before(p.retryAfter[h.ID]) {
+			return memberChange{action: addLearner, id: h.ID, name: h.Name, learner: h}
 		}
 	}
+	return p.nextRemoval(now, members)
+}
+
+// nextRemoval returns the removal that is due.
+func (p *planner) nextRemoval(now time.Time, members []replicator.MemberStatus) memberChange {
 	removeDelay := removeAfter
 	if p.removalIsUrgent(members) {
 		removeDelay = urgentRemoveAfter
 	}
 	voters, alive := 0, 0
-	longestSilent := ""
+	var longestSilent replicator.MemberStatus
 	for _, m := range members {
 		if !m.Voter {
 			continue
@@ -119,15 +165,17 @@
 			alive++
 			continue
 		}
-		if now.Sub(since) >= removeDelay && (longestSilent == "" || since.Before(p.silentSince[longestSilent])) {
-			longestSilent = m.ID
+		if now.Sub(since) >= removeDelay && (longestSilent.ID == "" || since.Before(p.silentSince[longestSilent.ID])) {
+			longestSilent = m
 		}
 	}
-	// If no voter has been silent for long enough, longestSilent is empty: no change.
-	if voters > p.minVoters && alive >= p.minVoters && !now.Before(p.retryAfter[longestSilent]) {
-		return memberChange{remove: longestSilent}
+	if longestSilent.ID == "" || now.Before(p.retryAfter[longestSilent.ID]) {
+		return memberChange{}
+	}
+	if voters <= p.minVoters || alive < p.minVoters {
+		return memberChange{}
 	}
-	return memberChange{}
+	return memberChange{action: remove, id: longestSilent.ID, name: longestSilent.Name}
 }
 
 // removalIsUrgent reports whether the voters that answer tolerate fewer further losses than
@@ -166,17 +214,21 @@
 }
 
 // postpone defers the retry of a failed change by retryDelay.
-func (p *planner) postpone(now time.Time, target string) {
+func (p *planner) postpone(now time.Time, id string) {
 	if p.retryAfter == nil {
 		p.retryAfter = make(map[string]time.Time)
 	}
-	p.retryAfter[target] = now.Add(retryDelay)
+	maps.DeleteFunc(p.retryAfter, func(_ string, at time.Time) bool { return now.After(at) })
+	p.retryAfter[id] = now.Add(retryDelay)
+}
+
+// hasLiveMember reports whether a hub has a member that answers. A silent former identity of the
+// hub doesn't count.
+func hasLiveMember(members []replicator.MemberStatus, name string) bool {
+	return slices.ContainsFunc(members, func(m replicator.MemberStatus) bool { return m.Name == name && m.Alive })
 }
 
-// isLiveVoter reports whether a hub has a voting member that answers. A silent former identity
-// of the hub doesn't count.
-func isLiveVoter(members []replicator.MemberStatus, name string) bool {
-	return slices.ContainsFunc(members, func(m replicator.MemberStatus) bool {
-		return m.Name == name && m.Voter && m.Alive
-	})
+// isMember reports whether an identity is a member.
+func isMember(members []replicator.MemberStatus, id string) bool {
+	return slices.ContainsFunc(members, func(m replicator.MemberStatus) bool { return m.ID == id })
 }
--- a/internal/fleet/keeper/membership_test.go
+++ b/internal/fleet/keeper/membership_test.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"verbenareach/internal/control/replicator"
-	"verbenareach/internal/wire/messenger"
 )
 
 var start = time.Unix(1000, 0)
@@ -15,8 +14,15 @@
 	return replicator.MemberStatus{Name: name, ID: id, Voter: true, Alive: alive}
 }
 
+func learner(name, id string, caughtUp bool) replicator.MemberStatus {
+	return replicator.MemberStatus{Name: name, ID: id, Alive: true, CaughtUp: caughtUp}
+}
+
+func identity(name, id string) replicator.Identity {
+	return replicator.Identity{Peer: replicator.Peer{Name: name}, ID: id}
+}
+
 func TestPlannerNext(t *testing.T) {
-	hub := func(name string) *messenger.FleetHost { return &messenger.FleetHost{Name: name, Hub: true} }
 	four := []replicator.MemberStatus{voter("a", "1", true), voter("b", "2", true), voter("c", "3", true), voter("d", "4", true)}
 	oneSilent := []replicator.MemberStatus{voter("a", "1", true), voter("b", "2", true), voter("c", "3", true), voter("d", "4", false)}
 	twoSilent := []replicator.MemberStatus{voter("a", "1", true), voter("b", "2", true), voter("c", "3", false), voter("d", "4", false)}
@@ -26,31 +32,35 @@
 	tests := []struct {
 		name       string
 		members    []replicator.MemberStatus
-		candidates []*messenger.FleetHost
-		// after is how long the members have been silent; add is the name of the hub to add,
-		// remove the identity to remove, empty for none.
+		identified []replicator.Identity
+		// after is how long the members have been silent; action and id are the change that is due.
 		after  time.Duration
-		add    string
-		remove string
+		action memberAction
+		id     string
 	}{
-		{"all vote", four, []*messenger.FleetHost{hub("b")}, time.Minute, "", ""},
-		{"a new hub", four, []*messenger.FleetHost{hub("b"), hub("e")}, 0, "e", ""},
-		{"a hub with a new disk", oneSilent, []*messenger.FleetHost{hub("d")}, 0, "d", ""},
-		{"a silent voter that lowers the tolerance too far, at once", oneSilent, nil, 500 * time.Millisecond, "", ""},
-		{"a silent voter that lowers the tolerance too far, soon", oneSilent, nil, time.Second, "", "4"},
-		{"a superfluous silent voter, soon", five, nil, 2 * time.Second, "", ""},
-		{"a superfluous silent voter, later", five, nil, 6 * time.Second, "", "5"},
-		{"a silent voter that leaves enough tolerance", six, nil, 2 * time.Second, "", ""},
-		{"a silent voter without a replacement", three, nil, time.Minute, "", ""},
-		{"too few answer", twoSilent, nil, time.Minute, "", ""},
+		{"all vote", four, []replicator.Identity{identity("b", "2")}, time.Minute, noChange, ""},
+		{"a new hub", four, []replicator.Identity{identity("b", "2"), identity("e", "5")}, 0, addLearner, "5"},
+		{"a hub with a new disk", oneSilent, []replicator.Identity{identity("d", "5")}, 0, addLearner, "5"},
+		{"a voter that tells its identity before it answers again", three, []replicator.Identity{identity("d", "4")}, 0, noChange, ""},
+		{"a learner that catches up", append(slices.Clone(three), learner("e", "5", false)), nil, time.Minute, noChange, ""},
+		{"a learner that has caught up", append(slices.Clone(three), learner("e", "5", true)), nil, 0, promote, "5"},
+		{"a learner before another new hub", append(slices.Clone(three), learner("e", "5", true)), []replicator.Identity{identity("f", "6")}, 0, promote, "5"},
+		{"a new hub beside a learner that catches up", append(slices.Clone(three), learner("e", "5", false)), []replicator.Identity{identity("f", "6")}, 0, addLearner, "6"},
+		{"a silent voter that lowers the tolerance too far, at once", oneSilent, nil, 500 * time.Millisecond, noChange, ""},
+		{"a silent voter that lowers the tolerance too far, soon", oneSilent, nil, time.Second, remove, "4"},
+		{"a superfluous silent voter, soon", five, nil, 2 * time.Second, noChange, ""},
+		{"a superfluous silent voter, later", five, nil, 6 * time.Second, remove, "5"},
+		{"a silent voter that leaves enough tolerance", six, nil, 2 * time.Second, noChange, ""},
+		{"a silent voter without a replacement", three, nil, time.Minute, noChange, ""},
+		{"too few answer", twoSilent, nil, time.Minute, noChange, ""},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			p := &planner{self: "a", minVoters: 3}
 			p.next(start, tt.members, nil)
-			got := p.next(start.Add(tt.after), tt.members, tt.candidates)
-			if got.add.GetName() != tt.add || got.remove != tt.remove {
-				t.Errorf("add %q remove %q, want %q and %q", got.add.GetName(), got.remove, tt.add, tt.remove)
+			got := p.next(start.Add(tt.after), tt.members, tt.identified)
+			if got.action != tt.action || got.id != tt.id {
+				t.Errorf("%v %q, want %v %q", got.action, got.id, tt.action, tt.id)
 			}
 		})
 	}
@@ -59,13 +69,13 @@
 func TestPlannerPostponesAFailedChange(t *testing.T) {
 	p := &planner{self: "a", minVoters: 3}
 	members := []replicator.MemberStatus{voter("a", "1", true)}
-	candidates := []*messenger.FleetHost{{Name: "b"}, {Name: "c"}}
-	p.postpone(start, "b")
-	if got := p.next(start, members, candidates).add.GetName(); got != "c" {
-		t.Errorf("next is %q after b failed, want c", got)
+	identified := []replicator.Identity{identity("b", "2"), identity("c", "3")}
+	p.postpone(start, "2")
+	if got := p.next(start, members, identified); got.id != "3" {
+		t.Errorf("next is %q after 2 failed, want 3", got.id)
 	}
-	if got := p.next(start.Add(retryDelay), members, candidates).add.GetName(); got != "b" {
-		t.Errorf("next is %q later, want b again", got)
+	if got := p.next(start.Add(retryDelay), members, identified); got.id != "2" {
+		t.Errorf("next is %q later, want 2 again", got.id)
 	}
 }
 
@@ -74,14 +84,14 @@
 func TestSilentVoterIsRemovedOnceReplaced(t *testing.T) {
 	p := &planner{self: "b", minVoters: 3}
 	members := []replicator.MemberStatus{voter("a", "1", false), voter("b", "2", true), voter("c", "3", true)}
-	successor := []*messenger.FleetHost{{Name: "d", Hub: true}}
-	if got := p.next(start, members, successor); got.add.GetName() != "d" {
+	successor := []replicator.Identity{identity("d", "4")}
+	if got := p.next(start, members, successor); got.action != addLearner || got.id != "4" {
 		t.Fatalf("first change is %+v", got)
 	}
 	members = append(members, voter("d", "4", true))
 	now := start
 	for ; now.Before(start.Add(2 * time.Second)); now = now.Add(checkInterval) {
-		if got := p.next(now, members, successor); got.remove == "1" {
+		if got := p.next(now, members, nil); got.action == remove && got.id == "1" {
 			return
 		}
 	}
