fix: dial a new hub when it is learned, not with the next round of introductions

Cause: between two hubs the one with the lower name dials. The leader learns a new hub by its introduction, 8 ms after its start, but looked for hubs to dial only after its next round: up to 5 s later, and after waiting 0.9 s for each lost hub. Hosts without a disk learned of it with their own rounds only. Change: learning a hub wakes the dialing, which waits for no introduction; a host to which a new hub introduces itself tells the linked hosts. Ruled out: shorter rounds, which cost each host a message to each hub and still wait for lost ones.

--- a/internal/fleet/linker/linker.go
+++ b/internal/fleet/linker/linker.go
@@ -56,6 +56,9 @@
 		// dialing holds the names of the hubs to which a goroutine keeps the link. It does so
 		// until the hub is forgotten.
 		dialing map[string]bool
+		// learned holds one item once a hub was learned, until dialHubs runs. It is created with its
+		// first use.
+		learned chan struct{}
 		// links holds the links that are up, by the other host's name.
 		links map[string]*link
 		// founding is used at the first seed, which decides who founds the replicated log; other
@@ -90,9 +93,11 @@
 	if l.Self.Hub {
 		l.learnHubs(time.Now(), []*messenger.FleetHost{l.Self})
 	}
+	var dialing sync.WaitGroup
+	defer dialing.Wait()
+	dialing.Go(func() { l.dialLearned(ctx) })
 	for ctx.Err() == nil {
 		l.introduce(ctx)
-		l.dialHubs(ctx, time.Now())
 		pause := introduceInterval
 		if l.allHubsLinked() {
 			pause = linkedIntroduceInterval
@@ -185,11 +190,11 @@
 }
 
 // HandleIntroduction answers an introduction, which may be this host's own. It remembers the
-// host if it is a hub. The reply names the founders only to a bootstrapping host, and only
+// host if it is a hub, and tells the linked hosts of a new one. The reply names the founders only to a bootstrapping host, and only
 // once they are decided.
 func (l *Linker) HandleIntroduction(now time.Time, req *messenger.IntroduceRequest) *messenger.IntroduceReply {
-	if req.Host.GetHub() {
-		l.learnHubs(now, []*messenger.FleetHost{req.Host})
+	if learned := l.learnHubs(now, []*messenger.FleetHost{req.Host}); len(learned) > 0 {
+		l.EnqueueAll(req.Host.Name, func(m *messenger.LinkMessage) { m.Hubs = append(m.Hubs, learned...) })
 	}
 	reply := &messenger.IntroduceReply{Hubs: l.Hubs()}
 	if !req.Bootstrap {
@@ -231,12 +236,30 @@
 	wg.Wait()
 }
 
-// learnHubs adds the hubs among the given hosts. What is known of a hub is replaced by what
-// was received last, which may have another address.
-func (l *Linker) learnHubs(now time.Time, hubs []*messenger.FleetHost) {
-	for _, h := range l.recordHubs(now, hubs) {
+// learnHubs adds the hubs among the given hosts, has them dialed and returns those that are new
+// or have another address. What is known of a hub is replaced by what was received last.
+func (l *Linker) learnHubs(now time.Time, hubs []*messenger.FleetHost) []*messenger.FleetHost {
+	learned := l.recordHubs(now, hubs)
+	for _, h := range learned {
 		l.HubLearned(h)
 	}
+	if len(learned) > 0 {
+		select {
+		case l.learnedSignal() <- struct{}{}:
+		default:
+		}
+	}
+	return learned
+}
+
+// learnedSignal returns the channel that holds one item once a hub was learned.
+func (l *Linker) learnedSignal() chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.learned == nil {
+		l.learned = make(chan struct{}, 1)
+	}
+	return l.learned
 }
 
 // recordHubs records the hubs among the given hosts, and returns those that are new or have
@@ -248,7 +271,7 @@
 		l.hubs = make(map[string]*knownHub)
 	}
 	for _, h := range hubs {
-		if !h.Hub || h.Name == "" {
+		if !h.GetHub() || h.Name == "" {
 			continue
 		}
 		known := l.hubs[h.Name]
@@ -264,6 +287,20 @@
 	return learned
 }
 
+// dialLearned dials hubs as soon as they are learned, until ctx ends: the rounds of introductions
+// wait for hosts that are lost.
+func (l *Linker) dialLearned(ctx context.Context) {
+	for {
+		l.dialHubs(ctx, time.Now())
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.learnedSignal():
+		case <-time.After(linkedIntroduceInterval):
+		}
+	}
+}
+
 // dialHubs starts a goroutine for each new hub to which this host dials the link, and
 // forgets hubs that have not been linked for hubExpiry.
 func (l *Linker) dialHubs(ctx context.Context, now time.Time) {
