fix: remove learners that are gone

Three cases of TestPlannerNext, of which 'a silent learner, later' failed before (none, want remove). A silent voter whose removal has just failed no longer hides another one.

--- a/internal/fleet/keeper/membership.go
+++ b/internal/fleet/keeper/membership.go
@@ -131,7 +131,8 @@
 
 // next returns the change that is due. Learners that have caught up become voters first, then
 // identified hubs are added as learners. Then the voter that has been silent for longest is
-// removed, if that is long enough, more than minVoters vote and at least minVoters answer.
+// removed, if that is long enough, more than minVoters vote and at least minVoters answer; then
+// a silent learner.
 func (p *planner) next(now time.Time, members []replicator.MemberStatus, identified []replicator.Identity) memberChange {
 	p.observe(now, members)
 	for _, m := range members {
@@ -147,35 +148,47 @@
 	return p.nextRemoval(now, members)
 }
 
-// nextRemoval returns the removal that is due.
+// nextRemoval returns the removal that is due: that of a voter first.
 func (p *planner) nextRemoval(now time.Time, members []replicator.MemberStatus) memberChange {
-	removeDelay := removeAfter
+	voterDelay := removeAfter
 	if p.removalIsUrgent(members) {
-		removeDelay = urgentRemoveAfter
+		voterDelay = urgentRemoveAfter
 	}
 	voters, alive := 0, 0
-	var longestSilent replicator.MemberStatus
 	for _, m := range members {
 		if !m.Voter {
 			continue
 		}
 		voters++
-		since, silent := p.silentSince[m.ID]
-		if !silent {
+		if _, silent := p.silentSince[m.ID]; !silent {
 			alive++
-			continue
 		}
-		if now.Sub(since) >= removeDelay && (longestSilent.ID == "" || since.Before(p.silentSince[longestSilent.ID])) {
-			longestSilent = m
+	}
+	if voters > p.minVoters && alive >= p.minVoters {
+		if m := p.longestSilent(now, members, true, voterDelay); m.ID != "" {
+			return memberChange{action: remove, id: m.ID, name: m.Name}
 		}
 	}
-	if longestSilent.ID == "" || now.Before(p.retryAfter[longestSilent.ID]) {
-		return memberChange{}
+	if m := p.longestSilent(now, members, false, removeAfter); m.ID != "" {
+		return memberChange{action: remove, id: m.ID, name: m.Name}
 	}
-	if voters <= p.minVoters || alive < p.minVoters {
-		return memberChange{}
+	return memberChange{}
+}
+
+// longestSilent returns the voter or learner that has been silent for longest, at least for delay,
+// and whose removal has not just failed; the zero value if there is none.
+func (p *planner) longestSilent(now time.Time, members []replicator.MemberStatus, voter bool, delay time.Duration) replicator.MemberStatus {
+	var found replicator.MemberStatus
+	for _, m := range members {
+		since, silent := p.silentSince[m.ID]
+		if m.Voter != voter || !silent || now.Sub(since) < delay || now.Before(p.retryAfter[m.ID]) {
+			continue
+		}
+		if found.ID == "" || since.Before(p.silentSince[found.ID]) {
+			found = m
+		}
 	}
-	return memberChange{action: remove, id: longestSilent.ID, name: longestSilent.Name}
+	return found
 }
 
 // removalIsUrgent reports whether the voters that answer tolerate fewer further losses than
--- a/internal/fleet/keeper/membership_test.go
+++ b/internal/fleet/keeper/membership_test.go
@@ -29,6 +29,7 @@
 	three := oneSilent[1:]
 	five := append(slices.Clone(four), voter("e", "5", false))
 	six := append(slices.Clone(four), voter("e", "5", true), voter("f", "6", false))
+	silentLearner := replicator.MemberStatus{Name: "i", ID: "9"}
 	tests := []struct {
 		name       string
 		members    []replicator.MemberStatus
@@ -51,6 +52,9 @@
 		{"a superfluous silent voter, soon", five, nil, 2 * time.Second, noChange, ""},
 		{"a superfluous silent voter, later", five, nil, 6 * time.Second, remove, "5"},
 		{"a silent voter that leaves enough tolerance", six, nil, 2 * time.Second, noChange, ""},
+		{"a silent learner, soon", append(slices.Clone(four), silentLearner), nil, 2 * time.Second, noChange, ""},
+		{"a silent learner, later", append(slices.Clone(four), silentLearner), nil, 6 * time.Second, remove, "9"},
+		{"a silent learner, after a voter that lowers the tolerance too far", append(slices.Clone(oneSilent), silentLearner), nil, 6 * time.Second, remove, "4"},
 		{"a silent voter without a replacement", three, nil, time.Minute, noChange, ""},
 		{"too few answer", twoSilent, nil, time.Minute, noChange, ""},
 	}
