--- a/internal/fleet/keeper/keeper_test.go
+++ b/internal/fleet/keeper/keeper_test.go
@@ -28,8 +28,10 @@
 		*Keeper
 		// linked is set while the others have a link to the hub.
 		linked bool
-		stop   context.CancelFunc
-		done   sync.WaitGroup
+		// lost is set once the hub has ended.
+		lost bool
+		stop context.CancelFunc
+		done sync.WaitGroup
 	}
 
 	// peerServer answers the calls of other hubs once the keeper has created its replica.
@@ -107,6 +109,9 @@
 	f.t.Helper()
 	h.stop()
 	h.done.Wait()
+	f.mu.Lock()
+	h.lost = true
+	f.mu.Unlock()
 	// Connections are taken by the kernel and never accepted.
 	l := listenOn(f.t, h.Self.Address)
 	f.t.Cleanup(func() { _ = l.Close() })
@@ -124,7 +129,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, h := range f.hubs {
-		if h.LeaderTerm() > 0 {
+		if !h.lost && h.LeaderTerm() > 0 {
 			return h
 		}
 	}
@@ -135,7 +140,7 @@
 func (f *testFleet) follower() *testHub {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	i := slices.IndexFunc(f.hubs, func(h *testHub) bool { return h.LeaderTerm() == 0 })
+	i := slices.IndexFunc(f.hubs, func(h *testHub) bool { return !h.lost && h.LeaderTerm() == 0 })
 	return f.hubs[i]
 }
 
@@ -196,3 +201,41 @@
 		return f.votes("d") && !f.votes(lost.Self.Name)
 	})
 }
+
+// replace loses a hub for good and starts its successor a second later.
+func (f *testFleet) replace(lost *testHub, successor string) *testHub {
+	f.t.Helper()
+	f.lose(lost)
+	time.Sleep(electionTimeout)
+	f.unlink(lost)
+	return f.start(&messenger.FleetHost{Name: successor, Address: freeAddress(f.t), Hub: true}, nil)
+}
+
+// TestReplacedHubStillVotes replaces hubs in a row; each time the next loss must be bearable again.
+func TestReplacedHubStillVotes(t *testing.T) {
+	f := newTestFleet(t, "a", "b", "c")
+	for _, tt := range []struct {
+		name, successor string
+		pick            func() *testHub
+	}{
+		{"a follower", "d", f.follower},
+		{"the leader", "e", f.leader},
+		{"the new leader", "f", f.leader},
+	} {
+		lost := tt.pick()
+		f.replace(lost, tt.successor)
+		f.await(catchUp, tt.name+" is replaced", func() bool { return f.votes(tt.successor) && !f.votes(lost.Self.Name) })
+	}
+}
+
+// TestSuccessorThatIsLostDelaysTheNextOne: the first one may be a member, or not be known yet.
+func TestSuccessorThatIsLostDelaysTheNextOne(t *testing.T) {
+	f := newTestFleet(t, "a", "b", "c")
+	lost := f.follower()
+	first := f.replace(lost, "d")
+	time.Sleep(2 * checkInterval)
+	f.replace(first, "e")
+	f.await(catchUp, "the second successor votes and the first hub does not", func() bool {
+		return f.votes("e") && !f.votes(lost.Self.Name)
+	})
+}
