feat: tell which calls a backend server that ended has lost, and which of them are equal

VR6307 names the state of the process and a fingerprint of method, host, target, workspace and body, which is what a backend server gets to see of a request besides its id. No change of logic.

--- a/internal/event/logger/fleetevents.go
+++ b/internal/event/logger/fleetevents.go
@@ -42,6 +42,7 @@
 	ForwardAttemptFailed = Event{6304, log.InfoLevel, "attempt on a backend server failed"}
 	ForwardServed        = Event{6305, log.InfoLevel, "request served"}
 	ForwardDisconnected  = Event{6306, log.InfoLevel, "client disconnected"}
+	ForwardLost          = Event{6307, log.WarnLevel, "backend server lost a call"}
 
 	// Events of generations.
 	RunPlaced     = Event{6401, log.InfoLevel, "generation placed"}
@@ -67,7 +68,7 @@
 		FleetMemberChanged, FleetLogFailed, FleetBackendChanged, FleetDeciderChanged, FleetInformFailed,
 		FleetUnknownGone, FleetEngineProbed, FleetMemberChanging, FleetHubLearned, FleetDialFailed, FleetIdentifyFailed, FleetConfigAdopted,
 		FleetConfigSubmitted, FleetConfigRefused, FleetConfigRead, FleetConfigRejected, FleetReportRefused,
-		ForwardMalformed, ForwardRefused, ForwardFailed, ForwardAttemptFailed, ForwardServed, ForwardDisconnected,
+		ForwardMalformed, ForwardRefused, ForwardFailed, ForwardAttemptFailed, ForwardServed, ForwardDisconnected, ForwardLost,
 		RunPlaced, RunMoving, RunMoved, RunMoveFailed, RunAborted, RunCopyReleased, RunLost,
 		PartQuarantined, PartReleased, PartProbed, PartsNotStored,
 		BackendLimited,
--- a/internal/fleet/forwarder/call.go
+++ b/internal/fleet/forwarder/call.go
@@ -115,6 +115,9 @@
 	if !errors.As(err, &unsent) {
 		t.reached++
 	}
+	if errors.As(err, &lost) {
+		f.recordCallLoss(ctx, x, b, err)
+	}
 	f.Log.Emit(time.Now(), logger.ForwardAttemptFailed, x.id, logger.F("backend", b.Id), logger.F("cause", err),
 		logger.F("tried", len(t.tried)), logger.F("mayHaveRun", x.mayHaveRun))
 	if x.mayHaveRun && (x.route.Kind != cataloger.Idempotent || t.reached >= x.route.Attempts) {
--- a/internal/fleet/forwarder/loss.go
+++ b/internal/fleet/forwarder/loss.go
@@ -68,6 +68,19 @@
 	return done
 }
 
+// recordCallLoss records that a backend server lost a call. If ctx has ended nothing is recorded.
+func (f *Forwarder) recordCallLoss(ctx context.Context, x *exchange, b *messenger.Backend, cause error) {
+	if ctx.Err() != nil {
+		return
+	}
+	request := x.fingerprint()
+	go func() {
+		process := inspectProcess(context.WithoutCancel(ctx), b.Address)
+		f.Log.Emit(time.Now(), logger.ForwardLost, x.id, logger.F("backend", b.Id), logger.F("process", process),
+			logger.F("request", request), logger.F("cause", cause))
+	}()
+}
+
 // record finds out whether the backend server's process has ended, and logs the loss. If it ended while
 // the generation was beginning, that counts against the parts of the prompt.
 func (l loss) record(ctx context.Context) {
