fix: keep requests that crash the servers that run them away from servers

Cause: what a server that ended was running was put down to the server. Evidence was kept of parts of prompts only; calls have none. Change: the whole request counts as one of its own parts, under a fingerprint of what a backend server gets to see of it (method, host, target, workspace, body). Everything else is the mechanism that parts have: evidence of all hosts, on the hubs' disks, two rounds of ends at least 0.2 s apart, more if equal ones were answered shortly before, cleared by an answer. A call is checked before each attempt; a lost call has its server's process inspected. Whole requests also tell the cause from the prompt parts that came with it: other requests with these parts are admitted. Ruled out: the id or the client's key as identity (repeats have other ids, a server sees the workspace), a list of its own for calls.

--- a/internal/event/logger/fleetevents.go
+++ b/internal/event/logger/fleetevents.go
@@ -54,11 +54,11 @@
 	RunCopyReleased = Event{6406, log.InfoLevel, "copy of a generation released"}
 	RunLost         = Event{6407, log.WarnLevel, "backend server lost a generation"}
 
-	// Events of the parts of prompts that crash engines.
-	PartQuarantined = Event{6501, log.ErrorLevel, "part of prompts is quarantined as engines end with it"}
-	PartReleased    = Event{6502, log.InfoLevel, "part of prompts is no longer quarantined"}
+	// Events of the parts of requests that crash backend servers.
+	PartQuarantined = Event{6501, log.ErrorLevel, "part of requests is quarantined as backend servers end with it"}
+	PartReleased    = Event{6502, log.InfoLevel, "part of requests is no longer quarantined"}
 	PartProbed      = Event{6503, log.WarnLevel, "request probes a part whose quarantine is over"}
-	PartsNotStored  = Event{6504, log.ErrorLevel, "what is known of parts of prompts could not be stored or read"}
+	PartsNotStored  = Event{6504, log.ErrorLevel, "what is known of parts that crash backend servers could not be stored or read"}
 
 	// Events of the limits that backend servers set.
 	BackendLimited = Event{6601, log.InfoLevel, "backend server changed the limit on its requests"}
--- a/internal/fleet/forwarder/call.go
+++ b/internal/fleet/forwarder/call.go
@@ -10,6 +10,7 @@
 	"verbenareach/internal/event/logger"
 	"verbenareach/internal/fleet/balancer"
 	"verbenareach/internal/fleet/cataloger"
+	"verbenareach/internal/fleet/quarantiner"
 	"verbenareach/internal/fleet/sender"
 	"verbenareach/internal/wire/messenger"
 )
@@ -24,6 +25,8 @@
 
 	// attempts records what was tried for one request.
 	attempts struct {
+		// parts holds the id of the whole request, for the quarantine.
+		parts []string
 		// tried holds the ids of the chosen backend servers. reached counts those that the
 		// request may have reached, including those that declined it.
 		tried   []string
@@ -70,7 +73,13 @@
 	f.awaitStartup(ctx, func() bool {
 		return len(f.Tracker.Ready(time.Now(), x.service.Name)) > 0
 	})
-	t := &attempts{reason: "no backend server is ready", cause: errNoBackend}
+	t := &attempts{
+		parts: []string{quarantiner.WholeRequest(x.fingerprint())}, reason: "no backend server is ready", cause: errNoBackend,
+	}
+	if d := f.Quarantine.Admit(time.Now(), x.id, t.parts); !d.Admitted() {
+		f.giveUp(ctx, x, "", &quarantinedError{decision: d})
+		return
+	}
 	for len(t.tried) < maxBackendsTried && ctx.Err() == nil {
 		b, done, err := f.choose(ctx, x, t.tried)
 		if err != nil && ctx.Err() == nil && !errors.Is(err, errNoBackend) {
@@ -80,12 +89,21 @@
 			break
 		}
 		now := time.Now()
+		if d := f.Quarantine.Check(now, x.id, t.parts); !d.Admitted() {
+			done(now, balancer.Unused)
+			t.cause = &quarantinedError{decision: d}
+			break
+		}
 		if t.reached > 0 && !f.Budget.AllowRetry(now, x.service.Name) {
 			done(now, balancer.Answered)
 			break
 		}
 		t.tried = append(t.tried, b.Id)
 		resp, err := f.attempt(ctx, x, b, done)
+		if err == nil {
+			answered := time.Now()
+			f.Quarantine.RecordHealthy(answered, answered, t.parts)
+		}
 		if err == nil && !t.keepFailure(x, b, resp) {
 			f.deliver(x, b, resp)
 			return
@@ -116,7 +134,7 @@
 		t.reached++
 	}
 	if errors.As(err, &lost) {
-		f.recordCallLoss(ctx, x, b, err)
+		f.recordCallLoss(ctx, x, t.parts[0], b, err)
 	}
 	f.Log.Emit(time.Now(), logger.ForwardAttemptFailed, x.id, logger.F("backend", b.Id), logger.F("cause", err),
 		logger.F("tried", len(t.tried)), logger.F("mayHaveRun", x.mayHaveRun))
--- a/internal/fleet/forwarder/generation.go
+++ b/internal/fleet/forwarder/generation.go
@@ -11,6 +11,7 @@
 
 	"verbenareach/internal/event/logger"
 	"verbenareach/internal/fleet/balancer"
+	"verbenareach/internal/fleet/quarantiner"
 	"verbenareach/internal/fleet/sender"
 	"verbenareach/internal/wire/messenger"
 )
@@ -71,7 +72,7 @@
 		return
 	}
 	s := &stream{
-		f: f, x: x, req: req, parts: sharedParts(req), place: f.Place, releaseBackend: func() {}, orders: make(chan *messenger.MoveOrder, maxPendingOrders),
+		f: f, x: x, req: req, parts: sharedParts(x, req), place: f.Place, releaseBackend: func() {}, orders: make(chan *messenger.MoveOrder, maxPendingOrders),
 		copyDone: make(chan copyResult, 1),
 	}
 	s.req.Run, s.req.Service, s.req.Priority, s.req.Workspace = x.id, x.service.Name, int32(x.priority), x.workspace
@@ -94,10 +95,10 @@
 	s.reportState(messenger.RunState_PHASE_ENDED)
 }
 
-// sharedParts returns the ids of the parts of a request's prompt that other requests may share. The
-// last part belongs to the request itself.
-func sharedParts(req *messenger.PlaceRequest) []string {
-	shared := make([]string, 0, len(req.Parts))
+// sharedParts returns the ids of the parts of a request that other requests may share: the whole
+// request, and those of its prompt but the last one, which belongs to the request itself.
+func sharedParts(x *exchange, req *messenger.PlaceRequest) []string {
+	shared := []string{quarantiner.WholeRequest(x.fingerprint())}
 	for _, p := range req.Parts[:max(len(req.Parts)-1, 0)] {
 		shared = append(shared, p.Id)
 	}
--- a/internal/fleet/forwarder/harness_test.go
+++ b/internal/fleet/forwarder/harness_test.go
@@ -31,7 +31,8 @@
 		address string
 		// script answers a request on its connection. It reports whether the connection stays
 		// open.
-		script func(c net.Conn, seen seenRequest) bool
+		script   func(c net.Conn, seen seenRequest) bool
+		listener net.Listener
 
 		mu   sync.Mutex
 		seen []seenRequest
@@ -111,7 +112,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &standIn{id: id, address: l.Addr().String(), script: script}
+	s := &standIn{id: id, address: l.Addr().String(), script: script, listener: l}
 	t.Cleanup(func() { _ = l.Close() })
 	go func() {
 		for {
--- a/internal/fleet/forwarder/loss.go
+++ b/internal/fleet/forwarder/loss.go
@@ -13,13 +13,15 @@
 )
 
 type (
-	// loss is a generation that its backend server lost.
+	// loss is a request that its backend server lost. Only a generation can have begun.
 	loss struct {
-		f       *Forwarder
+		f *Forwarder
+		// event is the event that is logged.
+		event   logger.Event
 		run     string
 		backend *messenger.Backend
 		at      time.Time
-		// parts holds the ids of the prompt's parts that other requests may share.
+		// parts holds the ids of the request's parts that other requests may share.
 		parts []string
 		// begun is set if the response header had arrived, sinceBegin earlier; events is the number
 		// of events that followed it.
@@ -56,7 +58,7 @@
 		return done
 	}
 	l := loss{
-		f: s.f, run: s.x.id, backend: s.backend, at: time.Now(), parts: s.parts, settled: s.healthRecorded, events: s.eventsHere, cause: cause,
+		f: s.f, event: logger.RunLost, run: s.x.id, backend: s.backend, at: time.Now(), parts: s.parts, settled: s.healthRecorded, events: s.eventsHere, cause: cause,
 	}
 	if !s.begunAt.IsZero() {
 		l.begun, l.sinceBegin = true, l.at.Sub(s.begunAt).Round(time.Millisecond)
@@ -69,24 +71,20 @@
 }
 
 // recordCallLoss records that a backend server lost a call. If ctx has ended nothing is recorded.
-func (f *Forwarder) recordCallLoss(ctx context.Context, x *exchange, b *messenger.Backend, cause error) {
+func (f *Forwarder) recordCallLoss(ctx context.Context, x *exchange, whole string, b *messenger.Backend, cause error) {
 	if ctx.Err() != nil {
 		return
 	}
-	request := x.fingerprint()
-	go func() {
-		process := inspectProcess(context.WithoutCancel(ctx), b.Address)
-		f.Log.Emit(time.Now(), logger.ForwardLost, x.id, logger.F("backend", b.Id), logger.F("process", process),
-			logger.F("request", request), logger.F("cause", cause))
-	}()
+	l := loss{f: f, event: logger.ForwardLost, run: x.id, backend: b, at: time.Now(), parts: []string{whole}, cause: cause}
+	go l.record(context.WithoutCancel(ctx))
 }
 
 // record finds out whether the backend server's process has ended, and logs the loss. If it ended while
-// the generation was beginning, that counts against the parts of the prompt.
+// the request was not beyond its beginning, that counts against the parts of the request.
 func (l loss) record(ctx context.Context) {
 	process := inspectProcess(ctx, l.backend.Address)
 	now := time.Now()
-	l.f.Log.Emit(now, logger.RunLost, l.run, logger.F("backend", l.backend.Id), logger.F("process", process),
+	l.f.Log.Emit(now, l.event, l.run, logger.F("backend", l.backend.Id), logger.F("process", process),
 		logger.F("begun", l.begun), logger.F("sinceBegin", l.sinceBegin), logger.F("events", l.events),
 		logger.F("parts", l.parts), logger.F("cause", l.cause))
 	if process == processEnded && !l.settled {
--- a/internal/fleet/forwarder/quarantine.go
+++ b/internal/fleet/forwarder/quarantine.go
@@ -7,7 +7,7 @@
 	"verbenareach/internal/fleet/quarantiner"
 )
 
-// quarantinedError is the cause for which a generation ends whose prompt has a quarantined part.
+// quarantinedError is the cause for which a request ends that has a quarantined part.
 type quarantinedError struct {
 	decision quarantiner.Decision
 }
@@ -23,13 +23,16 @@
 
 // Error returns a text with the id of the part.
 func (e *quarantinedError) Error() string {
+	if quarantiner.IsWholeRequest(e.decision.Part) {
+		return "equal requests crash backend servers: " + e.decision.Part
+	}
 	return "part " + e.decision.Part + " of the prompt crashes engines"
 }
 
 func (e *quarantinedError) retryAfter() time.Duration { return e.decision.RetryAfter }
 
-// EndQuarantined ends the generations of this host that have not begun to stream and whose prompt
-// has a quarantined part.
+// EndQuarantined ends the generations of this host that have not begun to stream and have a
+// quarantined part.
 func (f *Forwarder) EndQuarantined(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -43,8 +46,7 @@
 	}
 }
 
-// admitParts refuses the generation if its prompt has a quarantined part, and reports whether it has
-// none.
+// admitParts refuses the generation if it has a quarantined part, and reports whether it has none.
 func (s *stream) admitParts(now time.Time) bool {
 	d := s.f.Quarantine.Admit(now, s.x.id, s.parts)
 	if d.Admitted() {
--- a/internal/fleet/forwarder/quarantine_test.go
+++ b/internal/fleet/forwarder/quarantine_test.go
@@ -164,3 +164,49 @@
 		})
 	}
 }
+
+// ending returns a stand-in that ends while it runs a request.
+func ending(t *testing.T, id string) *standIn {
+	t.Helper()
+	var s *standIn
+	s = newStandIn(t, id, func(net.Conn, seenRequest) bool {
+		_ = s.listener.Close()
+		return false
+	})
+	return s
+}
+
+func TestEqualCallsAfterTwoServersEnded(t *testing.T) {
+	tests := []struct {
+		name, path, fields, body string
+		status                   int
+	}{
+		{"the same once more", "/once/a", key, "deadly", http.StatusServiceUnavailable},
+		{"another body", "/once/a", key, "deadly2", http.StatusOK},
+		{"another path", "/once/b", key, "deadly", http.StatusOK},
+		{"another query", "/once/a?b", key, "deadly", http.StatusOK},
+		{"another kind of route", "/read/a", key, "deadly", http.StatusOK},
+	}
+	x := newFixture(t, ending(t, "s1"))
+	x.send("/once/a", key, "deadly")
+	time.Sleep(210 * time.Millisecond)
+	x.join(ending(t, "s2"))
+	x.send("/once/a", key, "deadly")
+	time.Sleep(210 * time.Millisecond)
+	healthy := newStandIn(t, "s3", answerOK)
+	x.join(healthy)
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got := x.send(tt.path, tt.fields, tt.body)
+			if got.status != tt.status {
+				t.Errorf("answered with %d %q, want %d", got.status, got.body, tt.status)
+			}
+			if refused := tt.status == http.StatusServiceUnavailable; refused != (got.header.Get("Retry-After") != "") {
+				t.Errorf("Retry-After is %q", got.header.Get("Retry-After"))
+			}
+		})
+	}
+	if n := len(healthy.requests()); n != len(tests)-1 {
+		t.Errorf("%d requests reached the sound server, want %d", n, len(tests)-1)
+	}
+}
--- a/internal/fleet/forwarder/stream.go
+++ b/internal/fleet/forwarder/stream.go
@@ -23,7 +23,7 @@
 	place          func(ctx context.Context, req *messenger.PlaceRequest) (*messenger.Placement, error)
 	releaseBackend func()
 	req            *messenger.PlaceRequest
-	// parts holds the ids of the prompt's parts that other requests may share.
+	// parts holds the ids of the request's parts that other requests may share.
 	parts []string
 	// response is the response whose events are forwarded; events receives them and is nil once
 	// they have ended. stopReading stops sending them.
--- a/internal/fleet/quarantiner/history.go
+++ b/internal/fleet/quarantiner/history.go
@@ -57,9 +57,11 @@
 	// that is lost ends many at once.
 	roundGap = 200 * time.Millisecond
 	// begunWeight and placedWeight are the weights of a round in which a response with the part
-	// had begun, and of one in which none had.
+	// had begun, and of one in which none had. wholeWeight is that of a whole request: few
+	// requests are equal by chance.
 	begunWeight  = 2
 	placedWeight = 1
+	wholeWeight  = 2
 	// quarantineScore is the score from which on a part is quarantined, and recentlyHealthyScore
 	// that of a part that was healthy within healthMemory before the first crash.
 	quarantineScore      = 2 * begunWeight
@@ -172,24 +174,24 @@
 }
 
 // suspectsOf returns the parts that a crash may be due to, with the weight of the evidence. If a
-// response had begun, generations without one are no suspects.
+// response had begun, of requests without one only the whole ones are suspects.
 func suspectsOf(runs map[string]*messenger.BeginningRun) map[string]int {
+	anyBegun, partWeight := false, placedWeight
+	for _, r := range runs {
+		if r.Begun {
+			anyBegun, partWeight = true, begunWeight
+		}
+	}
 	suspects := make(map[string]int)
-	for _, begun := range []bool{true, false} {
-		for _, r := range runs {
-			if r.Begun != begun {
-				continue
-			}
-			for _, id := range r.Parts {
-				suspects[id] = placedWeight
-				if begun {
-					suspects[id] = begunWeight
-				}
+	for _, r := range runs {
+		for _, id := range r.Parts {
+			switch {
+			case IsWholeRequest(id):
+				suspects[id] = wholeWeight
+			case r.Begun == anyBegun:
+				suspects[id] = partWeight
 			}
 		}
-		if len(suspects) > 0 {
-			break
-		}
 	}
 	return suspects
 }
--- a/internal/fleet/quarantiner/quarantiner.go
+++ b/internal/fleet/quarantiner/quarantiner.go
@@ -1,10 +1,13 @@
-// Package quarantiner finds out which parts of prompts crash engines, and keeps requests with such a
-// part away from engines. It learns from generations whose engine ended while their answer began, and
-// from those whose answer began and went on. The hosts of a fleet exchange both, so that each of them
-// decides from what all have seen. The package does no I/O.
+// Package quarantiner finds out which parts of prompts and which whole requests crash backend
+// servers, and keeps requests with such a part away from them. It learns from requests whose backend
+// server ended while it ran them or began to answer, and from those that it answered. The hosts of a
+// fleet exchange both, so that each of them decides from what all have seen. The package does no I/O.
+//
+// All equal requests share one part, which is the whole request: see WholeRequest.
 package quarantiner
 
 import (
+	"strings"
 	"sync"
 	"time"
 
@@ -46,10 +49,11 @@
 		RetryAfter time.Duration
 	}
 
-	// Beginning is a generation that had not been streaming for long when its engine ended.
+	// Beginning is a request that was not beyond the beginning of its answer when its backend
+	// server ended.
 	Beginning struct {
 		Run string
-		// Parts holds the ids of the parts of its prompt that other requests may share.
+		// Parts holds the ids of its parts that other requests may share.
 		Parts []string
 		// Begun is set if its response had begun.
 		Begun bool
@@ -67,12 +71,20 @@
 	probeTimeout = 30 * time.Second
 	// probeRetryAfter is the retry delay of requests that wait for the outcome of another one's probe.
 	probeRetryAfter = probeTimeout
+	// wholePrefix begins the id of a part that is a whole request.
+	wholePrefix = "request:"
 )
 
-// Admitted reports whether the request may be sent to an engine.
+// WholeRequest returns the id of the part that all requests with a fingerprint share.
+func WholeRequest(fingerprint string) string { return wholePrefix + fingerprint }
+
+// IsWholeRequest reports whether the part with an id is a whole request.
+func IsWholeRequest(id string) bool { return strings.HasPrefix(id, wholePrefix) }
+
+// Admitted reports whether the request may be sent to a backend server.
 func (d Decision) Admitted() bool { return d.Part == "" }
 
-// Admit decides whether a request with the given shared parts may be sent to an engine. On a host
+// Admit decides whether a request with the given shared parts may be sent to a backend server. On a host
 // that may probe, a request is admitted alone once the quarantine of its part is over.
 func (q *Quarantiner) Admit(now time.Time, run string, parts []string) Decision {
 	return q.decide(now, run, parts, true)
@@ -83,15 +95,16 @@
 	return q.decide(now, run, parts, false)
 }
 
-// RecordCrash records that the process of an engine ended, at a time, while a generation began there.
-func (q *Quarantiner) RecordCrash(now, ended time.Time, engine *messenger.Backend, b Beginning) {
+// RecordCrash records that the process of a backend server ended, at a time, while a request began there.
+func (q *Quarantiner) RecordCrash(now, ended time.Time, backend *messenger.Backend, b Beginning) {
 	q.Merge(now, "", &messenger.CrashReport{Crashes: []*messenger.EngineCrash{{
-		Backend: engine.Id, Started: engine.Started, AgeMs: now.Sub(ended).Milliseconds(),
+		Backend: backend.Id, Started: backend.Started, AgeMs: now.Sub(ended).Milliseconds(),
 		Runs: []*messenger.BeginningRun{{Run: b.Run, Parts: b.Parts, Begun: b.Begun}},
 	}}})
 }
 
-// RecordHealthy records that a generation with the given shared parts began at a time and went on.
+// RecordHealthy records that a request with the given shared parts was answered at a time, or began to
+// be answered then and went on.
 func (q *Quarantiner) RecordHealthy(now, begun time.Time, parts []string) {
 	q.mu.Lock()
 	report := &messenger.CrashReport{}
@@ -100,7 +113,7 @@
 			report.HealthyParts = append(report.HealthyParts, q.history.healthyPart(now, id))
 		}
 	}
-	if len(report.HealthyParts) > 0 || len(q.quarantined) > 0 {
+	if len(report.HealthyParts) > 0 {
 		q.logChanges(now)
 	}
 	q.mu.Unlock()
--- a/internal/fleet/quarantiner/quarantiner_test.go
+++ b/internal/fleet/quarantiner/quarantiner_test.go
@@ -76,13 +76,90 @@
 	}
 }
 
+// partsTest has hosts see crashes and answers, and checks what all of them decide on requests with
+// the given parts.
+type partsTest struct {
+	name              string
+	play              func(f *fleet)
+	refused, admitted [][]string
+}
+
+func runPartsTests(t *testing.T, tests []partsTest) {
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFleet(t, 4)
+			tt.play(f)
+			for _, parts := range tt.refused {
+				f.expect("refused", false, parts...)
+			}
+			for _, parts := range tt.admitted {
+				f.expect("admitted", true, parts...)
+			}
+		})
+	}
+}
+
+func TestWholeRequestsThatCrashBackendServers(t *testing.T) {
+	deadly, sound := WholeRequest("1"), WholeRequest("2")
+	runPartsTests(t, []partsTest{
+		{
+			"calls, of which one was lost beside the deadly one each time",
+			func(f *fleet) {
+				f.crashOf("s1", 0, false, sound)
+				f.crashOf("s1", 3, false, deadly)
+				f.after(time.Second)
+				f.crashOf("s2", 2, false, deadly)
+				f.crashOf("s2", 2, false, WholeRequest("3"))
+			},
+			[][]string{{deadly}}, [][]string{{sound}, {WholeRequest("3")}, {WholeRequest("4")}},
+		},
+		{
+			"generations, beside others that had begun; those with the same parts are admitted",
+			func(f *fleet) {
+				f.crashOf("e1", 0, true, sound, "other")
+				f.crashOf("e1", 1, false, deadly, "first", "second")
+				f.after(time.Second)
+				f.crashOf("e2", 1, true, deadly, "first", "second")
+			},
+			[][]string{{deadly, "first", "second"}}, [][]string{{sound, "other"}, {sound, "first", "second"}, {"first"}},
+		},
+		{
+			"a popular read whose servers are killed in two rounds, answered by others before",
+			func(f *fleet) {
+				f.healthy(1, sound)
+				f.after(time.Second)
+				f.crashOf("s1", 0, false, sound)
+				f.crashOf("s2", 2, false, sound)
+				f.after(time.Second)
+				f.crashOf("s3", 3, false, sound)
+			},
+			nil, [][]string{{sound}},
+		},
+		{
+			"a request that is answered again after a release",
+			func(f *fleet) {
+				f.crashOf("s1", 0, false, deadly)
+				f.after(time.Second)
+				f.crashOf("s2", 2, false, deadly)
+				f.after(time.Second)
+				f.healthy(1, deadly)
+			},
+			nil, [][]string{{deadly}},
+		},
+		{
+			"servers that end at once under equal requests count as one round",
+			func(f *fleet) {
+				f.crashOf("s1", 0, false, sound)
+				f.crashOf("s2", 1, false, sound)
+				f.crashOf("s3", 2, false, sound)
+			},
+			nil, [][]string{{sound}},
+		},
+	})
+}
+
 func TestPartsThatCrashEngines(t *testing.T) {
-	tests := []struct {
-		name string
-		play func(f *fleet)
-		// refused and admitted hold requests by their parts.
-		refused, admitted [][]string
-	}{
+	runPartsTests(t, []partsTest{
 		{
 			"a part with which engines end again and again is refused at each host, its companions alone are not",
 			func(f *fleet) {
@@ -257,19 +334,7 @@
 			nil,
 			[][]string{{}},
 		},
-	}
-	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			f := newFleet(t, 4)
-			tt.play(f)
-			for _, parts := range tt.refused {
-				f.expect("refused", false, parts...)
-			}
-			for _, parts := range tt.admitted {
-				f.expect("admitted", true, parts...)
-			}
-		})
-	}
+	})
 }
 
 func TestQuarantineEndsWithOneProbeAtATime(t *testing.T) {
