fix: let three servers that end at once under equal requests be enough

Callers saw three servers end together, and when they were back, three seconds later, four or five such calls at once: the rule allows three. Cause: ends within 0.2 s count as one round, so that a lost failure domain is no evidence against a part, and a second round was needed. A whole request that is shared by what three servers ran as they ended needs none, unless equal ones were answered shortly before. Each further end within a round now adds half of a round's weight for whole requests; parts are as before. 'three servers that end at once under equal requests, at several hosts' of TestWholeRequestsThatCrashBackendServers failed before.

--- a/internal/fleet/quarantiner/history.go
+++ b/internal/fleet/quarantiner/history.go
@@ -45,7 +45,7 @@
 	// evidence is the evidence against a part.
 	evidence struct {
 		// engines counts the processes that ended with the part, rounds those of them that ended
-		// roundGap after another one. score is the weight of the rounds.
+		// roundGap after another one. score is the weight of the rounds, and of further ends in them.
 		engines, rounds, score int
 		// until is the end of the quarantine.
 		until time.Time
@@ -57,11 +57,13 @@
 	// that is lost ends many at once.
 	roundGap = 200 * time.Millisecond
 	// begunWeight and placedWeight are the weights of a round in which a response with the part
-	// had begun, and of one in which none had. wholeWeight is that of a whole request: few
-	// requests are equal by chance.
-	begunWeight  = 2
-	placedWeight = 1
-	wholeWeight  = 2
+	// had begun, and of one in which none had. wholeWeight is that of a round of a whole request,
+	// and furtherWeight that of each further end within it: few requests are equal by chance, and
+	// equal ones may arrive together.
+	begunWeight   = 2
+	placedWeight  = 1
+	wholeWeight   = 2
+	furtherWeight = 1
 	// quarantineScore is the score from which on a part is quarantined, and recentlyHealthyScore
 	// that of a part that was healthy within healthMemory before the first crash.
 	quarantineScore      = 2 * begunWeight
@@ -212,6 +214,8 @@
 		if e.rounds == 0 || crash.at.Sub(lastRound) >= roundGap {
 			lastRound, roundWeight = crash.at, 0
 			e.rounds++
+		} else if IsWholeRequest(id) {
+			e.score += furtherWeight
 		}
 		e.score += max(crash.suspects[id]-roundWeight, 0)
 		roundWeight = max(crash.suspects[id], roundWeight)
--- a/internal/fleet/quarantiner/quarantiner_test.go
+++ b/internal/fleet/quarantiner/quarantiner_test.go
@@ -147,8 +147,28 @@
 			nil, [][]string{{deadly}},
 		},
 		{
-			"servers that end at once under equal requests count as one round",
+			"three servers that end at once under equal requests, at several hosts",
 			func(f *fleet) {
+				f.crashOf("s1", 0, false, deadly)
+				f.crashOf("s2", 1, false, deadly)
+				f.crashOf("s3", 2, false, deadly)
+			},
+			[][]string{{deadly}}, [][]string{{sound}},
+		},
+		{
+			"two servers that are lost together, the second one under a repeat of the same read",
+			func(f *fleet) {
+				f.crashOf("s1", 0, false, sound)
+				f.after(20 * time.Millisecond)
+				f.crashOf("s2", 0, false, sound)
+			},
+			nil, [][]string{{sound}},
+		},
+		{
+			"a popular read whose servers are all lost together, answered before",
+			func(f *fleet) {
+				f.healthy(1, sound)
+				f.after(time.Second)
 				f.crashOf("s1", 0, false, sound)
 				f.crashOf("s2", 1, false, sound)
 				f.crashOf("s3", 2, false, sound)
