fix: do not take an answer without an id on a kept connection for this request's

Whatever names no request on a connection that has served others now counts as a lost answer; on a new connection nothing earlier can come.

--- a/internal/fleet/forwarder/harness_test.go
+++ b/internal/fleet/forwarder/harness_test.go
@@ -59,6 +59,8 @@
 		mu sync.Mutex
 		// states holds the reported states of generations, oldest first.
 		states []*messenger.RunState
+		// requestID is the id of the requests that are sent.
+		requestID string
 		// place is the id of the engine for the next generation, copy that of the engine for its
 		// backup; empty for none.
 		place, copy string
@@ -181,7 +183,7 @@
 
 func newFixture(t *testing.T, standIns ...*standIn) *fixture {
 	t.Helper()
-	x := &fixture{t: t, tracker: &tracker.Tracker{Name: "host", SilenceTimeout: time.Minute}}
+	x := &fixture{t: t, requestID: "id-1", tracker: &tracker.Tracker{Name: "host", SilenceTimeout: time.Minute}}
 	x.join(standIns...)
 	service := []cataloger.Service{{Name: "plain"}, {Name: "engine", Engine: &cataloger.Engine{TokensPerEvent: 4, Slots: 8, Tokens: 1000}}}
 	route := func(path string, kind cataloger.Kind, service string) cataloger.Route {
@@ -276,7 +278,7 @@
 	x.t.Helper()
 	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
 	var request bytes.Buffer
-	fmt.Fprintf(&request, "POST %s HTTP/1.1\r\nHost: h\r\nT-Id: id-1\r\n%sContent-Length: %d\r\n\r\n%s", path, fields, len(body), body)
+	fmt.Fprintf(&request, "POST %s HTTP/1.1\r\nHost: h\r\nT-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", path, x.requestID, fields, len(body), body)
 	if _, err := c.Write(request.Bytes()); err != nil {
 		x.t.Fatal(err)
 	}
--- a/internal/fleet/sender/response.go
+++ b/internal/fleet/sender/response.go
@@ -28,7 +28,8 @@
 		Body   []byte
 		// Echo names the header field in which a response repeats the id of its request; "" if
 		// there is none. ID is that id, which Fields must hold as well. A response with another
-		// id is skipped, one without the field is accepted.
+		// id is skipped. One without the field is accepted on a new connection only: on others it
+		// may be an earlier response that is sent once more.
 		Echo string
 		ID   string
 	}
@@ -78,6 +79,7 @@
 	_ error = &LostError{}
 
 	errOtherResponses = errors.New("responses belong to other requests")
+	errNoID           = errors.New("response names no request on a connection that served others")
 )
 
 const (
@@ -199,7 +201,11 @@
 		if next.StatusCode >= 100 && next.StatusCode < 200 {
 			continue
 		}
-		if echoed := next.Header.Get(r.Echo); r.Echo != "" && echoed != "" && echoed != r.ID {
+		echoed := next.Header.Get(r.Echo)
+		if r.Echo != "" && echoed == "" && resp.conn.reused {
+			return errNoID
+		}
+		if r.Echo != "" && echoed != "" && echoed != r.ID {
 			skipped++
 			if skipped > maxOtherResponses {
 				return errOtherResponses
