fix: do not keep a connection on which an engine has declined a generation

The same report, for a request that comes to the same backend server twice under its id: only a generation does, when it is placed or resumed there again. The earlier refusal, written once more, names the same id and can't be told from a new one: the generation ran while its host took it for declined.

--- a/internal/fleet/forwarder/generation.go
+++ b/internal/fleet/forwarder/generation.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -19,8 +18,6 @@
 const (
 	// maxPlacements bounds the placements that are tried for one generation.
 	maxPlacements = 3
-	// maxDeclineBytes bounds how much is read of the body of a response that declines a request.
-	maxDeclineBytes = 64 << 10
 	// maxPendingOrders bounds the move orders that are queued for one generation.
 	maxPendingOrders = 4
 )
@@ -275,12 +272,8 @@
 		return nil, err
 	}
 	if s.f.notRun(resp) {
-		// Reads the rest of the body so that the connection can be reused.
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDeclineBytes)); err != nil {
-			resp.Abort()
-		} else {
-			resp.Done()
-		}
+		// The generation may come here again under its id, and must not find this response again.
+		resp.Abort()
 		return nil, errDeclined
 	}
 	return resp, nil
--- a/internal/fleet/forwarder/refusal_test.go
+++ b/internal/fleet/forwarder/refusal_test.go
@@ -48,3 +48,27 @@
 		})
 	}
 }
+
+func TestRefusalOfTheSameGenerationIsWrittenOnceMore(t *testing.T) {
+	var refused net.Conn
+	ran := 0
+	e := newStandIn(t, "e1", func(c net.Conn, seen seenRequest) bool {
+		if refused == nil {
+			refused = c
+			return answer(c, seen, http.StatusServiceUnavailable, "T-Not-Run: 1\r\n", "")
+		}
+		ran++
+		if c == refused {
+			answer(c, seen, http.StatusServiceUnavailable, "T-Not-Run: 1\r\n", "")
+		}
+		return streams(1, 3)(c, seen)
+	})
+	x := newFixture(t, e)
+	x.place = "e1"
+	if got := x.send("/stream/a", key, ""); got.status != http.StatusOK {
+		t.Errorf("answered with %d", got.status)
+	}
+	if ran != 1 {
+		t.Errorf("the generation ran %d times", ran)
+	}
+}
