--- /dev/null
+++ b/internal/control/replicator/flushing.go
@@ -0,0 +1,78 @@
+package replicator
+
+import (
+	"errors"
+
+	"verbenareach/internal/control/recorder"
+	"verbenareach/internal/event/logger"
+)
+
+// flushLoop makes queued records durable, all that are queued at a time.
+func (r *Replicator) flushLoop() {
+	for {
+		r.mu.Lock()
+		for r.running && r.queuedSeq == r.flushedSeq {
+			r.work.Wait()
+		}
+		if !r.running {
+			r.mu.Unlock()
+			return
+		}
+		seq, term := r.queuedSeq, r.term
+		last, _ := r.rec.Last()
+		r.mu.Unlock()
+		err := r.rec.Sync(seq)
+		r.mu.Lock()
+		if err != nil {
+			r.handleDiskError(err)
+			if r.running {
+				// While the disk is full, each tick wakes this loop for another attempt.
+				r.work.Wait()
+			}
+			r.mu.Unlock()
+			continue
+		}
+		r.clearDiskFull()
+		r.flushedSeq = seq
+		if r.term == term {
+			r.recordOwnFlush(last)
+		}
+		r.mu.Unlock()
+	}
+}
+
+// recordOwnFlush counts the host's own entries up to last, or its own vote, which have
+// become durable in its term.
+func (r *Replicator) recordOwnFlush(last uint64) {
+	switch r.role {
+	case leader:
+		r.selfMatch = max(r.selfMatch, last)
+		r.advanceCommit()
+	case candidate:
+		r.votes[r.rec.ID()] = true
+		r.countVotes()
+	}
+}
+
+// handleDiskError fails the host, except on a full disk: then the host refuses changes
+// until a sync succeeds, and as leader asks another voter to take over.
+func (r *Replicator) handleDiskError(err error) {
+	if full := new(recorder.FullError); !errors.As(err, &full) {
+		r.fail(err)
+		return
+	}
+	if !r.diskFull {
+		r.diskFull = true
+		r.emit(logger.ControlDiskFull, logger.F("error", err))
+	}
+	if target := r.transferTarget(); r.role == leader && target != nil {
+		r.sendTimeoutNow(target)
+	}
+}
+
+func (r *Replicator) clearDiskFull() {
+	if r.diskFull {
+		r.diskFull = false
+		r.emit(logger.ControlDiskSpaceFreed)
+	}
+}
