--- a/internal/fleet/keeper/keeper_test.go
+++ b/internal/fleet/keeper/keeper_test.go
@@ -224,7 +224,9 @@
 	} {
 		lost := tt.pick()
 		f.replace(lost, tt.successor)
+		started := time.Now()
 		f.await(catchUp, tt.name+" is replaced", func() bool { return f.votes(tt.successor) && !f.votes(lost.Self.Name) })
+		t.Logf("%s is replaced after %v", tt.name, time.Since(started))
 	}
 }
 
