feat: take a backend server's word in its answers that it leaves

The host that got such an answer sends that process nothing more, in touch or not; the others learn of it as of an engine that was asked whether it leaves. A placement that was made and not sent no longer draws on the budget for repeats.

--- a/internal/event/logger/fleetevents.go
+++ b/internal/event/logger/fleetevents.go
@@ -26,6 +26,7 @@
 	FleetHubLearned     = Event{6111, log.InfoLevel, "hub learned"}
 	FleetDialFailed     = Event{6112, log.WarnLevel, "hub could not be dialed"}
 	FleetIdentifyFailed = Event{6113, log.WarnLevel, "linked hub did not tell its identity"}
+	FleetBackendLeaving = Event{6114, log.InfoLevel, "backend server said in an answer that it leaves"}
 
 	// Events of the configuration.
 	FleetConfigAdopted   = Event{6201, log.InfoLevel, "configuration applied"}
@@ -66,7 +67,7 @@
 	fleetEvents = []Event{
 		FleetStarted, FleetStopping, FleetStopped, FleetReloaded, FleetReadiness, FleetPaused, TaskPanicked, FleetLinked, FleetUnlinked,
 		FleetMemberChanged, FleetLogFailed, FleetBackendChanged, FleetDeciderChanged, FleetInformFailed,
-		FleetUnknownGone, FleetEngineProbed, FleetMemberChanging, FleetHubLearned, FleetDialFailed, FleetIdentifyFailed, FleetConfigAdopted,
+		FleetUnknownGone, FleetEngineProbed, FleetMemberChanging, FleetHubLearned, FleetDialFailed, FleetIdentifyFailed, FleetBackendLeaving, FleetConfigAdopted,
 		FleetConfigSubmitted, FleetConfigRefused, FleetConfigRead, FleetConfigRejected, FleetReportRefused,
 		ForwardMalformed, ForwardRefused, ForwardFailed, ForwardAttemptFailed, ForwardServed, ForwardDisconnected, ForwardLost,
 		RunPlaced, RunMoving, RunMoved, RunMoveFailed, RunAborted, RunCopyReleased, RunLost,
--- a/internal/fleet/forwarder/call.go
+++ b/internal/fleet/forwarder/call.go
@@ -89,6 +89,11 @@
 			break
 		}
 		now := time.Now()
+		if f.Tracker.IsLeaving(b) {
+			// It said so while the request waited.
+			done(now, balancer.Unused)
+			continue
+		}
 		if d := f.Quarantine.Check(now, x.id, t.parts); !d.Admitted() {
 			done(now, balancer.Unused)
 			t.cause = &quarantinedError{decision: d}
--- a/internal/fleet/forwarder/dialect.go
+++ b/internal/fleet/forwarder/dialect.go
@@ -29,6 +29,8 @@
 		// RateLimit names the field in which a backend server's answers name the number of requests a
 		// second that it takes from all hosts together.
 		RateLimit string
+		// Leaves names the field in which a backend server that leaves says so in all its answers.
+		Leaves string
 		// Backup names the field with the address of the engine to copy memory to as it grows.
 		// Continue names the one with the memory to resume from: an address, a slash, and the run
 		// id of a backup there or the handle of a copy made from there. LastEvent names the one
--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -51,6 +51,9 @@
 		// request to one of them, as allocator.Allocator.Permit does.
 		Throttler *throttler.Throttler
 		Permit    func(ctx context.Context, b *messenger.Backend, maxWait time.Duration) (wait time.Duration, granted bool)
+		// OnLeaving is called when a backend server says in its answer to the request with an id that
+		// it leaves.
+		OnLeaving func(now time.Time, b *messenger.Backend, id string)
 		// Place requests a placement for a generation and waits for the decision.
 		Place func(ctx context.Context, req *messenger.PlaceRequest) (*messenger.Placement, error)
 		// ReportState passes the state of a generation on to the scheduler.
@@ -118,6 +121,8 @@
 	retryAfterUnready = time.Second
 	// retryAfterBusy is sent to clients when no backend server takes the request.
 	retryAfterBusy = 300 * time.Millisecond
+	// leavesValue is the value of Dialect.Leaves with which a backend server says that it leaves.
+	leavesValue = "1"
 )
 
 // Handle serves one request.
@@ -300,10 +305,25 @@
 	if err != nil {
 		return nil, err
 	}
-	f.Throttler.RecordAnswer(time.Now(), now, b, resp.Header.Values(f.Dialect.RateLimit))
+	received := time.Now()
+	f.Throttler.RecordAnswer(received, now, b, resp.Header.Values(f.Dialect.RateLimit))
+	if f.saysLeaving(resp) {
+		f.OnLeaving(received, b, x.id)
+	}
 	return resp, nil
 }
 
+// saysLeaving reports whether the backend server says in its answer that it leaves. A misdirected
+// request was answered by another process than the one it was meant for.
+func (f *Forwarder) saysLeaving(resp *sender.Response) bool {
+	if resp.Status == http.StatusMisdirectedRequest {
+		return false
+	}
+	return slices.ContainsFunc(resp.Header.Values(f.Dialect.Leaves), func(v string) bool {
+		return strings.TrimSpace(v) == leavesValue
+	})
+}
+
 // listItems returns the items of a header field whose value is a list.
 func listItems(value string) []string {
 	items := strings.Split(value, ",")
--- a/internal/fleet/forwarder/generation.go
+++ b/internal/fleet/forwarder/generation.go
@@ -150,6 +150,7 @@
 // can't be reached or decline. If that fails, it answers the client and returns false.
 func (s *stream) start(ctx context.Context) bool {
 	reason, cause := "no engine is ready", errNoBackend
+	sent := false
 	for range maxPlacements {
 		if ctx.Err() != nil {
 			break
@@ -171,14 +172,15 @@
 			logger.F("promptTokens", s.req.PromptTokens), logger.F("hintTokens", s.req.HintTokens),
 			logger.F("maxTokens", s.req.MaxTokens), logger.F("view", p.Reason), logger.F("parts", s.parts),
 			logger.F("waited", time.Since(now).Round(time.Millisecond)))
-		if s.backend == nil {
+		if s.backend == nil || s.f.Tracker.IsLeaving(s.backend) {
 			s.returnPlacement(p.Backend)
 			continue
 		}
-		if len(s.req.Avoid) > 0 && !s.f.Budget.AllowRetry(now, s.x.service.Name) {
+		if sent && !s.f.Budget.AllowRetry(now, s.x.service.Name) {
 			s.returnPlacement(p.Backend)
 			break
 		}
+		sent = true
 		err = s.send(ctx)
 		if err == nil {
 			return true
--- a/internal/fleet/forwarder/harness_test.go
+++ b/internal/fleet/forwarder/harness_test.go
@@ -70,7 +70,7 @@
 // dialect has names of its own, so that no test depends on the platform's.
 var dialect = Dialect{
 	RequestID: "T-Id", Deadline: "T-Left", Expect: "T-Only", Workspace: "T-Workspace", Signature: "T-Signed",
-	NotRun: "T-Not-Run", RateLimit: "T-Limit", Backup: "T-Backup", Continue: "T-Continue", LastEvent: "T-Last",
+	NotRun: "T-Not-Run", RateLimit: "T-Limit", Leaves: "T-Leaves", Backup: "T-Backup", Continue: "T-Continue", LastEvent: "T-Last",
 	Reserved:    []string{"t-reserved"},
 	ParseDemand: func(*receiver.Request) *messenger.PlaceRequest { return &messenger.PlaceRequest{PromptTokens: 10} },
 	Copy:        copyByCall, Release: releaseByCall,
@@ -207,7 +207,8 @@
 		Quarantine: &quarantiner.Quarantiner{Publish: func(string, *messenger.CrashReport) {}, OnQuarantine: func(time.Time) {}, OnChange: func() {}},
 		Throttler:  &throttler.Throttler{Publish: func(string, []*messenger.RateLimit) {}, Share: func() float64 { return 1 }},
 		Pool:       &sender.Pool{IdleTimeout: time.Minute}, Stopping: func() (time.Duration, bool) { return 0, false },
-		Observe: func(string, string, time.Duration) {}, ObserveFirstEvent: func(time.Duration) {}, ObserveGap: func(time.Duration) {},
+		OnLeaving: func(now time.Time, b *messenger.Backend, _ string) { x.tracker.MarkLeaving(now, b) },
+		Observe:   func(string, string, time.Duration) {}, ObserveFirstEvent: func(time.Duration) {}, ObserveGap: func(time.Duration) {},
 		Place: func(context.Context, *messenger.PlaceRequest) (*messenger.Placement, error) {
 			return &messenger.Placement{Backend: x.place, Backup: x.copy}, nil
 		},
--- /dev/null
+++ b/internal/fleet/forwarder/leaving_test.go
@@ -0,0 +1,90 @@
+package forwarder
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"verbenareach/internal/wire/messenger"
+)
+
+// saying returns a script that answers with a status and further header lines.
+func saying(status int, fields string) func(net.Conn, seenRequest) bool {
+	return func(c net.Conn, seen seenRequest) bool { return answer(c, seen, status, signed+fields, "whole") }
+}
+
+func TestServerThatSaysItLeavesGetsFurtherRequests(t *testing.T) {
+	const leaves = "T-Leaves: 1\r\n"
+	tests := []struct {
+		name    string
+		script  func(net.Conn, seenRequest) bool
+		further bool
+	}{
+		{"on an answer", saying(http.StatusOK, leaves), false},
+		{"on a failure", saying(http.StatusInternalServerError, leaves), false},
+		{"as it declines", saying(http.StatusServiceUnavailable, "T-Not-Run: 1\r\n"+leaves), false},
+		{"twice in one answer", saying(http.StatusOK, leaves+leaves), false},
+		{"beside another value", saying(http.StatusOK, "T-Leaves: 0\r\n"+leaves), false},
+		{"with spaces", saying(http.StatusOK, "T-Leaves:   1 \r\n"), false},
+		{"no value", saying(http.StatusOK, "T-Leaves: \r\n"), true},
+		{"another value", saying(http.StatusOK, "T-Leaves: true\r\n"), true},
+		{"a number of other digits", saying(http.StatusOK, "T-Leaves: 1.0\r\n"), true},
+		{"another process at its address", saying(http.StatusMisdirectedRequest, leaves), true},
+		{"on the answer to an earlier request", func(c net.Conn, seen seenRequest) bool {
+			_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\nT-Id: older\r\n"+leaves+"Content-Length: 0\r\n\r\n")
+			return answerOK(c, seen)
+		}, true},
+	}
+	for _, path := range []string{"/once/a", "/plain-stream/a"} {
+		for _, tt := range tests {
+			t.Run(path+" "+tt.name, func(t *testing.T) {
+				s := newStandIn(t, "s1", tt.script)
+				x := newFixture(t, s)
+				x.send(path, key, "first")
+				x.tracker.Heartbeat(time.Now(), &messenger.Backend{Id: "s1", Service: "plain", Address: s.address, Sequence: 7})
+				got := x.send("/once/b", key, "second")
+				if further := len(s.requests()) > 1; further != tt.further {
+					t.Errorf("further requests reach it: %v, want %v", further, tt.further)
+				}
+				if !tt.further && (got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "") {
+					t.Errorf("answered with %d, Retry-After %q", got.status, got.header.Get("Retry-After"))
+				}
+			})
+		}
+	}
+}
+
+func TestNewProcessInPlaceOfOneThatLeavesGetsRequests(t *testing.T) {
+	s := newStandIn(t, "s1", func(c net.Conn, seen seenRequest) bool {
+		if seen.n == 1 {
+			return answer(c, seen, http.StatusOK, signed+"T-Leaves: 1\r\n", "")
+		}
+		return answerOK(c, seen)
+	})
+	x := newFixture(t, s)
+	x.send("/once/a", key, "first")
+	x.tracker.Heartbeat(time.Now(), &messenger.Backend{Id: "s1", Service: "plain", Address: s.address, Started: 5, Sequence: 1})
+	if got := x.send("/once/a", key, "second"); got.status != http.StatusOK {
+		t.Errorf("answered with %d", got.status)
+	}
+}
+
+func TestGenerationIsSentToAnEngineThatSaidItLeaves(t *testing.T) {
+	e1 := newStandIn(t, "e1", saying(http.StatusOK, "T-Leaves: 1\r\n"))
+	e2 := newStandIn(t, "e2", streams(1, 3))
+	x := newFixture(t, e1, e2)
+	x.tracker.MarkLeaving(time.Now(), x.tracker.Find("e1"))
+	placed := 0
+	place := x.forwarder.Place
+	x.forwarder.Place = func(ctx context.Context, req *messenger.PlaceRequest) (*messenger.Placement, error) {
+		placed++
+		x.place = fmt.Sprintf("e%d", min(placed, 2))
+		return place(ctx, req)
+	}
+	if got := x.send("/stream/a", key, ""); got.status != http.StatusOK || len(e1.requests()) > 0 {
+		t.Errorf("answered with %d, %d requests reached the engine that leaves", got.status, len(e1.requests()))
+	}
+}
--- a/internal/fleet/forwarder/move.go
+++ b/internal/fleet/forwarder/move.go
@@ -208,6 +208,9 @@
 	if d := s.f.Quarantine.Check(now, s.x.id, s.parts); !d.Admitted() {
 		return nil, &quarantinedError{decision: d}
 	}
+	if s.f.Tracker.IsLeaving(to) {
+		return nil, errDeclined
+	}
 	resp, err := s.open(ctx, to, resumeTimeout, fields...)
 	if err != nil {
 		return nil, err
--- a/internal/fleet/informer/informer.go
+++ b/internal/fleet/informer/informer.go
@@ -82,6 +82,20 @@
 	}
 }
 
+// DepartByAnswer records and passes on that a process has said in its answer to a request that it
+// leaves. id is the request's id.
+func (i *Informer) DepartByAnswer(now time.Time, b *messenger.Backend, id string) {
+	report, news := i.Tracker.MarkLeaving(now, b)
+	if !news {
+		return
+	}
+	i.Log.Emit(now, logger.FleetBackendLeaving, id, logger.F("backend", b.Id), logger.F("started", b.Started),
+		logger.F("known", report == nil))
+	if report != nil {
+		i.publish(now, "", []*messenger.Backend{report})
+	}
+}
+
 // Remove records a backend server's report that it has left, and passes it on as Report does. A
 // backend server that is unknown here may be known to other hosts.
 func (i *Informer) Remove(ctx context.Context, now time.Time, id string) error {
--- a/internal/fleet/tracker/tracker.go
+++ b/internal/fleet/tracker/tracker.go
@@ -35,6 +35,9 @@
 		lastReport time.Time
 		// avoidUntil is the end of the time for which Ready leaves the backend server out.
 		avoidUntil time.Time
+		// leaving is set once the process has said in an answer to this host that it leaves. Only
+		// another process ends that.
+		leaving bool
 		// stateChanged is when the state last changed; entries that are gone or silent are
 		// dropped forgetAfter later.
 		stateChanged time.Time
@@ -89,6 +92,31 @@
 	return t.setState(now, e, messenger.Backend_STATE_DRAINING)
 }
 
+// MarkLeaving records that a process has said in an answer to this host that it leaves: Ready leaves
+// it out from then on, whatever it reports. news is set if that was not known; report is then the one
+// to pass on, nil if the other hosts know already that it leaves. A later report counts for them.
+func (t *Tracker) MarkLeaving(now time.Time, b *messenger.Backend) (report *messenger.Backend, news bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[b.Id]
+	if e == nil || e.report.Started != b.Started || e.leaving {
+		return nil, false
+	}
+	e.leaving = true
+	if e.report.State != messenger.Backend_STATE_READY {
+		return nil, true
+	}
+	return t.setState(now, e, messenger.Backend_STATE_DRAINING), true
+}
+
+// IsLeaving reports whether a process has said in an answer to this host that it leaves.
+func (t *Tracker) IsLeaving(b *messenger.Backend) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[b.Id]
+	return e != nil && e.leaving && e.report.Started == b.Started
+}
+
 // MarkGone marks a backend server that announced its end as gone. It returns the report to pass
 // on; nil if the backend server is unknown or gone already.
 func (t *Tracker) MarkGone(now time.Time, id string) *messenger.Backend {
@@ -147,7 +175,7 @@
 	defer t.mu.Unlock()
 	var preferred, avoided []*messenger.Backend
 	for _, e := range t.entries {
-		if e.report.Service != service || e.report.State != messenger.Backend_STATE_READY {
+		if e.report.Service != service || e.report.State != messenger.Backend_STATE_READY || e.leaving {
 			continue
 		}
 		if now.Before(e.avoidUntil) {
@@ -193,6 +221,9 @@
 		e = &entry{stateChanged: now}
 		t.entries[r.Id] = e
 	}
+	if e.report != nil && e.report.Started != r.Started {
+		e.leaving = false
+	}
 	if e.report == nil || e.report.State != r.State || e.report.Started != r.Started {
 		e.stateChanged = now
 		e.avoidUntil = time.Time{}
--- a/internal/fleet/tracker/tracker_test.go
+++ b/internal/fleet/tracker/tracker_test.go
@@ -140,3 +140,32 @@
 		t.Error("a later report does not replace the mark")
 	}
 }
+
+func TestProcessThatSaidItLeavesIsLeftOutUntilAnotherOne(t *testing.T) {
+	here, there := &Tracker{Name: "here"}, &Tracker{Name: "there"}
+	for _, tr := range []*Tracker{here, there} {
+		tr.Heartbeat(start, report("a", "1", 5, 3, ready))
+	}
+	process := here.Find("a")
+	told, news := here.MarkLeaving(start, process)
+	if _, again := here.MarkLeaving(start, process); told == nil || !news || again {
+		t.Fatal("a ready process is marked once")
+	}
+	there.Merge(start, []*messenger.Backend{told})
+	if n := len(there.Ready(start, "engine")); n != 0 {
+		t.Errorf("%d are ready at another host, want 0", n)
+	}
+	for _, tr := range []*Tracker{here, there} {
+		tr.Merge(start, []*messenger.Backend{report("a", "1", 5, 4, ready)})
+	}
+	if got := len(here.Ready(start, "engine")); got != 0 || len(there.Ready(start, "engine")) != 1 {
+		t.Errorf("a later report makes it ready at %d hosts that heard it, want 0, and at another host not", got)
+	}
+	if _, late := here.MarkLeaving(start, report("a", "1", 4, 1, ready)); late {
+		t.Error("an answer of an earlier process is news")
+	}
+	here.Merge(start, []*messenger.Backend{report("a", "1", 6, 1, ready)})
+	if here.IsLeaving(process) || len(here.Ready(start, "engine")) != 1 {
+		t.Error("another process of the same id is left out")
+	}
+}
