--- a/internal/event/logger/fleetevents.go
+++ b/internal/event/logger/fleetevents.go
@@ -63,6 +63,8 @@
 
 	// Events of the limits that backend servers set.
 	BackendLimited = Event{6601, log.InfoLevel, "backend server changed the limit on its requests"}
+	// BackendPaused concerns the host that logs it alone.
+	BackendPaused = Event{6602, log.InfoLevel, "backend server asked this host for a pause"}
 
 	fleetEvents = []Event{
 		FleetStarted, FleetStopping, FleetStopped, FleetReloaded, FleetReadiness, FleetPaused, TaskPanicked, FleetLinked, FleetUnlinked,
@@ -72,6 +74,6 @@
 		ForwardMalformed, ForwardRefused, ForwardFailed, ForwardAttemptFailed, ForwardServed, ForwardDisconnected, ForwardLost,
 		RunPlaced, RunMoving, RunMoved, RunMoveFailed, RunAborted, RunCopyReleased, RunLost,
 		PartQuarantined, PartReleased, PartProbed, PartsNotStored,
-		BackendLimited,
+		BackendLimited, BackendPaused,
 	}
 )
--- a/internal/fleet/forwarder/call.go
+++ b/internal/fleet/forwarder/call.go
@@ -89,7 +89,7 @@
 			break
 		}
 		now := time.Now()
-		if f.Tracker.IsLeaving(b) {
+		if f.unavailable(now, b) {
 			// It said so while the request waited.
 			done(now, balancer.Unused)
 			continue
--- a/internal/fleet/forwarder/choice.go
+++ b/internal/fleet/forwarder/choice.go
@@ -33,9 +33,12 @@
 	return fmt.Sprintf("the limits of all backend servers are reached for %v", e.wait.Round(time.Millisecond))
 }
 
-func (e *throttledError) retryAfter() time.Duration {
+func (e *throttledError) retryAfter() time.Duration { return spreadRetry(e.wait) }
+
+// spreadRetry returns the retry delay of a request that may be sent after a time.
+func spreadRetry(wait time.Duration) time.Duration {
 	spread := retrySpread * rand.Float64() //nolint:gosec // Not security-relevant: it spreads retries.
-	return max(retryAfterBusy, time.Duration((1+spread)*float64(e.wait)))
+	return max(retryAfterBusy, time.Duration((1+spread)*float64(wait)))
 }
 
 // choose chooses the backend server for the next attempt of a request, other than those in tried, and
@@ -46,7 +49,10 @@
 	for ctx.Err() == nil {
 		now := time.Now()
 		left := x.r.Arrived.Add(x.route.Objective).Sub(now)
-		unthrottled, next := f.splitThrottled(now, x.service.Name, tried)
+		unthrottled, next, pause := f.splitThrottled(now, x.service.Name, tried)
+		if len(unthrottled) == 0 && next == nil && pause > 0 {
+			return nil, nil, &pausedError{wait: pause}
+		}
 		candidates, maxWait := unthrottled, time.Duration(0)
 		if len(unthrottled) == 0 && next != nil {
 			maxWait = time.Duration(throttleShare * float64(max(left, 0)))
@@ -73,13 +79,22 @@
 }
 
 // splitThrottled returns the ready backend servers of a service, without those in tried, to which a
-// request may be sent now, and of the others the one to which one may be sent first; nil for none.
-func (f *Forwarder) splitThrottled(now time.Time, service string, tried []string) (unthrottled []*messenger.Backend, next *messenger.Backend) {
+// request may be sent now, and of the others the one whose limit allows one first; nil for none. Those
+// that asked for a pause are left out; pause is the shortest time that is left of one, 0 for none.
+func (f *Forwarder) splitThrottled(
+	now time.Time, service string, tried []string,
+) (unthrottled []*messenger.Backend, next *messenger.Backend, pause time.Duration) {
 	shortest := time.Duration(0)
 	for _, b := range f.Tracker.Ready(now, service) {
 		if slices.Contains(tried, b.Id) {
 			continue
 		}
+		if left := f.Tracker.PauseLeft(now, b); left > 0 {
+			if pause == 0 || left < pause {
+				pause = left
+			}
+			continue
+		}
 		wait := f.Throttler.Wait(now, b)
 		if wait == 0 {
 			unthrottled = append(unthrottled, b)
@@ -89,7 +104,7 @@
 			next, shortest = b, wait
 		}
 	}
-	return unthrottled, next
+	return unthrottled, next, pause
 }
 
 // permitted reports whether a request may be sent to a backend server, and waits until then, for
--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -310,6 +310,7 @@
 	if f.saysLeaving(resp) {
 		f.OnLeaving(received, b, x.id)
 	}
+	f.recordPause(received, x, b, resp)
 	return resp, nil
 }
 
--- a/internal/fleet/forwarder/generation.go
+++ b/internal/fleet/forwarder/generation.go
@@ -176,6 +176,11 @@
 			s.returnPlacement(p.Backend)
 			continue
 		}
+		if left := s.f.Tracker.PauseLeft(time.Now(), s.backend); left > 0 {
+			cause = &pausedError{wait: left}
+			s.returnPlacement(p.Backend)
+			continue
+		}
 		if sent && !s.f.Budget.AllowRetry(now, s.x.service.Name) {
 			s.returnPlacement(p.Backend)
 			break
--- a/internal/fleet/forwarder/move.go
+++ b/internal/fleet/forwarder/move.go
@@ -208,7 +208,7 @@
 	if d := s.f.Quarantine.Check(now, s.x.id, s.parts); !d.Admitted() {
 		return nil, &quarantinedError{decision: d}
 	}
-	if s.f.Tracker.IsLeaving(to) {
+	if s.f.unavailable(now, to) {
 		return nil, errDeclined
 	}
 	resp, err := s.open(ctx, to, resumeTimeout, fields...)
--- a/internal/fleet/prober/prober.go
+++ b/internal/fleet/prober/prober.go
@@ -22,6 +22,8 @@
 	Linked  func() []*messenger.FleetHost
 	// IsEngine reports whether the backend servers of a service are engines.
 	IsEngine func(service string) bool
+	// IsPaused reports whether an engine has asked this host for a pause.
+	IsPaused func(now time.Time, b *messenger.Backend) bool
 	// Leaving asks the engine at address whether it is about to leave.
 	Leaving func(ctx context.Context, address string) (bool, error)
 	// OnLeaving is called with the id of each engine that is.
@@ -62,6 +64,9 @@
 		if r.State != messenger.Backend_STATE_READY || keepers[r.Keeper] || !p.IsEngine(r.Service) {
 			continue
 		}
+		if p.IsPaused(now, r) {
+			continue
+		}
 		next[r.Id] = p.nextProbe[r.Id]
 		if now.Before(next[r.Id]) || len(due) >= maxProbes {
 			continue
--- a/internal/fleet/prober/prober_test.go
+++ b/internal/fleet/prober/prober_test.go
@@ -20,12 +20,24 @@
 // newProber returns the prober of a hub that is linked to the host "linked".
 func newProber(reports ...*messenger.Backend) *Prober {
 	return &Prober{
-		Self: "self", Log: &logger.Logger{}, Reports: func() []*messenger.Backend { return reports },
+		IsPaused: func(time.Time, *messenger.Backend) bool { return false },
+		Self:     "self", Log: &logger.Logger{}, Reports: func() []*messenger.Backend { return reports },
 		Linked:   func() []*messenger.FleetHost { return []*messenger.FleetHost{{Name: "linked"}} },
 		IsEngine: func(service string) bool { return service == "llm" },
 	}
 }
 
+func TestEngineInItsPauseIsProbed(t *testing.T) {
+	p := newProber(report("a", "llm", "lost", messenger.Backend_STATE_READY))
+	p.IsPaused = func(now time.Time, _ *messenger.Backend) bool { return now.Before(start.Add(time.Second)) }
+	if n := len(p.due(start)); n != 0 {
+		t.Errorf("%d are due in the pause, want 0", n)
+	}
+	if n := len(p.due(start.Add(time.Second))); n != 1 {
+		t.Errorf("%d are due after it, want 1", n)
+	}
+}
+
 func TestOnlyReadyEnginesOfLostKeepersAreDue(t *testing.T) {
 	tests := []struct {
 		name   string
--- a/internal/fleet/runner/build.go
+++ b/internal/fleet/runner/build.go
@@ -40,6 +40,7 @@
 		Leaving: func(ctx context.Context, address string) (bool, error) {
 			return h.Dialect.Leaving(ctx, h.pool, address)
 		},
+		IsPaused:  func(now time.Time, b *messenger.Backend) bool { return h.tracker.PauseLeft(now, b) > 0 },
 		OnLeaving: h.informer.Depart, Log: h.Log,
 	}
 	budget := &budgeter.Budgeter{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow, Hosts: h.estimateHosts}
--- a/internal/fleet/tracker/tracker.go
+++ b/internal/fleet/tracker/tracker.go
@@ -38,6 +38,8 @@
 		// leaving is set once the process has said in an answer to this host that it leaves. Only
 		// another process ends that.
 		leaving bool
+		// pausedUntil is the end of the pause for which the process has asked this host.
+		pausedUntil time.Time
 		// stateChanged is when the state last changed; entries that are gone or silent are
 		// dropped forgetAfter later.
 		stateChanged time.Time
@@ -117,6 +119,30 @@
 	return e != nil && e.leaving && e.report.Started == b.Started
 }
 
+// Pause records that a process has asked this host for a pause until a time. A pause is never
+// shortened. It returns whether it is news.
+func (t *Tracker) Pause(b *messenger.Backend, until time.Time) (news bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[b.Id]
+	if e == nil || e.report.Started != b.Started || !until.After(e.pausedUntil) {
+		return false
+	}
+	e.pausedUntil = until
+	return true
+}
+
+// PauseLeft returns how long this host may send nothing to a process that has asked it for a pause.
+func (t *Tracker) PauseLeft(now time.Time, b *messenger.Backend) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[b.Id]
+	if e == nil || e.report.Started != b.Started {
+		return 0
+	}
+	return max(e.pausedUntil.Sub(now), 0)
+}
+
 // MarkGone marks a backend server that announced its end as gone. It returns the report to pass
 // on; nil if the backend server is unknown or gone already.
 func (t *Tracker) MarkGone(now time.Time, id string) *messenger.Backend {
@@ -222,7 +248,7 @@
 		t.entries[r.Id] = e
 	}
 	if e.report != nil && e.report.Started != r.Started {
-		e.leaving = false
+		e.leaving, e.pausedUntil = false, time.Time{}
 	}
 	if e.report == nil || e.report.State != r.State || e.report.Started != r.Started {
 		e.stateChanged = now
