--- a/internal/fleet/forwarder/call.go
+++ b/internal/fleet/forwarder/call.go
@@ -139,7 +139,7 @@
 		t.reached++
 	}
 	if errors.As(err, &lost) {
-		f.recordCallLoss(ctx, x, t.parts[0], b, err)
+		f.recordCallLoss(ctx, x, t.parts, b, err)
 	}
 	f.Log.Emit(time.Now(), logger.ForwardAttemptFailed, x.id, logger.F("backend", b.Id), logger.F("cause", err),
 		logger.F("tried", len(t.tried)), logger.F("mayHaveRun", x.mayHaveRun))
--- a/internal/fleet/forwarder/choice.go
+++ b/internal/fleet/forwarder/choice.go
@@ -49,7 +49,7 @@
 	for ctx.Err() == nil {
 		now := time.Now()
 		left := x.r.Arrived.Add(x.route.Objective).Sub(now)
-		unthrottled, next, pause := f.splitThrottled(now, x.service.Name, tried)
+		unthrottled, next, pause := f.splitCandidates(now, x.service.Name, tried)
 		if len(unthrottled) == 0 && next == nil && pause > 0 {
 			return nil, nil, &pausedError{wait: pause}
 		}
@@ -78,10 +78,10 @@
 	return nil, nil, ctx.Err()
 }
 
-// splitThrottled returns the ready backend servers of a service, without those in tried, to which a
+// splitCandidates returns the ready backend servers of a service, without those in tried, to which a
 // request may be sent now, and of the others the one whose limit allows one first; nil for none. Those
 // that asked for a pause are left out; pause is the shortest time that is left of one, 0 for none.
-func (f *Forwarder) splitThrottled(
+func (f *Forwarder) splitCandidates(
 	now time.Time, service string, tried []string,
 ) (unthrottled []*messenger.Backend, next *messenger.Backend, pause time.Duration) {
 	shortest := time.Duration(0)
--- a/internal/fleet/forwarder/loss.go
+++ b/internal/fleet/forwarder/loss.go
@@ -71,11 +71,11 @@
 }
 
 // recordCallLoss records that a backend server lost a call. If ctx has ended nothing is recorded.
-func (f *Forwarder) recordCallLoss(ctx context.Context, x *exchange, whole string, b *messenger.Backend, cause error) {
+func (f *Forwarder) recordCallLoss(ctx context.Context, x *exchange, parts []string, b *messenger.Backend, cause error) {
 	if ctx.Err() != nil {
 		return
 	}
-	l := loss{f: f, event: logger.ForwardLost, run: x.id, backend: b, at: time.Now(), parts: []string{whole}, cause: cause}
+	l := loss{f: f, event: logger.ForwardLost, run: x.id, backend: b, at: time.Now(), parts: parts, cause: cause}
 	go l.record(context.WithoutCancel(ctx))
 }
 
--- a/internal/fleet/linker/linker.go
+++ b/internal/fleet/linker/linker.go
@@ -190,8 +190,8 @@
 }
 
 // HandleIntroduction answers an introduction, which may be this host's own. It remembers the
-// host if it is a hub, and tells the linked hosts of a new one. The reply names the founders only to a bootstrapping host, and only
-// once they are decided.
+// host if it is a hub, and tells the linked hosts of a new one. The reply names the founders
+// only to a bootstrapping host, and only once they are decided.
 func (l *Linker) HandleIntroduction(now time.Time, req *messenger.IntroduceRequest) *messenger.IntroduceReply {
 	if learned := l.learnHubs(now, []*messenger.FleetHost{req.Host}); len(learned) > 0 {
 		l.EnqueueAll(req.Host.Name, func(m *messenger.LinkMessage) { m.Hubs = append(m.Hubs, learned...) })
