--- a/internal/fleet/keeper/keeper_test.go
+++ b/internal/fleet/keeper/keeper_test.go
@@ -76,7 +76,7 @@
 	for _, host := range founders {
 		f.start(host, founders)
 	}
-	f.await(catchUp, "a leader", func() bool { return f.leader() != nil })
+	f.await("a leader", func() bool { return f.leader() != nil })
 	return f
 }
 
@@ -164,11 +164,12 @@
 	})
 }
 
-func (f *testFleet) await(timeout time.Duration, what string, done func() bool) {
+// await waits until done returns true, for catchUp at most.
+func (f *testFleet) await(what string, done func() bool) {
 	f.t.Helper()
-	for end := time.Now().Add(timeout); !done(); time.Sleep(20 * time.Millisecond) {
+	for end := time.Now().Add(catchUp); !done(); time.Sleep(20 * time.Millisecond) {
 		if time.Now().After(end) {
-			f.t.Fatalf("not within %v: %s", timeout, what)
+			f.t.Fatalf("not within %v: %s", catchUp, what)
 		}
 	}
 }
@@ -197,7 +198,7 @@
 	time.Sleep(electionTimeout + 2*checkInterval)
 	f.start(&messenger.FleetHost{Name: "d", Address: freeAddress(t), Hub: true}, nil)
 	f.unlink(lost)
-	f.await(catchUp, "the successor votes and the lost hub does not", func() bool {
+	f.await("the successor votes and the lost hub does not", func() bool {
 		return f.votes("d") && !f.votes(lost.Self.Name)
 	})
 }
@@ -225,7 +226,7 @@
 		lost := tt.pick()
 		f.replace(lost, tt.successor)
 		started := time.Now()
-		f.await(catchUp, tt.name+" is replaced", func() bool { return f.votes(tt.successor) && !f.votes(lost.Self.Name) })
+		f.await(tt.name+" is replaced", func() bool { return f.votes(tt.successor) && !f.votes(lost.Self.Name) })
 		t.Logf("%s is replaced after %v", tt.name, time.Since(started))
 	}
 }
@@ -237,7 +238,7 @@
 	first := f.replace(lost, "d")
 	time.Sleep(2 * checkInterval)
 	f.replace(first, "e")
-	f.await(catchUp, "the second successor votes and the first hub does not", func() bool {
+	f.await("the second successor votes and the first hub does not", func() bool {
 		return f.votes("e") && !f.votes(lost.Self.Name)
 	})
 }
