fix: draw the addresses of test hosts while all are held open

The failure is that of a second host with the first one's address. The new tests of keeper drew so too, on 127.0.0.1; they keep their listeners now, on an address of their process.

--- a/internal/control/controller/controller_test.go
+++ b/internal/control/controller/controller_test.go
@@ -20,18 +20,35 @@
 	goleak.VerifyTestMain(m)
 }
 
-// freeAddress returns a loopback address that nothing listens on. Its IP number is
-// derived from the process id, so that no other process takes the port meanwhile.
-func freeAddress(t *testing.T) string {
+// freeAddresses returns n different loopback addresses that nothing listens on. Their IP number is
+// derived from the process id, so that no other process takes the ports meanwhile. All are held open
+// until the last one is drawn.
+func freeAddresses(t *testing.T, n int) (addresses []string) {
 	t.Helper()
 	pid := os.Getpid()
 	ip := net.IPv4(127, 80+byte(pid>>16), byte(pid>>8), byte(pid))
-	lis, err := net.Listen("tcp", net.JoinHostPort(ip.String(), "0"))
-	if err != nil {
-		t.Fatal(err)
+	for range n {
+		lis, err := net.Listen("tcp", net.JoinHostPort(ip.String(), "0"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer lis.Close()
+		addresses = append(addresses, lis.Addr().String())
+	}
+	return addresses
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	return freeAddresses(t, 1)[0]
+}
+
+func TestHostsGetTheSameAddress(t *testing.T) {
+	for range 20_000 {
+		if a := freeAddresses(t, 3); a[0] == a[1] || a[1] == a[2] || a[0] == a[2] {
+			t.Fatalf("the same address twice: %v", a)
+		}
 	}
-	defer lis.Close()
-	return lis.Addr().String()
 }
 
 // background runs f until the test ends.
--- a/internal/control/controller/partition_test.go
+++ b/internal/control/controller/partition_test.go
@@ -116,9 +116,9 @@
 	t.Helper()
 	c := &testCluster{}
 	var peers []parser.Peer
-	var listens, addresses []string
+	var addresses []string
+	listens := freeAddresses(t, 3)
 	for i := range 3 {
-		listens = append(listens, freeAddress(t))
 		addresses = append(addresses, listens[i])
 		c.proxies = append(c.proxies, newFreezableProxy(t, listens[i]))
 		peers = append(peers, parser.Peer{Name: fmt.Sprint("control-", i), Address: c.proxies[i].address})
--- a/internal/control/controller/replication_test.go
+++ b/internal/control/controller/replication_test.go
@@ -59,8 +59,8 @@
 	folder := t.TempDir()
 	var settings []parser.Control
 	var peers []parser.Peer
-	for i := range 3 {
-		peers = append(peers, parser.Peer{Name: fmt.Sprint("control-", i), Address: freeAddress(t)})
+	for i, address := range freeAddresses(t, 3) {
+		peers = append(peers, parser.Peer{Name: fmt.Sprint("control-", i), Address: address})
 	}
 	hosts := make([]*runningHost, 3)
 	for i, p := range peers {
--- a/internal/fleet/keeper/keeper_test.go
+++ b/internal/fleet/keeper/keeper_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"os"
 	"slices"
 	"sync"
 	"testing"
@@ -70,18 +72,28 @@
 		}
 	})
 	var founders []*messenger.FleetHost
+	var listeners []net.Listener
 	for _, name := range names {
-		founders = append(founders, &messenger.FleetHost{Name: name, Address: freeAddress(t), Hub: true})
+		l := listenOn(t, 0)
+		listeners = append(listeners, l)
+		founders = append(founders, &messenger.FleetHost{Name: name, Address: l.Addr().String(), Hub: true})
 	}
-	for _, host := range founders {
-		f.start(host, founders)
+	for i, host := range founders {
+		f.start(host, listeners[i], founders)
 	}
 	f.await("a leader", func() bool { return f.leader() != nil })
 	return f
 }
 
-// start runs an empty hub, at the first start of the fleet with its founders.
-func (f *testFleet) start(self *messenger.FleetHost, founders []*messenger.FleetHost) *testHub {
+// startSuccessor runs an empty hub under a new name.
+func (f *testFleet) startSuccessor(name string) *testHub {
+	f.t.Helper()
+	l := listenOn(f.t, 0)
+	return f.start(&messenger.FleetHost{Name: name, Address: l.Addr().String(), Hub: true}, l, nil)
+}
+
+// start runs an empty hub that listens on l, at the first start of the fleet with its founders.
+func (f *testFleet) start(self *messenger.FleetHost, l net.Listener, founders []*messenger.FleetHost) *testHub {
 	f.t.Helper()
 	h := &testHub{linked: true}
 	h.Keeper = &Keeper{
@@ -93,7 +105,6 @@
 	if err := messenger.DRPCRegisterPeers(mux, peerServer{h.Keeper}); err != nil {
 		f.t.Fatal(err)
 	}
-	l := listenOn(f.t, self.Address)
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop = cancel
 	h.done.Go(func() { _ = drpcserver.NewWithOptions(mux, replicator.ServerOptions()).Serve(ctx, l) })
@@ -113,7 +124,11 @@
 	h.lost = true
 	f.mu.Unlock()
 	// Connections are taken by the kernel and never accepted.
-	l := listenOn(f.t, h.Self.Address)
+	address, err := net.ResolveTCPAddr("tcp", h.Self.Address)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	l := listenOn(f.t, address.Port)
 	f.t.Cleanup(func() { _ = l.Close() })
 }
 
@@ -174,15 +189,12 @@
 	}
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l := listenOn(t, "127.0.0.1:0")
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
-func listenOn(t *testing.T, address string) net.Listener {
+// listenOn listens on a port, on any for 0, of a loopback address that follows from the process id, so
+// that no other process takes the port.
+func listenOn(t *testing.T, port int) net.Listener {
 	t.Helper()
+	pid := os.Getpid()
+	address := fmt.Sprintf("127.%d.%d.%d:%d", 100+pid>>16&0x1f, pid>>8&0xff, pid&0xff, port)
 	l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", address)
 	if err != nil {
 		t.Fatal(err)
@@ -196,7 +208,7 @@
 	lost := f.follower()
 	f.lose(lost)
 	time.Sleep(electionTimeout + 2*checkInterval)
-	f.start(&messenger.FleetHost{Name: "d", Address: freeAddress(t), Hub: true}, nil)
+	f.startSuccessor("d")
 	f.unlink(lost)
 	f.await("the successor votes and the lost hub does not", func() bool {
 		return f.votes("d") && !f.votes(lost.Self.Name)
@@ -209,7 +221,7 @@
 	f.lose(lost)
 	time.Sleep(electionTimeout)
 	f.unlink(lost)
-	return f.start(&messenger.FleetHost{Name: successor, Address: freeAddress(f.t), Hub: true}, nil)
+	return f.startSuccessor(successor)
 }
 
 // TestReplacedHubStillVotes replaces hubs in a row; each time the next loss must be bearable again.
