fix: leave servers in their pause out where all choices of servers begin

The pause was a layer above tracker.Ready, with a lock for each server of each call. Callers would have seen: an avoided server goes unused while all others pause, and a request that met all pauses itself is told to come back after 0.3 s. Ready leaves servers in their pause out, as it does those that leave; the shortest pause is asked for only when no server is left. TestRequestThatMeetsAllPausesIsToldToComeBackTooSoon and TestAvoidedServerIsLeftOutWhileAllOthersPause failed before (Retry-After 0.300; 503).

--- a/internal/fleet/forwarder/choice.go
+++ b/internal/fleet/forwarder/choice.go
@@ -49,10 +49,7 @@
 	for ctx.Err() == nil {
 		now := time.Now()
 		left := x.r.Arrived.Add(x.route.Objective).Sub(now)
-		unthrottled, next, pause := f.splitCandidates(now, x.service.Name, tried)
-		if len(unthrottled) == 0 && next == nil && pause > 0 {
-			return nil, nil, &pausedError{wait: pause}
-		}
+		unthrottled, next := f.splitThrottled(now, x.service.Name, tried)
 		candidates, maxWait := unthrottled, time.Duration(0)
 		if len(unthrottled) == 0 && next != nil {
 			maxWait = time.Duration(throttleShare * float64(max(left, 0)))
@@ -68,6 +65,9 @@
 		case b != nil:
 			done(now, balancer.Unused)
 		case !full:
+			if pause := f.Tracker.ServicePause(now, x.service.Name); pause > 0 {
+				return nil, nil, &pausedError{wait: pause}
+			}
 			return nil, nil, errNoBackend
 		case left <= 0:
 			return nil, nil, errFull
@@ -78,23 +78,14 @@
 	return nil, nil, ctx.Err()
 }
 
-// splitCandidates returns the ready backend servers of a service, without those in tried, to which a
-// request may be sent now, and of the others the one whose limit allows one first; nil for none. Those
-// that asked for a pause are left out; pause is the shortest time that is left of one, 0 for none.
-func (f *Forwarder) splitCandidates(
-	now time.Time, service string, tried []string,
-) (unthrottled []*messenger.Backend, next *messenger.Backend, pause time.Duration) {
+// splitThrottled returns the ready backend servers of a service, without those in tried, to which a
+// request may be sent now, and of the others the one to which one may be sent first; nil for none.
+func (f *Forwarder) splitThrottled(now time.Time, service string, tried []string) (unthrottled []*messenger.Backend, next *messenger.Backend) {
 	shortest := time.Duration(0)
 	for _, b := range f.Tracker.Ready(now, service) {
 		if slices.Contains(tried, b.Id) {
 			continue
 		}
-		if left := f.Tracker.PauseLeft(now, b); left > 0 {
-			if pause == 0 || left < pause {
-				pause = left
-			}
-			continue
-		}
 		wait := f.Throttler.Wait(now, b)
 		if wait == 0 {
 			unthrottled = append(unthrottled, b)
@@ -104,7 +95,7 @@
 			next, shortest = b, wait
 		}
 	}
-	return unthrottled, next, pause
+	return unthrottled, next
 }
 
 // permitted reports whether a request may be sent to a backend server, and waits until then, for
--- a/internal/fleet/forwarder/pause_test.go
+++ b/internal/fleet/forwarder/pause_test.go
@@ -168,3 +168,22 @@
 		t.Errorf("the generation that ran there ends with %d, %v", got.status, got.err)
 	}
 }
+
+func TestRequestThatMeetsAllPausesIsToldToComeBackTooSoon(t *testing.T) {
+	x := newFixture(t, newStandIn(t, "s1", refusing("Retry-After: 40\r\n")), newStandIn(t, "s2", refusing("Retry-After: 20\r\n")))
+	got := x.send("/read/a", key, "")
+	if seconds := got.header.Get("Retry-After"); got.status != http.StatusServiceUnavailable || len(seconds) != len("20.000") || seconds < "19" {
+		t.Errorf("answered with %d, Retry-After %q", got.status, seconds)
+	}
+}
+
+func TestAvoidedServerIsLeftOutWhileAllOthersPause(t *testing.T) {
+	paused, avoided := newStandIn(t, "s1", refusing("Retry-After: 40\r\n")), newStandIn(t, "s2", answerOK)
+	x := newFixture(t, paused)
+	x.send("/read/a", key, "")
+	x.join(avoided)
+	x.tracker.Avoid("s2", time.Now().Add(time.Minute))
+	if got := x.send("/read/a", key, ""); got.status != http.StatusOK {
+		t.Errorf("answered with %d", got.status)
+	}
+}
--- a/internal/fleet/tracker/tracker.go
+++ b/internal/fleet/tracker/tracker.go
@@ -194,14 +194,14 @@
 	return t.report(id)
 }
 
-// Ready returns the backend servers of a service that take new requests. Those to avoid are
-// left out unless there are no others.
+// Ready returns the backend servers of a service that take new requests from this host now. Those to
+// avoid are left out unless there are no others.
 func (t *Tracker) Ready(now time.Time, service string) []*messenger.Backend {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var preferred, avoided []*messenger.Backend
 	for _, e := range t.entries {
-		if e.report.Service != service || e.report.State != messenger.Backend_STATE_READY || e.leaving {
+		if !e.serves(service) || now.Before(e.pausedUntil) {
 			continue
 		}
 		if now.Before(e.avoidUntil) {
@@ -216,6 +216,26 @@
 	return preferred
 }
 
+// ServicePause returns the shortest time that is left of the pauses of a service's backend servers, if
+// each of those that take requests has asked this host for one; 0 otherwise.
+func (t *Tracker) ServicePause(now time.Time, service string) (shortest time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.entries {
+		if !e.serves(service) {
+			continue
+		}
+		left := e.pausedUntil.Sub(now)
+		if left <= 0 {
+			return 0
+		}
+		if shortest == 0 || left < shortest {
+			shortest = left
+		}
+	}
+	return shortest
+}
+
 // Avoid leaves a backend server out of Ready until a time.
 func (t *Tracker) Avoid(id string, until time.Time) {
 	t.mu.Lock()
@@ -275,6 +295,11 @@
 	return r
 }
 
+// serves reports whether the backend server takes requests for a service, pauses left aside.
+func (e *entry) serves(service string) bool {
+	return e.report.Service == service && e.report.State == messenger.Backend_STATE_READY && !e.leaving
+}
+
 // newer reports whether b replaces a. A process that is gone stays gone, a silent one returns
 // with any later report. With the same sequence, which hosts keep when they mark a backend server
 // as draining, silent or gone, only a state further on in this order replaces another.
