--- a/internal/fleet/forwarder/call.go
+++ b/internal/fleet/forwarder/call.go
@@ -76,8 +76,7 @@
 	t := &attempts{
 		parts: []string{quarantiner.WholeRequest(x.fingerprint())}, reason: "no backend server is ready", cause: errNoBackend,
 	}
-	if d := f.Quarantine.Admit(time.Now(), x.id, t.parts); !d.Admitted() {
-		f.giveUp(ctx, x, "", &quarantinedError{decision: d})
+	if !f.admitParts(time.Now(), x, t.parts) {
 		return
 	}
 	for len(t.tried) < maxBackendsTried && ctx.Err() == nil {
--- a/internal/fleet/forwarder/generation.go
+++ b/internal/fleet/forwarder/generation.go
@@ -82,7 +82,7 @@
 	defer s.end(nil)
 	f.register(s)
 	defer f.unregister(s)
-	if !s.admitParts(time.Now()) {
+	if !f.admitParts(time.Now(), x, s.parts) {
 		return
 	}
 	if !s.start(ctx) {
--- a/internal/fleet/forwarder/pause_test.go
+++ b/internal/fleet/forwarder/pause_test.go
@@ -146,9 +146,7 @@
 	go func() { running <- x.send("/stream/running", key, "") }()
 	awaitRequest(t, e1)
 	place := x.forwarder.Place
-	placed := 0
 	x.forwarder.Place = func(ctx context.Context, req *messenger.PlaceRequest) (*messenger.Placement, error) {
-		placed++
 		x.place = "e1"
 		if len(req.Avoid) > 0 {
 			x.place = "e2"
--- a/internal/fleet/forwarder/quarantine.go
+++ b/internal/fleet/forwarder/quarantine.go
@@ -46,13 +46,13 @@
 	}
 }
 
-// admitParts refuses the generation if it has a quarantined part, and reports whether it has none.
-func (s *stream) admitParts(now time.Time) bool {
-	d := s.f.Quarantine.Admit(now, s.x.id, s.parts)
+// admitParts refuses a request if one of its parts is quarantined, and reports whether none is.
+func (f *Forwarder) admitParts(now time.Time, x *exchange, parts []string) bool {
+	d := f.Quarantine.Admit(now, x.id, parts)
 	if d.Admitted() {
 		return true
 	}
-	s.f.refuse(s.x, http.StatusServiceUnavailable, (&quarantinedError{decision: d}).Error(), d.RetryAfter)
+	f.refuse(x, http.StatusServiceUnavailable, (&quarantinedError{decision: d}).Error(), d.RetryAfter)
 	return false
 }
 
--- a/internal/fleet/forwarder/quarantine_test.go
+++ b/internal/fleet/forwarder/quarantine_test.go
@@ -178,14 +178,14 @@
 
 func TestEqualCallsAfterTwoServersEnded(t *testing.T) {
 	tests := []struct {
-		name, path, fields, body string
-		status                   int
+		name, path, body string
+		status           int
 	}{
-		{"the same once more", "/once/a", key, "deadly", http.StatusServiceUnavailable},
-		{"another body", "/once/a", key, "deadly2", http.StatusOK},
-		{"another path", "/once/b", key, "deadly", http.StatusOK},
-		{"another query", "/once/a?b", key, "deadly", http.StatusOK},
-		{"another kind of route", "/read/a", key, "deadly", http.StatusOK},
+		{"the same once more", "/once/a", "deadly", http.StatusServiceUnavailable},
+		{"another body", "/once/a", "deadly2", http.StatusOK},
+		{"another path", "/once/b", "deadly", http.StatusOK},
+		{"another query", "/once/a?b", "deadly", http.StatusOK},
+		{"another kind of route", "/read/a", "deadly", http.StatusOK},
 	}
 	x := newFixture(t, ending(t, "s1"))
 	x.send("/once/a", key, "deadly")
@@ -197,7 +197,7 @@
 	x.join(healthy)
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			got := x.send(tt.path, tt.fields, tt.body)
+			got := x.send(tt.path, key, tt.body)
 			if got.status != tt.status {
 				t.Errorf("answered with %d %q, want %d", got.status, got.body, tt.status)
 			}
