--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -17,7 +17,7 @@
 
 // scenarios holds the cases by name.
 var scenarios = map[string]scenario{
-	"moved": playMoved, "foreign": playForeign, "unsigned": playUnsigned, "publickey": playPublicKey, "unreadable": playUnreadable,
+	"moved": playMoved, "foreign": playForeign, "unsigned": playUnsigned, "publickey": playPublicKey, "invalid": playInvalid,
 	"leaving": playLeaving,
 }
 
--- a/review/harness/moved.go
+++ b/review/harness/moved.go
@@ -99,7 +99,7 @@
 			if !same {
 				continue
 			}
-			both := minTime(before.ended, next.ended).Sub(next.begun)
+			both := max(minTime(before.ended, next.ended).Sub(next.begun), 0)
 			f.record.note("%s went on at %s; %s worked on it for %v more", next.request, next.engine, before.engine, both.Round(time.Millisecond))
 			broken = broken || both > bothBound
 		}
--- a/review/harness/names.go
+++ b/review/harness/names.go
@@ -31,6 +31,8 @@
 	MoveRun    string `json:"moveRun"`
 	MoveTo     string `json:"moveTo"`
 	MoveLast   string `json:"moveLast"`
+	// Split is the field of a route that divides its requests between services.
+	Split string `json:"split"`
 }
 
 //go:embed data
