--- a/review/harness/backend.go
+++ b/review/harness/backend.go
@@ -22,7 +22,8 @@
 	state string
 	// reportTo is the address that an acknowledgement named for the next reports; empty if none did.
 	reportTo string
-	stopped  chan struct{}
+	// silent is closed once no more reports are sent.
+	silent chan struct{}
 }
 
 const (
@@ -39,7 +40,7 @@
 	}
 	b := &backend{
 		fleet: f, id: id, service: service, zone: zone, address: l.Addr().String(), slots: slots,
-		born: time.Now().UnixMilli(), state: stateReady, stopped: make(chan struct{}),
+		born: time.Now().UnixMilli(), state: stateReady, silent: make(chan struct{}),
 	}
 	b.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { b.serve(w, r, handle) })}
 	go func() { _ = b.server.Serve(l) }()
@@ -58,12 +59,12 @@
 	handle(w, r)
 }
 
-// reportForever reports the state at each heartbeat until the stand-in stops.
+// reportForever reports the state at each heartbeat until the stand-in is silent.
 func (b *backend) reportForever() {
 	for {
 		b.report()
 		select {
-		case <-b.stopped:
+		case <-b.silent:
 			return
 		case <-time.After(heartbeat):
 		}
@@ -84,10 +85,7 @@
 	}
 	for _, target := range targets {
 		b.sequence++
-		body := render("report.json.tmpl", map[string]any{
-			"Service": b.service, "Address": b.address, "Zone": b.zone, "Slots": b.slots, "State": b.state, "Sequence": b.sequence, "Born": b.born,
-		})
-		status, answer := callControl(target, http.MethodPut, "/instances/"+b.id, body)
+		status, answer := callControl(target, http.MethodPut, "/instances/"+b.id, b.reportBody())
 		if status/100 != 2 {
 			b.reportTo = ""
 			continue
@@ -108,27 +106,34 @@
 	return nil
 }
 
-// drain reports that the stand-in leaves, and returns when that was acknowledged.
-func (b *backend) drain(preferred *host) (at time.Time, by string, err error) {
+// reportBody returns the body of a report with the present state and sequence. The lock is held.
+func (b *backend) reportBody() string {
+	return render("report.json.tmpl", map[string]any{
+		"Service": b.service, "Address": b.address, "Zone": b.zone, "Slots": b.slots, "State": b.state, "Sequence": b.sequence, "Born": b.born,
+	})
+}
+
+// drain reports that the stand-in leaves, and returns once that was acknowledged.
+func (b *backend) drain() error {
 	b.mu.Lock()
 	b.state = stateDraining
-	if preferred != nil {
-		b.reportTo = b.fleet.address(preferred, controlPort)
-	}
 	b.mu.Unlock()
 	h := b.report()
 	if h == nil {
-		return time.Time{}, "", fmt.Errorf("%s: leaving is not acknowledged", b.id)
+		return fmt.Errorf("%s: leaving is not acknowledged", b.id)
 	}
-	at = time.Now()
 	b.fleet.record.add("%s: draining acknowledged by %s", b.id, h.name)
-	return at, h.name, nil
+	return nil
 }
 
-// crash ends the stand-in without notice: its connections break, and it reports nothing any more.
-func (b *backend) crash() {
+// end ends the stand-in: its connections break, and it reports nothing any more.
+func (b *backend) end() {
 	b.fleet.record.add("%s ends", b.id)
-	close(b.stopped)
+	select {
+	case <-b.silent:
+	default:
+		close(b.silent)
+	}
 	_ = b.server.Close()
 }
 
--- a/review/harness/engine.go
+++ b/review/harness/engine.go
@@ -74,7 +74,6 @@
 }
 
 func startEngines(f *fleet, n int) ([]*engine, error) {
-	zones := []string{"riga-a", "riga-b", "riga-c"}
 	var list []*engine
 	for i := range n {
 		e, err := startEngine(f, fmt.Sprintf("i-e%d", i+1), zones[i%len(zones)])
@@ -282,7 +281,7 @@
 	id := newID()
 	f.record.add("client sends %s to %s, %d tokens", id, h.name, tokens)
 	got := send(c, f, h, request{
-		id: id, method: http.MethodPost, path: "/draft/1", key: "alto-key", body: "draft", timeout: 39 * time.Second, extra: generationFields(id, 400, tokens),
+		id: id, method: http.MethodPost, path: "/draft/1", key: clientKey, body: "draft", timeout: 39 * time.Second, extra: generationFields(id, 400, tokens),
 	})
 	f.record.add("client gets %d for %s, signed %v, whole %v, %d events", got.status, id, got.header.Get(fields.Signature) != "", got.whole, strings.Count(got.body, "\n\n"))
 	return got
--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -39,7 +39,7 @@
 	}
 )
 
-// Ports of a fleet, by what they serve. The fleet port is the first of lastPort-fleetPort+1 ports.
+// Ports of a fleet, by what they serve. The fleet port is the first of rangePorts ones.
 const (
 	frontPort   = "front"
 	readyPort   = "ready"
@@ -157,18 +157,6 @@
 	return f.awaitReady(f.hosts...)
 }
 
-// signal sends a signal to the process of a machine.
-func (f *fleet) signal(h *host, s syscall.Signal) {
-	f.record.add("signal %v to %s", s, h.name)
-	_ = h.cmd.Process.Signal(s)
-}
-
-// kill ends the process of a machine at once and waits for its end.
-func (f *fleet) kill(h *host) {
-	f.signal(h, syscall.SIGKILL)
-	<-h.ended
-}
-
 // end ends all processes.
 func (f *fleet) end() {
 	for _, h := range f.hosts {
@@ -179,16 +167,6 @@
 	}
 }
 
-// running reports whether the process of a machine has not ended.
-func (f *fleet) running(h *host) bool {
-	select {
-	case <-h.ended:
-		return false
-	default:
-		return true
-	}
-}
-
 // putConfiguration sends a configuration to one machine after another until it is acknowledged.
 func (f *fleet) putConfiguration(body string) error {
 	for end := time.Now().Add(startTimeout); time.Now().Before(end); time.Sleep(pollInterval) {
--- a/review/harness/foreign.go
+++ b/review/harness/foreign.go
@@ -10,18 +10,21 @@
 // deniedBase and deniedShare bound the requests that may be denied: deniedBase and one in deniedShare.
 const deniedBase, deniedShare = 5, 500
 
+// foreignTime is how long the other writer sends its reports.
+const foreignTime = 8 * time.Second
+
 // playForeign has another writer than a backend server send reports in which fields are missing. At its address
 // listens a process that knows nothing of the clients' requests.
 func playForeign(f *fleet, trouble bool) (bool, error) {
 	if err := startSmallFleet(f); err != nil {
 		return false, err
 	}
-	if err := startPlainBackends(f, func(string, *http.Request) {}); err != nil {
+	if _, err := startPlainBackends(f, plainCount, func(string, *http.Request) {}); err != nil {
 		return false, err
 	}
 	var total, denied atomic.Int32
 	stop := make(chan struct{})
-	wait := swapFromAllHosts(f, stop, func() string { return "alto-key" }, func(_ time.Time, got answer) {
+	wait := swapFromAllHosts(f, stop, func(got answer) {
 		total.Add(1)
 		if isDenial(got.status) && got.header.Get(fields.Signature) == "" {
 			denied.Add(1)
@@ -33,7 +36,7 @@
 			return false, err
 		}
 	}
-	time.Sleep(8 * time.Second)
+	time.Sleep(foreignTime)
 	close(stop)
 	wait()
 	allowed := deniedBase + total.Load()/deniedShare
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -17,8 +17,8 @@
 
 // scenarios holds the cases by name.
 var scenarios = map[string]scenario{
-	"moved": playMoved, "foreign": playForeign, "unsigned": playUnsigned, "publickey": playPublicKey, "invalid": playInvalid,
-	"leaving": playLeaving,
+	"moved": playMoved, "foreign": playForeign, "unsigned": playUnsigned,
+	"departure": playDeparture, "late": playLate,
 }
 
 // scenario plays a case and reports whether the rule was broken.
--- a/review/harness/moved.go
+++ b/review/harness/moved.go
@@ -11,6 +11,14 @@
 	engineCount = 6
 	// askTokens and draftTokens are the lengths of short and of long generations.
 	askTokens, draftTokens = 16, 1000
+	// asksBefore and asksBeside are the numbers of short generations before and beside the draftCount long ones,
+	// askPause the time between two of them.
+	asksBefore, asksBeside, draftCount = 280, 200, 12
+	askPause                           = 40 * time.Millisecond
+	// leaveAfter is when an engine leaves after the long generations have begun.
+	leaveAfter = 3 * time.Second
+	// servedPerLoss is how many requests an engine has run at least when it loses the answer to one.
+	servedPerLoss = 40
 	// bothBound is how long two engines may work on one generation.
 	bothBound = 400 * time.Millisecond
 )
@@ -25,7 +33,7 @@
 	var lost atomic.Int32
 	for _, e := range engines {
 		e.spoil = func(e *engine, r *http.Request) spoiling {
-			if trouble && r.Header.Get(fields.Continue) != "" && e.served() >= 40 && lost.Add(1) == 1 {
+			if trouble && r.Header.Get(fields.Continue) != "" && e.served() >= servedPerLoss && lost.Add(1) == 1 {
 				f.record.note("the answer of %s to %s is lost: one of %d", e.id, r.Header.Get(fields.RequestID), e.served())
 				return answerLost
 			}
@@ -34,14 +42,14 @@
 	}
 	c := newClient()
 	var wg sync.WaitGroup
-	asks(f, c, &wg, 200)
-	for i := range 12 {
+	asks(f, c, &wg, asksBeside)
+	for i := range draftCount {
 		wg.Go(func() { generation(c, f, f.hosts[i%len(f.hosts)], draftTokens) })
 	}
-	time.Sleep(3 * time.Second)
+	time.Sleep(leaveAfter)
 	leaver := busiest(engines)
 	f.record.note("%s leaves with %d runs", leaver.id, leaver.active())
-	if _, _, err := leaver.backend.drain(nil); err != nil {
+	if err := leaver.backend.drain(); err != nil {
 		return false, err
 	}
 	wg.Wait()
@@ -60,7 +68,7 @@
 	time.Sleep(settleTime)
 	c := newClient()
 	var wg sync.WaitGroup
-	asks(f, c, &wg, 280)
+	asks(f, c, &wg, asksBefore)
 	wg.Wait()
 	return engines, nil
 }
@@ -70,11 +78,12 @@
 	wg.Go(func() {
 		for i := range n {
 			wg.Go(func() { generation(c, f, f.hosts[i%len(f.hosts)], askTokens) })
-			time.Sleep(40 * time.Millisecond)
+			time.Sleep(askPause)
 		}
 	})
 }
 
+// busiest returns the engine with the most runs.
 func busiest(engines []*engine) *engine {
 	best := engines[0]
 	for _, e := range engines {
