fix: give up an engine that does not answer while the former one still runs the generation

Cause: with a backup at the new engine, `resume` waited for its header for 3 s, and the former engine's stream was closed only once it had come. Nothing bounded the time for which both work. Ruled out: a second order for the same generation (VR6402 once), a slow engine (the former one made events all the while).

Change: a run that its former engine still works on waits 0.25 s for the new one, then the connection to that is closed and the former one goes on; the scheduler orders another move. The rest of the 400 ms is for the close to arrive. Runs that stopped before they move keep 3 s. VR6404 says how long the attempt took and "engine did not answer in time".

TestMoveWithALostAnswerRunsAtBothEngines failed before (1.95 s; the route's timeout ends it there).

--- a/internal/fleet/forwarder/generation.go
+++ b/internal/fleet/forwarder/generation.go
@@ -27,6 +27,8 @@
 	ErrUnknownRun = errors.New("generation is not here")
 	// ErrOrdersPending is returned for a generation with too many move orders in its queue.
 	ErrOrdersPending = errors.New("too many move orders are pending")
+
+	errAnswerTimeout = errors.New("engine did not answer in time")
 )
 
 // Move queues a move order for its generation. It returns ErrUnknownRun if the generation is not
@@ -260,8 +262,8 @@
 }
 
 // open sends the request to an engine. It returns errDeclined if the engine states that it
-// did not run the request. The response header must arrive within the given time; 0 sets
-// no limit.
+// did not run the request. Without the response header within the given time the connection is
+// closed, by which the engine learns to stop, and the cause is errAnswerTimeout; 0 sets no limit.
 func (s *stream) open(
 	ctx context.Context, b *messenger.Backend, within time.Duration, extra ...sender.Field,
 ) (*sender.Response, error) {
@@ -270,11 +272,18 @@
 	if err != nil {
 		return nil, &sender.UnsentError{Cause: err}
 	}
-	if within > 0 {
-		limit := time.AfterFunc(within, func() { _ = conn.Close() })
-		defer limit.Stop()
-	}
+	stop := closeAfter(conn, within)
 	resp, err := s.f.sendTo(ctx, s.x, now, conn, b, extra...)
+	expired := stop()
+	if unsent := new(sender.UnsentError); errors.As(err, &unsent) {
+		return nil, err
+	}
+	if expired {
+		if err == nil {
+			resp.Abort()
+		}
+		return nil, &sender.LostError{Cause: errAnswerTimeout}
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -285,3 +294,13 @@
 	}
 	return resp, nil
 }
+
+// closeAfter closes a connection after the given time, unless stop is called before; 0 sets no limit.
+// stop reports whether the time has expired.
+func closeAfter(conn *sender.Conn, within time.Duration) (stop func() (expired bool)) {
+	if within == 0 {
+		return func() bool { return false }
+	}
+	timer := time.AfterFunc(within, func() { _ = conn.Close() })
+	return func() bool { return !timer.Stop() }
+}
--- a/internal/fleet/forwarder/move.go
+++ b/internal/fleet/forwarder/move.go
@@ -29,8 +29,12 @@
 	releaseTimeout = 150 * time.Millisecond
 	// lastEventsTimeout bounds the wait for the last events of a stopped run.
 	lastEventsTimeout = 150 * time.Millisecond
-	// resumeTimeout bounds the wait for the response header of an engine that resumes a run.
+	// resumeTimeout bounds the wait for the response header of an engine that resumes a run which
+	// no other engine works on.
 	resumeTimeout = 3 * time.Second
+	// overlapTimeout is resumeTimeout for a run that its former engine still works on. Two engines
+	// may do so for 400 ms; the rest is for the end of the connection to reach the new one.
+	overlapTimeout = 250 * time.Millisecond
 )
 
 // startMove starts the move that m orders. With m.Copied, the run resumes from its backup at
@@ -44,7 +48,7 @@
 	s.f.Log.Emit(time.Now(), logger.RunMoving, s.x.id, logger.F("from", s.backend.Id), logger.F("to", to.Id),
 		logger.F("copied", m.Copied), logger.F("events", s.eventsSent))
 	if m.Copied {
-		if s.resume(ctx, to, m.Backup, to.Address+"/"+s.x.id) != nil {
+		if s.resume(ctx, to, m.Backup, to.Address+"/"+s.x.id, overlapTimeout) != nil {
 			s.backup = nil
 			s.reportMoveFailed(false)
 		}
@@ -117,7 +121,7 @@
 	}
 	for _, id := range targets {
 		to := s.f.Tracker.Find(id)
-		if to != nil && s.resume(ctx, to, m.Backup, source) == nil {
+		if to != nil && s.resume(ctx, to, m.Backup, source, resumeTimeout) == nil {
 			return true
 		}
 	}
@@ -168,13 +172,14 @@
 	}
 	b := s.backup
 	s.backup = nil
-	return s.resume(ctx, b, "", b.Address+"/"+s.x.id) == nil
+	return s.resume(ctx, b, "", b.Address+"/"+s.x.id, resumeTimeout) == nil
 }
 
 // resume continues the run on an engine with the memory that source names, as in the Continue
 // field, after the last event that the client has. backup is the id of the engine that gets the
-// next backup; empty for none. The former engine's stream is closed once the new one has answered.
-func (s *stream) resume(ctx context.Context, to *messenger.Backend, backup, source string) error {
+// next backup; empty for none. The former engine's stream is closed once the new one has answered,
+// which it must do within the given time.
+func (s *stream) resume(ctx context.Context, to *messenger.Backend, backup, source string, within time.Duration) error {
 	fields := []sender.Field{{Name: s.f.Dialect.Continue, Value: source}}
 	if s.lastEventID != "" {
 		fields = append(fields, sender.Field{Name: s.f.Dialect.LastEvent, Value: s.lastEventID})
@@ -185,10 +190,10 @@
 	}
 	startedAt := time.Now()
 	from := s.backend.Id
-	resp, err := s.openStream(ctx, startedAt, to, fields)
+	resp, err := s.openStream(ctx, startedAt, to, within, fields)
 	if err != nil {
 		s.f.Log.Emit(time.Now(), logger.RunMoveFailed, s.x.id, logger.F("from", from), logger.F("to", to.Id),
-			logger.F("events", s.eventsSent), logger.F("cause", err))
+			logger.F("events", s.eventsSent), logger.F("took", time.Since(startedAt).Round(time.Millisecond)), logger.F("cause", err))
 		return err
 	}
 	s.detach()
@@ -200,10 +205,10 @@
 	return nil
 }
 
-// openStream requests that an engine resume the run, within resumeTimeout. A status other than
-// 200 is returned as errDeclined, a quarantined part of the prompt as a quarantinedError.
+// openStream requests that an engine resume the run, as open does. A status other than 200 is
+// returned as errDeclined, a quarantined part of the prompt as a quarantinedError.
 func (s *stream) openStream(
-	ctx context.Context, now time.Time, to *messenger.Backend, fields []sender.Field,
+	ctx context.Context, now time.Time, to *messenger.Backend, within time.Duration, fields []sender.Field,
 ) (*sender.Response, error) {
 	if d := s.f.Quarantine.Check(now, s.x.id, s.parts); !d.Admitted() {
 		return nil, &quarantinedError{decision: d}
@@ -211,7 +216,7 @@
 	if s.f.unavailable(now, to) {
 		return nil, errDeclined
 	}
-	resp, err := s.open(ctx, to, resumeTimeout, fields...)
+	resp, err := s.open(ctx, to, within, fields...)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/fleet/forwarder/overlap_test.go
@@ -0,0 +1,108 @@
+package forwarder
+
+import (
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"verbenareach/internal/wire/messenger"
+)
+
+type (
+	// worklog records when engines work on a generation.
+	worklog struct {
+		mu    sync.Mutex
+		spans map[string]workSpan
+		ended sync.WaitGroup
+	}
+
+	// workSpan is the time for which one engine works.
+	workSpan struct {
+		begin, end time.Time
+	}
+)
+
+// maxOverlap is how long two engines may work on one generation.
+const maxOverlap = 400 * time.Millisecond
+
+// record has an engine work until its connection is closed.
+func (l *worklog) record(id string, c net.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.spans == nil {
+		l.spans = make(map[string]workSpan)
+	}
+	span := workSpan{begin: time.Now()}
+	l.ended.Go(func() {
+		_, _ = io.Copy(io.Discard, c)
+		span.end = time.Now()
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.spans[id] = span
+	})
+}
+
+// overlap returns how long the former engine worked beside the next one.
+func (l *worklog) overlap(former, next string) time.Duration {
+	l.ended.Wait()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	end := l.spans[former].end
+	if l.spans[next].end.Before(end) {
+		end = l.spans[next].end
+	}
+	return end.Sub(l.spans[next].begin)
+}
+
+// A generation must not run at two engines when the answer of the one that it moves to is lost.
+func TestMoveWithALostAnswerRunsAtBothEngines(t *testing.T) {
+	tests := []struct {
+		name   string
+		answer func(c net.Conn)
+	}{
+		{"nothing arrives", func(net.Conn) {}},
+		{"its header arrives byte by byte", func(c net.Conn) {
+			for range "HTTP/1.1 200 OK" {
+				if _, err := c.Write([]byte("H")); err != nil {
+					return
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var x *fixture
+			var log worklog
+			e1 := newStandIn(t, "e1", func(c net.Conn, seen seenRequest) bool {
+				log.record("e1", c)
+				begin(c, seen)
+				chunk(c, events(1, 3))
+				time.Sleep(50 * time.Millisecond)
+				_ = x.forwarder.Move(&messenger.MoveOrder{Run: "id-1", From: "e1", To: "e2", Copied: true})
+				for n := 4; n <= 20; n++ {
+					time.Sleep(50 * time.Millisecond)
+					chunk(c, event(n))
+				}
+				return end(c)
+			})
+			e2 := newStandIn(t, "e2", func(c net.Conn, _ seenRequest) bool {
+				log.record("e2", c)
+				tt.answer(c)
+				log.ended.Wait()
+				return false
+			})
+			x = newFixture(t, e1, e2)
+			x.place, x.copy = "e1", "e2"
+			if got := x.send("/stream/a", key, "prompt"); got.err != nil || got.body != events(1, 20) {
+				t.Errorf("client got %q, %v", got.body, got.err)
+			}
+			x.forwarder.Pool.Expire(time.Now().Add(time.Hour))
+			if both := log.overlap("e1", "e2"); both > maxOverlap {
+				t.Errorf("both engines worked for %v, want at most %v", both, maxOverlap)
+			}
+		})
+	}
+}
