fix: leave an engine whose stream is broken before the generation resumes elsewhere

An engine may break off just its answer and work on: a stream with an invalid chunk is a loss for the host, the connection stays open. `recover` resumed from the backup and closed the former connection only with the new engine's header, up to 3 s later: both engines work, and callers see nothing. Now the connection is closed first; the run could not go on over it anyway.

TestResumedGenerationRunsAtItsFirstEngineToo failed before (0.80 s, of which 0.40 s are allowed) and passes.

Looked at, no change: `finishMove` resumes only runs that have stopped, and closes its first target before it tries the second; a call whose answer is lost is repeated for idempotent routes only; `relayer` of the own interface abandons an attempt that it replaced, and its gate refuses the tokens of an older epoch.

--- a/internal/fleet/forwarder/move.go
+++ b/internal/fleet/forwarder/move.go
@@ -160,8 +160,10 @@
 }
 
 // recover records that a run's engine was lost and resumes it from the backup of its memory. It
-// reports whether the stream continues.
+// reports whether the stream continues. The engine may have broken off just its answer, so the
+// connection is closed first: the engine stops work on the run.
 func (s *stream) recover(ctx context.Context) bool {
+	s.detach()
 	recorded := s.recordLoss(ctx, s.streamErr)
 	if s.eventsSent == 0 || s.backup == nil || s.backup.Id == s.backend.Id {
 		return false
--- a/internal/fleet/forwarder/overlap_test.go
+++ b/internal/fleet/forwarder/overlap_test.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -106,3 +107,31 @@
 		})
 	}
 }
+
+// A generation must not go on at its first engine beside the one that resumes it after a broken stream.
+func TestResumedGenerationRunsAtItsFirstEngineToo(t *testing.T) {
+	var log worklog
+	e1 := newStandIn(t, "e1", func(c net.Conn, seen seenRequest) bool {
+		log.record("e1", c)
+		begin(c, seen)
+		chunk(c, events(1, 3))
+		time.Sleep(50 * time.Millisecond)
+		_, _ = fmt.Fprint(c, "no length of a chunk\r\n")
+		log.ended.Wait()
+		return false
+	})
+	e2 := newStandIn(t, "e2", func(c net.Conn, seen seenRequest) bool {
+		log.record("e2", c)
+		time.Sleep(2 * maxOverlap)
+		return streams(4, 6)(c, seen)
+	})
+	x := newFixture(t, e1, e2)
+	x.place, x.copy = "e1", "e2"
+	if got := x.send("/stream/a", key, "prompt"); got.err != nil || got.body != events(1, 6) {
+		t.Errorf("client got %q, %v", got.body, got.err)
+	}
+	x.forwarder.Pool.Expire(time.Now().Add(time.Hour))
+	if both := log.overlap("e1", "e2"); both > maxOverlap {
+		t.Errorf("both engines worked for %v, want at most %v", both, maxOverlap)
+	}
+}
