--- a/internal/fleet/informer/informer_test.go
+++ b/internal/fleet/informer/informer_test.go
@@ -157,6 +157,33 @@
 	}
 }
 
+// The host that gets the heartbeats must not take the departure told to another host for an older report.
+func TestDepartureToldToAnotherHostThanTheHeartbeatsIsDropped(t *testing.T) {
+	for _, told := range []string{"a host", "a hub", "a host that does not know it"} {
+		t.Run(told, func(t *testing.T) {
+			f := newTestFleet(3, 6)
+			for n := range int64(6) {
+				if err := f.hosts["host-5"].Report(t.Context(), start, report(messenger.Backend_STATE_READY, n+1)); err != nil {
+					t.Fatal(err)
+				}
+			}
+			h := f.hosts["host-4"]
+			switch told {
+			case "a hub":
+				h = f.hosts["host-1"]
+			case "a host that does not know it":
+				h.Tracker = &tracker.Tracker{Name: "host-4"}
+			}
+			if err := h.Remove(t.Context(), start, "b"); err != nil {
+				t.Fatal(err)
+			}
+			if names := f.unaware("b", messenger.Backend_STATE_GONE); len(names) > 0 {
+				t.Errorf("hosts %v do not know that it is gone", names)
+			}
+		})
+	}
+}
+
 // A report of an older process at an address that a newer one has is not recorded.
 func TestReportThatIsNotRecordedIsNotPassedOn(t *testing.T) {
 	f := newTestFleet(3, 6)
