fix: have the host with a backend server's heartbeats correct outdated reports of other hosts

Cause: reports that change nothing are not passed on, so all hosts but the keeper hold an old sequence and take the late report for the newest. Its receiver becomes the keeper in their view, gets no heartbeat and marks the backend server silent 3.84 s later, and passes that on. The true keeper holds a higher sequence and drops both; in its own view nothing changes, so it never tells the others. Ruled out: heartbeats that are lost (host-5 accepts each); a report that should be refused as old where it arrives (its receiver can't know).

Change: the keeper, which alone has each report, answers an older report that differs with its own, over all links; higher sequences already win everywhere. Only the keeper corrects, so one late report costs one message a link; equal or newer reports cost nothing. A mark that a ready one drains, which hosts also set from its answers, is not corrected. VR6115 tells of each correction.

TestLateReportToAnotherHostTakesABackendServerOutOfUse failed before at a host and at a hub; with the keeper cut off it passed before, as the exchange at a new link mends it.

--- a/internal/fleet/informer/informer.go
+++ b/internal/fleet/informer/informer.go
@@ -111,6 +111,7 @@
 // Receive records the reports in a message of another host.
 func (i *Informer) Receive(now time.Time, from string, reports []*messenger.Backend) {
 	i.publish(now, from, i.Tracker.Merge(now, reports))
+	i.correct(now, from, reports)
 }
 
 // Expire marks backend servers without heartbeats as silent.
@@ -126,6 +127,7 @@
 		}
 	}
 	i.publish(now, req.From, changed)
+	i.correct(now, req.From, reports)
 	if !i.Self.Hub {
 		// A hub has passed on what did not change here when it did.
 		i.enqueue(req.From, reports)
@@ -154,6 +156,17 @@
 	i.OnChange(now, from, changed)
 }
 
+// correct passes on what this host knows better than the host that sent the reports, such as that a
+// backend server still reports here after a report that was delayed came to another host.
+func (i *Informer) correct(now time.Time, from string, reports []*messenger.Backend) {
+	corrections := i.Tracker.Corrections(reports)
+	for _, r := range corrections {
+		i.Log.Emit(now, logger.FleetReportOutdated, "", logger.F("backend", r.Id), logger.F("from", from),
+			logger.F("state", r.State), logger.F("sequence", r.Sequence))
+	}
+	i.enqueue("", corrections)
+}
+
 // enqueue adds reports to the next message to each linked host except one.
 func (i *Informer) enqueue(except string, reports []*messenger.Backend) {
 	if len(reports) == 0 {
--- a/internal/fleet/informer/informer_test.go
+++ b/internal/fleet/informer/informer_test.go
@@ -18,6 +18,8 @@
 	testFleet struct {
 		hosts map[string]*testHost
 		cut   func(a, b *messenger.FleetHost) bool
+		// now is when messages arrive.
+		now time.Time
 	}
 
 	testHost struct {
@@ -33,7 +35,7 @@
 
 // newTestFleet returns a fleet whose first hubs are hubs.
 func newTestFleet(hubs, hosts int) *testFleet {
-	f := &testFleet{hosts: make(map[string]*testHost), cut: func(_, _ *messenger.FleetHost) bool { return false }}
+	f := &testFleet{hosts: make(map[string]*testHost), cut: func(_, _ *messenger.FleetHost) bool { return false }, now: start}
 	for n := range hosts {
 		self := &messenger.FleetHost{Name: fmt.Sprint("host-", n), Hub: n < hubs}
 		h := &testHost{self: self}
@@ -45,7 +47,7 @@
 				if f.cut(self, to) {
 					return errCut
 				}
-				f.hosts[to.Name].Handle(start, req)
+				f.hosts[to.Name].Handle(f.now, req)
 				return nil
 			},
 			OnChange: func(time.Time, string, []*messenger.Backend) {},
@@ -72,7 +74,16 @@
 		}
 		m := &messenger.LinkMessage{}
 		add(m)
-		f.hosts[to.Name].Receive(start, h.self.Name, m.Backends)
+		f.hosts[to.Name].Receive(f.now, h.self.Name, m.Backends)
+	}
+}
+
+// relink exchanges all reports of a host and those that it has a link to.
+func (f *testFleet) relink(h *testHost) {
+	for _, other := range f.linked(h) {
+		mine, theirs := h.Tracker.All(), f.hosts[other.Name].Tracker.All()
+		f.hosts[other.Name].Receive(f.now, h.self.Name, mine)
+		h.Receive(f.now, other.Name, theirs)
 	}
 }
 
@@ -184,6 +195,57 @@
 	}
 }
 
+// A report that another host gets late must not take a backend server out of use that goes on to report.
+func TestLateReportToAnotherHostTakesABackendServerOutOfUse(t *testing.T) {
+	const interval = 600 * time.Millisecond
+	tests := []struct {
+		name, late string
+		isolated   bool
+	}{
+		{"to a host", "host-4", false},
+		{"to a hub", "host-1", false},
+		{"while the host with the heartbeats is cut off", "host-4", true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newTestFleet(3, 6)
+			sequence := int64(0)
+			heartbeat := func() {
+				f.now = f.now.Add(interval)
+				sequence++
+				if err := f.hosts["host-5"].Report(t.Context(), f.now, report(messenger.Backend_STATE_READY, sequence)); err != nil {
+					t.Fatal(err)
+				}
+				for _, h := range f.hosts {
+					h.Expire(f.now)
+				}
+			}
+			for range 14 {
+				heartbeat()
+			}
+			f.cut = func(a, b *messenger.FleetHost) bool { return tt.isolated && (a.Name == "host-5" || b.Name == "host-5") }
+			if err := f.hosts[tt.late].Report(t.Context(), f.now, report(messenger.Backend_STATE_READY, 12)); err != nil {
+				t.Fatal(err)
+			}
+			for range 5 {
+				heartbeat()
+			}
+			if tt.isolated {
+				f.cut = func(_, _ *messenger.FleetHost) bool { return false }
+				f.relink(f.hosts["host-5"])
+			}
+			if names := f.unaware("b", messenger.Backend_STATE_READY); len(names) > 0 {
+				t.Errorf("hosts %v do not use it", names)
+			}
+			for name, h := range f.hosts {
+				if keeper := h.Tracker.Find("b").Keeper; keeper != "host-5" {
+					t.Errorf("%s waits for heartbeats at %s", name, keeper)
+				}
+			}
+		})
+	}
+}
+
 // A report of an older process at an address that a newer one has is not recorded.
 func TestReportThatIsNotRecordedIsNotPassedOn(t *testing.T) {
 	f := newTestFleet(3, 6)
--- a/internal/fleet/tracker/tracker.go
+++ b/internal/fleet/tracker/tracker.go
@@ -82,6 +82,25 @@
 	return changed
 }
 
+// Corrections returns the reports of this host that replace older ones among those of another host. Only the
+// keeper of a backend server corrects, as it alone has each report. That a ready one drains is not
+// corrected: other hosts learn that from its answers too.
+func (t *Tracker) Corrections(reports []*messenger.Backend) (corrections []*messenger.Backend) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range reports {
+		own := t.report(r.Id)
+		if own == nil || own.Keeper != t.Name || !newer(r, own) || !differs(r, own) {
+			continue
+		}
+		if r.State == messenger.Backend_STATE_DRAINING && own.State == messenger.Backend_STATE_READY {
+			continue
+		}
+		corrections = append(corrections, own)
+	}
+	return corrections
+}
+
 // MarkDraining marks a ready backend server that is about to leave, though no report says so yet.
 // It returns the report to pass on; nil if the backend server is not ready. A later report counts.
 func (t *Tracker) MarkDraining(now time.Time, id string) *messenger.Backend {
