fix: pass over the report of a full disk that is older than a successful write

By reading, it can happen in one way. Several goroutines sync the log. If one gets the error, and another one's write succeeds before the first has taken the lock, the flag of a full disk is set after it was cleared. Only the next record clears it, and with the flag set a leader refuses all changes, so there is none; a follower neither votes for itself nor takes over until the next change.

Change: such an error counts only while the last write of the recorder has failed. The flushing loop waits for the next tick only then.

TestLateReportOfAFullDiskRefusesChangesForGood (the late error is played) failed before. The recorder's own state tells which write was the last; a second flag would have to be kept in order with it.

--- a/internal/control/replicator/flushing.go
+++ b/internal/control/replicator/flushing.go
@@ -25,8 +25,8 @@
 		r.mu.Lock()
 		if err != nil {
 			r.handleDiskError(err)
-			if r.running {
-				// While the disk is full, each tick wakes this loop for another attempt.
+			if r.running && r.diskFull {
+				// Each tick wakes this loop for another attempt.
 				r.work.Wait()
 			}
 			r.mu.Unlock()
@@ -55,12 +55,16 @@
 }
 
 // handleDiskError fails the host, except on a full disk: then the host refuses changes
-// until a sync succeeds, and as leader asks another voter to take over.
+// until a sync succeeds, and as leader asks another voter to take over. Several goroutines
+// sync, so err may be older than a write that has succeeded; it then tells nothing.
 func (r *Replicator) handleDiskError(err error) {
 	if full := new(recorder.FullError); !errors.As(err, &full) {
 		r.fail(err)
 		return
 	}
+	if !r.rec.Full() {
+		return
+	}
 	if !r.diskFull {
 		r.diskFull = true
 		r.emit(logger.ControlDiskFull, logger.F("error", err))
--- a/internal/control/replicator/history_test.go
+++ b/internal/control/replicator/history_test.go
@@ -169,6 +169,34 @@
 	}
 }
 
+// A goroutine that reports late that the disk was full must not have changes refused once a later write succeeded.
+func TestLateReportOfAFullDiskRefusesChangesForGood(t *testing.T) {
+	n := newNetwork(t, 18)
+	var full atomic.Bool
+	h := n.start(&Replicator{Name: "a", Peers: []Peer{{"a", "a"}}, Folder: t.TempDir(), Files: diskFullWhile(&full)})
+	n.propose("c1")
+	full.Store(true)
+	seq, err := h.rec.SetState(&messenger.LogState{Term: h.Status().Term})
+	if err != nil {
+		t.Fatal(err)
+	}
+	late := h.rec.Sync(seq)
+	full.Store(false)
+	n.propose("c2")
+	h.Replicator.mu.Lock()
+	h.handleDiskError(late)
+	h.Replicator.mu.Unlock()
+	for end := time.Now().Add(2 * time.Second); ; time.Sleep(h.Heartbeat) {
+		_, _, err := h.Propose(context.Background(), []byte("c3"))
+		if err == nil {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("change is refused with %v", err)
+		}
+	}
+}
+
 // diskFullWhile returns the disk, on which writes fail with ENOSPC while full is set.
 func diskFullWhile(full *atomic.Bool) recorder.Files {
 	files := recorder.Disk()
