fix: refuse requests late in the grace that the end of the host could cut

A stream that began before the stop signal says nothing of a close, so its connection is free for the client's next request up to 0.2 s after the stream has ended, whenever that is. Such a request was taken: a generation if it was expected to end in time, which half of them outlive at most, a call in any case. At the end of the grace the generation was cut, and the call was answered 502, though neither had run when it came and another host would have served both. A body that is sent slowly comes as late.

Cause: one criterion, the expected time, for the whole grace, and none for calls. Evidence: TestRequestsLateInTheGraceAreCut failed on all four kinds of routes (streams: 200 and a cut after 1.7 s; calls: 502).

Change: until clients can't connect any more, 2.5 s, a request is served if it is expected to end within the grace, a call too, by its objective; after that only if its deadline is within the grace. Others are refused at once, with the retry delay of a stop.

TestRequestsLateInTheGraceAreCut and TestStopAdmits pass.

--- a/internal/fleet/forwarder/call.go
+++ b/internal/fleet/forwarder/call.go
@@ -73,6 +73,9 @@
 	f.awaitStartup(ctx, func() bool {
 		return len(f.Tracker.Ready(time.Now(), x.service.Name)) > 0
 	})
+	if !f.admitDuringStop(time.Now(), x, x.route.Objective) {
+		return
+	}
 	t := &attempts{
 		parts: []string{quarantiner.WholeRequest(x.fingerprint())}, reason: "no backend server is ready", cause: errNoBackend,
 	}
--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -58,8 +58,8 @@
 		Place func(ctx context.Context, req *messenger.PlaceRequest) (*messenger.Placement, error)
 		// ReportState passes the state of a generation on to the scheduler.
 		ReportState func(state *messenger.RunState)
-		// Stopping reports whether the host is about to stop, and for how long it still serves.
-		Stopping func() (left time.Duration, stopping bool)
+		// Stopping returns how far the host's stop has come; nil unless it is about to stop.
+		Stopping func() *Stop
 		Log      *logger.Logger
 		// Observe is called after each admitted request with its kind, outcome and duration.
 		Observe func(kind, outcome string, took time.Duration)
--- a/internal/fleet/forwarder/generation.go
+++ b/internal/fleet/forwarder/generation.go
@@ -66,8 +66,7 @@
 // generate serves a generation.
 func (f *Forwarder) generate(ctx context.Context, x *exchange) {
 	req := f.Dialect.ParseDemand(x.r)
-	if left, stopping := f.Stopping(); stopping && expectedTime(req) > left {
-		f.refuse(x, http.StatusServiceUnavailable, "host is about to stop", retryAfterStopping)
+	if !f.admitDuringStop(time.Now(), x, expectedTime(req)) {
 		return
 	}
 	s := &stream{
@@ -124,9 +123,6 @@
 }
 
 const (
-	// retryAfterStopping is sent to clients of a host that is about to stop; another host
-	// serves their retry.
-	retryAfterStopping = 50 * time.Millisecond
 	// typicalFirstToken is the typical time to the first token, typicalTokenTime the typical
 	// time for each token. typicalTokens is the length that is assumed for a request without a
 	// hint.
--- a/internal/fleet/forwarder/harness_test.go
+++ b/internal/fleet/forwarder/harness_test.go
@@ -206,7 +206,7 @@
 		Budget:     &budgeter.Budgeter{Slack: 100, Window: time.Minute, Hosts: func() int { return 1 }},
 		Quarantine: &quarantiner.Quarantiner{Publish: func(string, *messenger.CrashReport) {}, OnQuarantine: func(time.Time) {}, OnChange: func() {}},
 		Throttler:  &throttler.Throttler{Publish: func(string, []*messenger.RateLimit) {}, Share: func() float64 { return 1 }},
-		Pool:       &sender.Pool{IdleTimeout: time.Minute}, Stopping: func() (time.Duration, bool) { return 0, false },
+		Pool:       &sender.Pool{IdleTimeout: time.Minute}, Stopping: func() *Stop { return nil },
 		OnLeaving: func(now time.Time, b *messenger.Backend, _ string) { x.tracker.MarkLeaving(now, b) },
 		Observe:   func(string, string, time.Duration) {}, ObserveFirstEvent: func(time.Duration) {}, ObserveGap: func(time.Duration) {},
 		Place: func(context.Context, *messenger.PlaceRequest) (*messenger.Placement, error) {
--- a/internal/fleet/forwarder/stream.go
+++ b/internal/fleet/forwarder/stream.go
@@ -92,7 +92,7 @@
 		select {
 		case <-ctx.Done():
 			s.detach()
-			s.abort(ctx, ctx.Err())
+			s.abort(ctx, context.Cause(ctx))
 			return
 		case b, open := <-s.events:
 			if !open {
--- a/internal/fleet/runner/build.go
+++ b/internal/fleet/runner/build.go
@@ -62,7 +62,7 @@
 	h.forwarder = &forwarder.Forwarder{
 		Dialect: h.Dialect, Balancer: h.balancer, StartedAt: time.Now(), FailureDomain: s.Host.FailureDomain, Catalog: h.catalog.Load, Tracker: h.tracker,
 		Quarantine: h.quarantiner, Throttler: h.throttler, Permit: h.allocator.Permit, OnLeaving: h.informer.DepartByAnswer, Budget: budget, Pool: h.pool, Place: h.allocator.Place, ReportState: h.allocator.Report,
-		Stopping: h.timeLeft, Log: h.Log, Observe: h.meter.Request,
+		Stopping: h.stopState, Log: h.Log, Observe: h.meter.Request,
 		ObserveFirstEvent: h.meter.FirstToken, ObserveGap: h.meter.Gap,
 	}
 	h.receiver = &receiver.Receiver{Handle: h.handleRequest, Limits: h.limits, OnRefused: h.logMalformed}
--- a/internal/fleet/runner/drain.go
+++ b/internal/fleet/runner/drain.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"verbenareach/internal/event/logger"
+	"verbenareach/internal/fleet/forwarder"
 )
 
 const (
@@ -44,6 +45,7 @@
 	}
 	// By now the connections in the accept queue have been accepted.
 	_ = client.Close()
+	h.clientsClosed.Store(true)
 	done := make(chan struct{})
 	go func() {
 		h.receiver.Wait()
@@ -66,13 +68,12 @@
 	}
 }
 
-// timeLeft reports whether the host is about to stop, and for how long it still serves;
-// below 0 once that time has passed.
-func (h *Runner) timeLeft() (left time.Duration, stopping bool) {
+// stopState returns how far the host's stop has come; nil unless it is about to stop.
+func (h *Runner) stopState() *forwarder.Stop {
 	if !h.stopping.Load() {
-		return 0, false
+		return nil
 	}
-	return time.Until(*h.stopDeadline.Load()), true
+	return &forwarder.Stop{Left: time.Until(*h.stopDeadline.Load()), Closed: h.clientsClosed.Load()}
 }
 
 // serveReady is the readiness probe of the load balancer in front of the hosts. It
--- a/internal/fleet/runner/runner.go
+++ b/internal/fleet/runner/runner.go
@@ -77,6 +77,8 @@
 		stopping atomic.Bool
 		// stopDeadline is when the process ends; it is set before stopping is.
 		stopDeadline atomic.Pointer[time.Time]
+		// clientsClosed is set once clients can't connect any more.
+		clientsClosed atomic.Bool
 		// ready is the readiness that was logged last.
 		ready atomic.Bool
 		// leaderTerm is the term in which this host leads; 0 if it does not lead.
