--- a/internal/fleet/informer/informer_test.go
+++ b/internal/fleet/informer/informer_test.go
@@ -87,10 +87,10 @@
 	}
 }
 
-// unaware returns the hosts that do not know that a backend server is in the given state.
-func (f *testFleet) unaware(id string, state messenger.Backend_State) (names []string) {
+// unaware returns the hosts that do not know that the reported backend server is in the given state.
+func (f *testFleet) unaware(state messenger.Backend_State) (names []string) {
 	for name, h := range f.hosts {
-		if r := h.Tracker.Find(id); r == nil || r.State != state {
+		if r := h.Tracker.Find("b"); r == nil || r.State != state {
 			names = append(names, name)
 		}
 	}
@@ -115,7 +115,7 @@
 			if err := f.hosts["host-0"].Report(t.Context(), start, report(messenger.Backend_STATE_DRAINING, 2)); err != nil {
 				t.Fatal(err)
 			}
-			if names := f.unaware("b", messenger.Backend_STATE_DRAINING); len(names) > 0 {
+			if names := f.unaware(messenger.Backend_STATE_DRAINING); len(names) > 0 {
 				t.Errorf("%d of %d hosts do not know of the departure: %v", len(names), hosts, names)
 			}
 		})
@@ -146,7 +146,7 @@
 			if err := depart(h); err != nil {
 				t.Fatalf("not acknowledged though the others can be reached again: %v", err)
 			}
-			if names := f.unaware("b", h.Tracker.Find("b").State); len(names) > 0 {
+			if names := f.unaware(h.Tracker.Find("b").State); len(names) > 0 {
 				t.Errorf("hosts %v do not know of it", names)
 			}
 		})
@@ -163,7 +163,7 @@
 	if err := f.hosts["host-4"].Remove(t.Context(), start, "b"); err != nil {
 		t.Fatal(err)
 	}
-	if names := f.unaware("b", messenger.Backend_STATE_GONE); len(names) > 0 {
+	if names := f.unaware(messenger.Backend_STATE_GONE); len(names) > 0 {
 		t.Errorf("hosts %v do not know that it is gone", names)
 	}
 }
@@ -188,7 +188,7 @@
 			if err := h.Remove(t.Context(), start, "b"); err != nil {
 				t.Fatal(err)
 			}
-			if names := f.unaware("b", messenger.Backend_STATE_GONE); len(names) > 0 {
+			if names := f.unaware(messenger.Backend_STATE_GONE); len(names) > 0 {
 				t.Errorf("hosts %v do not know that it is gone", names)
 			}
 		})
@@ -234,7 +234,7 @@
 				f.cut = func(_, _ *messenger.FleetHost) bool { return false }
 				f.relink(f.hosts["host-5"])
 			}
-			if names := f.unaware("b", messenger.Backend_STATE_READY); len(names) > 0 {
+			if names := f.unaware(messenger.Backend_STATE_READY); len(names) > 0 {
 				t.Errorf("hosts %v do not use it", names)
 			}
 			for name, h := range f.hosts {
