fix: open a hub's log again without asking for the founders anew

A hub whose log fails for another reason than a full disk, such as a failed sync, opens it again in the same process. If that process started with the fleet, it asked the seeds for the founders first, each time. Only processes of that start know them: once the seeds have been restarted, as in any rolling upgrade, the hub asks for good, answers "stopped" to all calls, and the next such hub takes the quorum.

Change: the keeper remembers the founders that it was told. A restarted process does not ask at all.

TestHubThatOpensItsLogAgainWaitsForTheFounders failed before (second opening, 4 s) and passes.

--- a/internal/fleet/keeper/keeper.go
+++ b/internal/fleet/keeper/keeper.go
@@ -32,6 +32,10 @@
 		OnChange func(version uint64, encoded []byte)
 		Log      *logger.Logger
 
+		// founders holds what Founders has returned. Run may be called again after the log failed,
+		// when no other hub may know them any more.
+		founders []*messenger.FleetHost
+
 		mu sync.Mutex
 		// version and encoded are the newest committed configuration that was applied here;
 		// version is 0 if there is none.
@@ -65,14 +69,15 @@
 		Restore: k.restore, Send: transport.Send, Ask: transport.Ask, Log: k.Log,
 		Heartbeat: heartbeat, ElectionTimeout: electionTimeout,
 	}
-	if empty && k.Founders != nil {
+	if empty && k.Founders != nil && len(k.founders) == 0 {
 		founders, err := k.Founders(ctx)
 		if err != nil {
 			return err
 		}
-		for _, h := range founders {
-			r.Peers = append(r.Peers, replicator.Peer{Name: h.Name, Address: h.Address})
-		}
+		k.founders = founders
+	}
+	for _, h := range k.founders {
+		r.Peers = append(r.Peers, replicator.Peer{Name: h.Name, Address: h.Address})
 	}
 	k.mu.Lock()
 	k.replica = r
--- a/internal/fleet/keeper/keeper_test.go
+++ b/internal/fleet/keeper/keeper_test.go
@@ -254,3 +254,38 @@
 		return f.votes("e") && !f.votes(lost.Self.Name)
 	})
 }
+
+// A hub whose log failed must not need the founders, which nobody may know any more, to open it again.
+func TestHubThatOpensItsLogAgainWaitsForTheFounders(t *testing.T) {
+	l := listenOn(t, 0)
+	defer func() { _ = l.Close() }()
+	self := &messenger.FleetHost{Name: "a", Address: l.Addr().String(), Hub: true}
+	asked := 0
+	k := &Keeper{
+		Self: self, Folder: t.TempDir(), MinVoters: 1, OnChange: func(uint64, []byte) {},
+		Candidates: func() []*messenger.FleetHost { return nil },
+		Founders: func(ctx context.Context) ([]*messenger.FleetHost, error) {
+			asked++
+			if asked > 1 {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return []*messenger.FleetHost{self}, nil
+		},
+	}
+	for _, opening := range []string{"first", "second"} {
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- k.Run(ctx, true) }()
+		serves := false
+		for end := time.Now().Add(catchUp); !serves && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			_, _, err := k.ReadConfirmed(ctx)
+			serves = err == nil
+		}
+		if !serves {
+			t.Errorf("hub does not serve after the %s opening of its log", opening)
+		}
+		stop()
+		<-done
+	}
+}
