fix: a hub whose log has ended does not lead

The role of a replica stays what it was when its log ended, and `LeaderTerm` looked at nothing else. A leader whose disk fails a sync told all hosts for at least the second until it opens its log again that it leads, and so kept the scheduling of generations and the probes of engines until another hub led in a higher term.

TestHubWithoutARunningLogLeads failed before (term 2 after the end).

--- a/internal/fleet/keeper/keeper.go
+++ b/internal/fleet/keeper/keeper.go
@@ -153,7 +153,8 @@
 		return 0
 	}
 	s := r.Status()
-	if s.Role != "leader" {
+	// The role stays what it was when the log ended.
+	if s.Role != "leader" || s.ID == "" {
 		return 0
 	}
 	return s.Term
--- a/internal/fleet/keeper/keeper_test.go
+++ b/internal/fleet/keeper/keeper_test.go
@@ -289,3 +289,14 @@
 		<-done
 	}
 }
+
+// A hub whose log has ended must not tell the other hosts that it leads.
+func TestHubWithoutARunningLogLeads(t *testing.T) {
+	f := newTestFleet(t, "a")
+	h := f.leader()
+	h.stop()
+	h.done.Wait()
+	if term := h.LeaderTerm(); term != 0 {
+		t.Errorf("leads in term %d", term)
+	}
+}
