--- a/internal/fleet/tracker/tracker.go
+++ b/internal/fleet/tracker/tracker.go
@@ -318,31 +318,3 @@
 func (e *entry) serves(service string) bool {
 	return e.report.Service == service && e.report.State == messenger.Backend_STATE_READY && !e.leaving
 }
-
-// newer reports whether b replaces a. The end of a process is final, whatever the sequence of the host
-// that was told: that of its keeper may be higher, as reports that change nothing are not passed on. A
-// silent process returns with any later report. With the same sequence, which hosts keep when they mark
-// a backend server as draining or silent, only a state further on in this order replaces another.
-func newer(a, b *messenger.Backend) bool {
-	if a.Started != b.Started {
-		return b.Started > a.Started
-	}
-	if a.State == messenger.Backend_STATE_GONE || b.State == messenger.Backend_STATE_GONE {
-		return a.State != messenger.Backend_STATE_GONE
-	}
-	if b.Sequence != a.Sequence {
-		return b.Sequence > a.Sequence
-	}
-	return stateOrder[b.State] > stateOrder[a.State]
-}
-
-// stateOrder orders the states of one process with the same sequence.
-var stateOrder = map[messenger.Backend_State]int{
-	messenger.Backend_STATE_READY: 0, messenger.Backend_STATE_DRAINING: 1, messenger.Backend_STATE_SILENT: 2,
-}
-
-// differs reports whether b differs from a in what other hosts base decisions on.
-func differs(a, b *messenger.Backend) bool {
-	return a.State != b.State || a.Started != b.Started || a.Address != b.Address || a.Service != b.Service ||
-		a.Keeper != b.Keeper || a.Slots != b.Slots || a.FailureDomain != b.FailureDomain
-}
