--- a/internal/fleet/forwarder/fields.go
+++ b/internal/fleet/forwarder/fields.go
@@ -1,9 +1,3 @@
-// Package forwarder serves clients' requests by forwarding them to backend servers. It resolves
-// the route, checks the API key and forwards the request within its deadline. It sends a request
-// to another backend server only if the request has not run or is idempotent, and answers with a
-// status that implies that it did not run only under the same condition.
-//
-// A generation is also called a run; its memory is its KV cache on an engine.
 package forwarder
 
 import (
