fix: have the host with the heartbeats take over a mark that a process leaves

The related path of the dropped departure and the late report: a host that finds out by itself that a process leaves, from an answer or a probe, marks it with the sequence that it holds, which is older than the keeper's.

Change: the keeper takes the mark over on top of its own sequence and passes it on, so that the process's next report is a change at the keeper and reaches all. Other hosts still take no older report: only the keeper passes on the one that ends the mark.

TestMarkOfAnotherHostThanTheHeartbeatsStaysForGood failed before on both counts (host-5 unaware; the five others not ready again).

--- a/internal/fleet/informer/informer_test.go
+++ b/internal/fleet/informer/informer_test.go
@@ -246,6 +246,28 @@
 	}
 }
 
+// That a process leaves, which a host found out by itself, must reach the host with the heartbeats too, and a later
+// report must count at all hosts.
+func TestMarkOfAnotherHostThanTheHeartbeatsStaysForGood(t *testing.T) {
+	f := newTestFleet(3, 6)
+	heartbeat := func(sequence int64) {
+		if err := f.hosts["host-5"].Report(t.Context(), start, report(messenger.Backend_STATE_READY, sequence)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for n := range int64(6) {
+		heartbeat(n + 1)
+	}
+	f.hosts["host-4"].Depart(start, "b")
+	if names := f.unaware(messenger.Backend_STATE_DRAINING); len(names) > 0 {
+		t.Errorf("hosts %v do not know that it leaves", names)
+	}
+	heartbeat(7)
+	if names := f.unaware(messenger.Backend_STATE_READY); len(names) > 0 {
+		t.Errorf("hosts %v do not know that it is ready again", names)
+	}
+}
+
 // A report of an older process at an address that a newer one has is not recorded.
 func TestReportThatIsNotRecordedIsNotPassedOn(t *testing.T) {
 	f := newTestFleet(3, 6)
--- a/internal/fleet/tracker/tracker.go
+++ b/internal/fleet/tracker/tracker.go
@@ -72,6 +72,9 @@
 	for _, r := range reports {
 		before := t.report(r.Id)
 		if !t.apply(now, r) {
+			if marked := t.adoptMark(now, r); marked != nil {
+				changed = append(changed, marked)
+			}
 			continue
 		}
 		t.entries[r.Id].lastReport = now
@@ -83,8 +86,7 @@
 }
 
 // Corrections returns the reports of this host that replace older ones among those of another host. Only the
-// keeper of a backend server corrects, as it alone has each report. That a ready one drains is not
-// corrected: other hosts learn that from its answers too.
+// keeper of a backend server corrects, as it alone has each report.
 func (t *Tracker) Corrections(reports []*messenger.Backend) (corrections []*messenger.Backend) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -93,9 +95,6 @@
 		if own == nil || own.Keeper != t.Name || !newer(r, own) || !differs(r, own) {
 			continue
 		}
-		if r.State == messenger.Backend_STATE_DRAINING && own.State == messenger.Backend_STATE_READY {
-			continue
-		}
 		corrections = append(corrections, own)
 	}
 	return corrections
@@ -298,6 +297,20 @@
 	return true
 }
 
+// adoptMark has the keeper of a ready backend server take over another host's mark that it is draining, whose
+// sequence is older than the keeper's. It returns the report to pass on; nil if r is no such mark. Other hosts
+// take no older one: only the keeper passes on the later report that ends it. The lock is held.
+func (t *Tracker) adoptMark(now time.Time, r *messenger.Backend) *messenger.Backend {
+	e := t.entries[r.Id]
+	if e == nil || e.report.Keeper != t.Name || e.report.Started != r.Started {
+		return nil
+	}
+	if e.report.State != messenger.Backend_STATE_READY || r.State != messenger.Backend_STATE_DRAINING {
+		return nil
+	}
+	return t.setState(now, e, messenger.Backend_STATE_DRAINING)
+}
+
 // report returns the newest report of a backend server; nil if there is none. The lock is held.
 func (t *Tracker) report(id string) *messenger.Backend {
 	if e := t.entries[id]; e != nil {
