test: no race in the tests of overlaps and of late reports

A wait group was waited for while another engine joined it; the clock of the test's fleet was set while a hub passed reports on from a goroutine of its own. The product's code was not part of either. Each connection has its own end now, and the clock a lock; the checks are the same, and both tests fail with their fixes taken back (scratch copy). The package tests with -race, three times: passed.

--- a/internal/fleet/forwarder/overlap_test.go
+++ b/internal/fleet/forwarder/overlap_test.go
@@ -15,34 +15,43 @@
 	// worklog records when engines work on a generation.
 	worklog struct {
 		mu    sync.Mutex
-		spans map[string]workSpan
-		ended sync.WaitGroup
+		spans map[string]*workSpan
 	}
 
-	// workSpan is the time for which one engine works.
+	// workSpan is the time for which one engine works. end is set before ended is closed.
 	workSpan struct {
 		begin, end time.Time
+		ended      chan struct{}
 	}
 )
 
 // maxOverlap is how long two engines may work on one generation.
 const maxOverlap = 400 * time.Millisecond
 
-// record has an engine work until its connection is closed.
-func (l *worklog) record(id string, c net.Conn) {
+// record has an engine work until its connection is closed, and closes ended then.
+func (l *worklog) record(id string, c net.Conn) (ended <-chan struct{}) {
+	span := &workSpan{begin: time.Now(), ended: make(chan struct{})}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.spans == nil {
-		l.spans = make(map[string]workSpan)
+		l.spans = make(map[string]*workSpan)
 	}
-	span := workSpan{begin: time.Now()}
-	l.ended.Go(func() {
+	l.spans[id] = span
+	go func() {
+		defer close(span.ended)
 		_, _ = io.Copy(io.Discard, c)
 		span.end = time.Now()
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		l.spans[id] = span
-	})
+	}()
+	return span.ended
+}
+
+// span returns when an engine worked, once it has ended.
+func (l *worklog) span(id string) *workSpan {
+	l.mu.Lock()
+	span := l.spans[id]
+	l.mu.Unlock()
+	<-span.ended
+	return span
 }
 
 // checkOverlap checks that the engines e1 and e2 did not work beside each other for too long.
@@ -50,10 +59,7 @@
 	x.t.Helper()
 	// An engine works until its connection is closed, also one that is kept.
 	x.forwarder.Pool.Expire(time.Now().Add(time.Hour))
-	l.ended.Wait()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	former, next := l.spans["e1"], l.spans["e2"]
+	former, next := l.span("e1"), l.span("e2")
 	end := former.end
 	if next.end.Before(end) {
 		end = next.end
@@ -96,9 +102,9 @@
 				return end(c)
 			})
 			e2 := newStandIn(t, "e2", func(c net.Conn, _ seenRequest) bool {
-				log.record("e2", c)
+				ended := log.record("e2", c)
 				tt.answer(c)
-				log.ended.Wait()
+				<-ended
 				return false
 			})
 			x = newFixture(t, e1, e2)
@@ -115,12 +121,12 @@
 func TestResumedGenerationRunsAtItsFirstEngineToo(t *testing.T) {
 	var log worklog
 	e1 := newStandIn(t, "e1", func(c net.Conn, seen seenRequest) bool {
-		log.record("e1", c)
+		ended := log.record("e1", c)
 		begin(c, seen)
 		chunk(c, events(1, 3))
 		time.Sleep(50 * time.Millisecond)
 		_, _ = fmt.Fprint(c, "no length of a chunk\r\n")
-		log.ended.Wait()
+		<-ended
 		return false
 	})
 	e2 := newStandIn(t, "e2", func(c net.Conn, seen seenRequest) bool {
--- a/internal/fleet/informer/informer_test.go
+++ b/internal/fleet/informer/informer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -18,7 +19,9 @@
 	testFleet struct {
 		hosts map[string]*testHost
 		cut   func(a, b *messenger.FleetHost) bool
-		// now is when messages arrive.
+
+		mu sync.Mutex
+		// now is when messages arrive. Hubs also pass reports on from goroutines of their own.
 		now time.Time
 	}
 
@@ -47,7 +50,7 @@
 				if f.cut(self, to) {
 					return errCut
 				}
-				f.hosts[to.Name].Handle(f.now, req)
+				f.hosts[to.Name].Handle(f.clock(), req)
 				return nil
 			},
 			OnChange: func(time.Time, string, []*messenger.Backend) {},
@@ -74,16 +77,26 @@
 		}
 		m := &messenger.LinkMessage{}
 		add(m)
-		f.hosts[to.Name].Receive(f.now, h.self.Name, m.Backends)
+		f.hosts[to.Name].Receive(f.clock(), h.self.Name, m.Backends)
 	}
 }
 
+// advance moves the time on and returns it.
+func (f *testFleet) advance(by time.Duration) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.now = f.now.Add(by)
+	return f.now
+}
+
+func (f *testFleet) clock() time.Time { return f.advance(0) }
+
 // relink exchanges all reports of a host and those that it has a link to.
 func (f *testFleet) relink(h *testHost) {
 	for _, other := range f.linked(h) {
 		mine, theirs := h.Tracker.All(), f.hosts[other.Name].Tracker.All()
-		f.hosts[other.Name].Receive(f.now, h.self.Name, mine)
-		h.Receive(f.now, other.Name, theirs)
+		f.hosts[other.Name].Receive(f.clock(), h.self.Name, mine)
+		h.Receive(f.clock(), other.Name, theirs)
 	}
 }
 
@@ -211,20 +224,20 @@
 			f := newTestFleet(3, 6)
 			sequence := int64(0)
 			heartbeat := func() {
-				f.now = f.now.Add(interval)
+				now := f.advance(interval)
 				sequence++
-				if err := f.hosts["host-5"].Report(t.Context(), f.now, report(messenger.Backend_STATE_READY, sequence)); err != nil {
+				if err := f.hosts["host-5"].Report(t.Context(), now, report(messenger.Backend_STATE_READY, sequence)); err != nil {
 					t.Fatal(err)
 				}
 				for _, h := range f.hosts {
-					h.Expire(f.now)
+					h.Expire(now)
 				}
 			}
 			for range 14 {
 				heartbeat()
 			}
 			f.cut = func(a, b *messenger.FleetHost) bool { return tt.isolated && (a.Name == "host-5" || b.Name == "host-5") }
-			if err := f.hosts[tt.late].Report(t.Context(), f.now, report(messenger.Backend_STATE_READY, 12)); err != nil {
+			if err := f.hosts[tt.late].Report(t.Context(), f.clock(), report(messenger.Backend_STATE_READY, 12)); err != nil {
 				t.Fatal(err)
 			}
 			for range 5 {
