feat: lines for elections, votes and message streams between hubs, gauges of voters

The incident of a fleet without a leader could not be told from its logs: elections and votes left no line. New: VR1406 election started (with when each voter was last heard), VR1407 vote requested and what decided the answer, VR1408 vote answered, VR1409 another leader is followed, VR1431 and VR1432 a message stream opened and ended; VR1402 names when each voter was last heard. Gauges voters and voters_answering at the leader. Behaviour is unchanged.

--- a/internal/control/controller/replication.go
+++ b/internal/control/controller/replication.go
@@ -20,7 +20,7 @@
 		c.propose, c.confirm = log.propose, log.confirm
 		return
 	}
-	transport := &replicator.Transport{}
+	transport := &replicator.Transport{Log: c.Log}
 	c.replicator = &replicator.Replicator{
 		Name: c.Name, Address: c.Settings.Listen, Folder: c.Settings.DataFolder, Apply: c.apply, Snapshot: c.snapshot,
 		Restore: c.restore, Send: transport.Send, Ask: transport.Ask, Log: c.Log,
--- a/internal/control/replicator/election.go
+++ b/internal/control/replicator/election.go
@@ -1,8 +1,10 @@
 package replicator
 
 import (
+	"fmt"
 	"time"
 
+	"verbenareach/internal/event/logger"
 	"verbenareach/internal/wire/messenger"
 )
 
@@ -25,6 +27,9 @@
 	if r.role != follower || r.leader != currentLeader {
 		r.signalChange()
 	}
+	if r.leader != currentLeader && currentLeader.Name != "" {
+		r.emit(logger.ControlFollowing, logger.F("term", r.term), logger.F("leader", currentLeader.Name))
+	}
 	if r.role == leader {
 		r.resetElectionTimer()
 	}
@@ -37,10 +42,13 @@
 // only if a quorum would, so that a host that was partitioned off does not disrupt the
 // others.
 func (r *Replicator) startPreVote() {
+	silent := r.clock - r.lastContact
 	r.resetElectionTimer()
 	if m := r.member(r.rec.ID()); m == nil || !m.Voter || r.diskFull {
 		return
 	}
+	r.emit(logger.ControlElectionStarted, logger.F("pre", true), logger.F("term", r.term+1), logger.F("last", r.lastIndex()),
+		logger.F("leader", r.leader.Name), logger.F("silent", silent), logger.F("heard", r.sinceHeard()))
 	r.role = preCandidate
 	r.leader = Peer{}
 	r.votes = map[string]bool{r.rec.ID(): true}
@@ -58,6 +66,8 @@
 	r.leader = Peer{}
 	r.votes = make(map[string]bool)
 	r.setTerm(r.term+1, r.rec.ID())
+	r.emit(logger.ControlElectionStarted, logger.F("pre", false), logger.F("term", r.term), logger.F("last", r.lastIndex()),
+		logger.F("transfer", transfer), logger.F("heard", r.sinceHeard()))
 	r.requestVotes(false, transfer)
 }
 
@@ -143,7 +153,10 @@
 		askedTerm++
 		wantedRole = preCandidate
 	}
-	if r.role != wantedRole || reply.AskedTerm != askedTerm || !reply.Granted {
+	current := r.role == wantedRole && reply.AskedTerm == askedTerm
+	r.emit(logger.ControlVoteAnswered, logger.F("from", m.FromName), logger.F("pre", reply.Pre),
+		logger.F("term", reply.AskedTerm), logger.F("granted", reply.Granted), logger.F("current", current))
+	if !current || !reply.Granted {
 		return
 	}
 	r.votes[m.FromId] = true
@@ -168,7 +181,31 @@
 		}
 		r.resetElectionTimer()
 	}
+	r.logVoteRequest(m, req, reply.Granted)
 	answer := r.newMessage(m.FromId)
 	answer.Body = &messenger.PeerMessage_VoteReply{VoteReply: reply}
 	r.enqueue(r.ensurePeer(m.FromId, m.FromName, m.FromAddress), answer)
 }
+
+// logVoteRequest logs whether a vote was granted, with what decided it.
+func (r *Replicator) logVoteRequest(m *messenger.PeerMessage, req *messenger.VoteRequest, granted bool) {
+	r.emit(logger.ControlVoteRequested, logger.F("from", m.FromName), logger.F("pre", req.Pre), logger.F("term", m.Term),
+		logger.F("last", req.LastIndex), logger.F("granted", granted), logger.F("ownTerm", r.term), logger.F("ownLast", r.lastIndex()),
+		logger.F("voted", r.vote != ""), logger.F("leader", r.leader.Name), logger.F("sinceContact", r.clock-r.lastContact))
+}
+
+// sinceHeard returns the time since a message of each other voter was received, as it is logged.
+func (r *Replicator) sinceHeard() []string {
+	var ages []string
+	for _, m := range r.members() {
+		p := r.peers[m.Id]
+		switch {
+		case !m.Voter || p == nil:
+		case p.heardAt == 0:
+			ages = append(ages, m.Name+": never")
+		default:
+			ages = append(ages, fmt.Sprintf("%s: %s", m.Name, r.clock-p.heardAt))
+		}
+	}
+	return ages
+}
--- a/internal/control/replicator/follower.go
+++ b/internal/control/replicator/follower.go
@@ -40,6 +40,9 @@
 	if !r.running || m.ToId != r.rec.ID() || m.FromId == r.rec.ID() {
 		return false
 	}
+	if p := r.peers[m.FromId]; p != nil {
+		p.heardAt = r.clock
+	}
 	if m.Term <= r.term {
 		return true
 	}
@@ -48,6 +51,7 @@
 			return true
 		}
 		if r.hasLiveLeader() && !vote.Transfer {
+			r.logVoteRequest(m, vote, false)
 			return false
 		}
 	}
--- a/internal/control/replicator/leader.go
+++ b/internal/control/replicator/leader.go
@@ -68,7 +68,7 @@
 // instead.
 func (r *Replicator) sendHeartbeats() {
 	if !r.hasQuorum(func(p *peer) bool { return r.alive(p) }) {
-		r.emit(logger.ControlLeaderLost, logger.F("term", r.term))
+		r.emit(logger.ControlLeaderLost, logger.F("term", r.term), logger.F("heard", r.sinceHeard()))
 		r.becomeFollower(r.term, Peer{})
 		return
 	}
--- a/internal/control/replicator/peer.go
+++ b/internal/control/replicator/peer.go
@@ -20,6 +20,8 @@
 		// records up to syncSeq.
 		queue   []*messenger.PeerMessage
 		syncSeq uint64
+		// heardAt is the time of the peer's last message on the replicator's clock; 0 for none.
+		heardAt time.Duration
 
 		// match is the last index up to which the peer's log is known to be durable
 		// and equal to the leader's; it never decreases within a term. next is the
--- a/internal/control/replicator/transport.go
+++ b/internal/control/replicator/transport.go
@@ -14,6 +14,7 @@
 	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcwire"
 
+	"verbenareach/internal/event/logger"
 	"verbenareach/internal/wire/dialer"
 	"verbenareach/internal/wire/messenger"
 )
@@ -26,6 +27,8 @@
 		// Timeout bounds a dial and each write, by default 1 s. Only the context bounds
 		// the wait for the reply to a request.
 		Timeout time.Duration
+		// Log receives the events; nil for none.
+		Log *logger.Logger
 
 		mu      sync.Mutex
 		streams map[string]*stream
@@ -42,6 +45,10 @@
 		mu     sync.Mutex
 		conn   *drpcconn.Conn
 		client messenger.DRPCPeers_ExchangeClient
+		// openedAt is when the stream was opened. failing is set from the first failure to open
+		// it until it is open.
+		openedAt time.Time
+		failing  bool
 	}
 )
 
@@ -128,6 +135,8 @@
 		}
 	}
 	if err := s.client.Send(m); err != nil {
+		t.Log.Emit(time.Now(), logger.ControlStreamClosed, "", logger.F("address", address),
+			logger.F("age", time.Since(s.openedAt).Round(time.Millisecond)), logger.F("error", err))
 		return errors.Join(err, s.close())
 	}
 	return nil
@@ -179,13 +188,20 @@
 // the peer's send goroutine, but later messages to the address reuse the stream.
 func (t *Transport) openStream(ctx context.Context, s *stream, address string) error {
 	conn, err := t.dial(ctx, address)
-	if err != nil {
-		return err
+	var client messenger.DRPCPeers_ExchangeClient
+	if err == nil {
+		client, err = messenger.NewDRPCPeersClient(conn).Exchange(context.WithoutCancel(ctx))
+		if err != nil {
+			err = errors.Join(err, conn.Close())
+		}
+	}
+	if err == nil || !s.failing {
+		t.Log.Emit(time.Now(), logger.ControlStreamOpened, "", logger.F("address", address), logger.F("error", err))
 	}
-	client, err := messenger.NewDRPCPeersClient(conn).Exchange(context.WithoutCancel(ctx))
+	s.failing = err != nil
 	if err != nil {
-		return errors.Join(err, conn.Close())
+		return err
 	}
-	s.conn, s.client = conn, client
+	s.conn, s.client, s.openedAt = conn, client, time.Now()
 	return nil
 }
--- a/internal/event/logger/replicationevents.go
+++ b/internal/event/logger/replicationevents.go
@@ -9,6 +9,10 @@
 	ControlMembersChanged    = Event{1403, log.InfoLevel, "membership of control hosts changed"}
 	ControlNotMember         = Event{1404, log.ErrorLevel, "control host is not a member: its data folder is new"}
 	ControlLogOpened         = Event{1405, log.InfoLevel, "replicated log opened"}
+	ControlElectionStarted   = Event{1406, log.InfoLevel, "election started"}
+	ControlVoteRequested     = Event{1407, log.InfoLevel, "vote requested by another control host"}
+	ControlVoteAnswered      = Event{1408, log.InfoLevel, "vote answered by another control host"}
+	ControlFollowing         = Event{1409, log.InfoLevel, "control host follows another leader"}
 	ControlSnapshotSaved     = Event{1411, log.DebugLevel, "snapshot saved"}
 	ControlSnapshotInstalled = Event{1412, log.InfoLevel, "snapshot installed from another control host"}
 	ControlSnapshotFailed    = Event{1413, log.ErrorLevel, "snapshot failed"}
@@ -16,10 +20,13 @@
 	ControlDiskFull          = Event{1422, log.ErrorLevel, "disk is full, changes are refused"}
 	ControlDiskSpaceFreed    = Event{1423, log.InfoLevel, "disk has free space again"}
 	ControlDiskFailed        = Event{1424, log.ErrorLevel, "control host stops: its log can't be read or written"}
+	ControlStreamOpened      = Event{1431, log.InfoLevel, "message stream to another control host opened"}
+	ControlStreamClosed      = Event{1432, log.WarnLevel, "message stream to another control host ended"}
 
 	replicationEvents = []Event{
-		ControlLeaderElected, ControlLeaderLost, ControlMembersChanged, ControlNotMember, ControlLogOpened, ControlSnapshotSaved,
+		ControlLeaderElected, ControlLeaderLost, ControlMembersChanged, ControlNotMember, ControlLogOpened, ControlElectionStarted,
+		ControlVoteRequested, ControlVoteAnswered, ControlFollowing, ControlSnapshotSaved,
 		ControlSnapshotInstalled, ControlSnapshotFailed, ControlLogDamaged, ControlDiskFull, ControlDiskSpaceFreed,
-		ControlDiskFailed,
+		ControlDiskFailed, ControlStreamOpened, ControlStreamClosed,
 	}
 )
--- a/internal/fleet/keeper/keeper.go
+++ b/internal/fleet/keeper/keeper.go
@@ -63,7 +63,7 @@
 // Run runs the replica until ctx ends. If empty is set, as at the first start, the hubs from
 // Founders are the peers of the new membership.
 func (k *Keeper) Run(ctx context.Context, empty bool) error {
-	transport := &replicator.Transport{}
+	transport := &replicator.Transport{Log: k.Log}
 	r := &replicator.Replicator{
 		Name: k.Self.Name, Address: k.Self.Address, Folder: k.Folder, Apply: k.apply, Snapshot: k.snapshot,
 		Restore: k.restore, Send: transport.Send, Ask: transport.Ask, Log: k.Log,
@@ -160,6 +160,29 @@
 	return s.Term
 }
 
+// Voters returns how many hubs vote, and how many of them answer this hub, itself included; 0 if it
+// does not lead.
+func (k *Keeper) Voters() (voters, answering int) {
+	r := k.Replicator()
+	if r == nil {
+		return 0, 0
+	}
+	s := r.Status()
+	if s.Role != "leader" {
+		return 0, 0
+	}
+	for _, m := range s.Members {
+		if !m.Voter {
+			continue
+		}
+		voters++
+		if m.Alive {
+			answering++
+		}
+	}
+	return voters, answering
+}
+
 // TransferLeadership transfers the leadership to another hub, if this one leads.
 func (k *Keeper) TransferLeadership(ctx context.Context) {
 	r := k.Replicator()
--- a/internal/fleet/runner/runner.go
+++ b/internal/fleet/runner/runner.go
@@ -263,6 +263,7 @@
 			}
 			h.pool.Expire(now)
 			h.logReadiness(now)
+			h.gaugeVoters()
 		}
 		if now.Sub(reloaded) >= reloadInterval {
 			reloaded = now
@@ -284,6 +285,16 @@
 	}
 }
 
+// gaugeVoters updates the gauges of the hubs that vote, which are 0 unless this host leads.
+func (h *Runner) gaugeVoters() {
+	if h.keeper == nil {
+		return
+	}
+	voters, answering := h.keeper.Voters()
+	h.meter.Gauge("voters").Update(float64(voters))
+	h.meter.Gauge("voters_answering").Update(float64(answering))
+}
+
 // reload reads the settings again and puts their seeds into force. If they can't be read,
 // the seeds stay.
 func (h *Runner) reload() {
