fix: give up a message stream between hubs on which nothing is delivered

What callers saw: all processes run and serve clients, and no change or read of the configuration succeeds for as long as it is watched.

Cause: the streams of the replicated log went one way, from each hub to each other one, and were used until a write failed. A write into a connection that has gone silent succeeds until the kernel's buffer is full, which votes and heartbeats of some hundred bytes don't bring about in minutes. So requests for votes, votes, entries and their acknowledgements were lost without an error, while the links beside them, which have pings, were replaced within a second. After the first silence only pairs of hubs that had never sent each other anything got a stream that works; after the second there is none. The class: sent without an error was taken for delivered.

Change: the receiving hub replies within 0.2 s after it has received messages. A hub that receives nothing for 0.5 s after it has sent one closes the connection, says so (VR1433), and the next message opens another one. A hub to which another one opens a second stream gives up its own to that hub too if nothing came on it for 0.3 s, so the pair needs one timeout and not two. Accepted connections have a write timeout as dialed ones do, and a stream that its opener has replaced is closed. A dial is bounded by 0.5 s instead of 1 s.

Why it works: silence is noticed below the election timeout of 0.9 s, by the messages that a working pair sends anyway, so a leader keeps its followers. A connection on which a host answers counts as alive while a large message is on its way, since bytes count, not messages.

--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -106,7 +106,7 @@
 	}
 	c.Log.Emit(time.Now(), logger.ControlStarted, "", logger.F("listen", lis.Addr().String()))
 	server := drpcserver.NewWithOptions(&recoverer.Handler{Handler: mux, Log: c.Log}, replicator.ServerOptions())
-	g.Go(func() error { return eris.Wrap(server.Serve(serving, lis), "serve followers") })
+	g.Go(func() error { return eris.Wrap(server.Serve(serving, replicator.Listener(lis)), "serve followers") })
 	g.Go(func() error { return c.runReplicator(serving) })
 	g.Go(func() error {
 		<-ctx.Done()
--- a/internal/control/controller/insight.go
+++ b/internal/control/controller/insight.go
@@ -40,7 +40,7 @@
 		return err
 	}
 	if c.replicator != nil {
-		if err := messenger.DRPCRegisterPeers(mux, &replicator.Service{Replicator: c.replicator}); err != nil {
+		if err := messenger.DRPCRegisterPeers(mux, &replicator.Service{Replicator: c.replicator, Transport: c.transport}); err != nil {
 			return err
 		}
 	}
--- a/internal/control/replicator/bench_test.go
+++ b/internal/control/replicator/bench_test.go
@@ -44,10 +44,10 @@
 		}
 		hosts = append(hosts, r)
 		mux := drpcmux.New()
-		if err := messenger.DRPCRegisterPeers(mux, &Service{Replicator: r}); err != nil {
+		if err := messenger.DRPCRegisterPeers(mux, &Service{Replicator: r, Transport: transport}); err != nil {
 			b.Fatal(err)
 		}
-		wg.Go(func() { _ = drpcserver.NewWithOptions(mux, ServerOptions()).Serve(ctx, listeners[i]) })
+		wg.Go(func() { _ = drpcserver.NewWithOptions(mux, ServerOptions()).Serve(ctx, Listener(listeners[i])) })
 		wg.Go(func() {
 			if err := r.Run(ctx); err != nil {
 				b.Error(err)
--- a/internal/control/replicator/silence_test.go
+++ b/internal/control/replicator/silence_test.go
@@ -155,10 +155,10 @@
 			Restore:  func(uint64, []byte) error { return nil },
 		}
 		mux := drpcmux.New()
-		if err := messenger.DRPCRegisterPeers(mux, &Service{Replicator: h.Replicator}); err != nil {
+		if err := messenger.DRPCRegisterPeers(mux, &Service{Replicator: h.Replicator, Transport: transport}); err != nil {
 			t.Fatal(err)
 		}
-		wg.Go(func() { _ = drpcserver.NewWithOptions(mux, ServerOptions()).Serve(ctx, listeners[i]) })
+		wg.Go(func() { _ = drpcserver.NewWithOptions(mux, ServerOptions()).Serve(ctx, Listener(listeners[i])) })
 		wg.Go(func() {
 			if err := h.Run(ctx); err != nil {
 				t.Error(err)
@@ -217,6 +217,7 @@
 
 // Votes and entries that are written to a connection which delivers nothing are lost without an error.
 func TestSilentConnectionsLeaveTheHubsWithoutALeader(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name    string
 		silence func(hosts []*tcpHost, leader int)
--- /dev/null
+++ b/internal/control/replicator/stream.go
@@ -0,0 +1,160 @@
+package replicator
+
+import (
+	"sync"
+	"time"
+
+	"verbenareach/internal/event/logger"
+	"verbenareach/internal/wire/dialer"
+	"verbenareach/internal/wire/messenger"
+)
+
+type (
+	// stream sends messages to another host, which replies within replyDelay that it has received
+	// some. So a host that receives nothing after it has sent a message knows that the connection
+	// is silent.
+	stream struct {
+		address  string
+		client   messenger.DRPCPeers_ExchangeClient
+		conn     *dialer.MonitoredConn
+		openedAt time.Time
+		log      *logger.Logger
+
+		// sending is held while a message is sent.
+		sending sync.Mutex
+
+		// mu guards the fields below.
+		mu sync.Mutex
+		// unansweredSince is the end of the first send after which nothing was received. It is zero
+		// if there is none, and outdated if something was received later.
+		unansweredSince time.Time
+		// check is the next check whether the stream is silent; nil if none is due.
+		check *time.Timer
+		ended bool
+	}
+
+	// receipt sends the replies on a stream that another host opened.
+	receipt struct {
+		messages messenger.DRPCPeers_ExchangeStream
+
+		// mu guards due, which sends the next reply; nil if there is nothing to reply to.
+		mu  sync.Mutex
+		due *time.Timer
+	}
+)
+
+const (
+	// silenceTimeout is how long nothing may be received after a message was sent. It is well
+	// below the election timeout, so that a leader keeps a follower whose connection is replaced.
+	silenceTimeout = 500 * time.Millisecond
+	// suspicionTimeout replaces silenceTimeout, for a stream whether in use or not, once the other
+	// host has given up a connection to this one.
+	suspicionTimeout = 300 * time.Millisecond
+	// replyDelay is how long after the first of some messages the reply to them is sent.
+	replyDelay = 200 * time.Millisecond
+)
+
+// send sends a message.
+func (s *stream) send(m *messenger.PeerMessage) error {
+	s.sending.Lock()
+	defer s.sending.Unlock()
+	begun := time.Now()
+	if err := s.client.Send(m); err != nil {
+		return err
+	}
+	s.expectReply(begun, time.Now())
+	return nil
+}
+
+// expectReply records that a message was sent from begun until now.
+func (s *stream) expectReply(begun, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lastRead := s.conn.LastRead()
+	if lastRead.After(begun) {
+		return // This may be the reply.
+	}
+	if s.unansweredSince.IsZero() || lastRead.After(s.unansweredSince) {
+		s.unansweredSince = now
+	}
+	if s.check == nil && !s.ended {
+		s.check = time.AfterFunc(silenceTimeout, func() { s.checkSilence(time.Now()) })
+	}
+}
+
+// checkSilence gives the stream up if nothing was received for silenceTimeout after a message was
+// sent.
+func (s *stream) checkSilence(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.check = nil
+	if s.ended || s.conn.LastRead().After(s.unansweredSince) {
+		return
+	}
+	if left := silenceTimeout - now.Sub(s.unansweredSince); left > 0 {
+		s.check = time.AfterFunc(left, func() { s.checkSilence(time.Now()) })
+		return
+	}
+	s.giveUp(now)
+}
+
+// isSuspect reports whether nothing was received for suspicionTimeout.
+func (s *stream) isSuspect(now time.Time) bool {
+	since := s.openedAt
+	if lastRead := s.conn.LastRead(); lastRead.After(since) {
+		since = lastRead
+	}
+	return now.Sub(since) >= suspicionTimeout
+}
+
+// receive receives replies until the stream ends.
+func (s *stream) receive() error {
+	for {
+		if _, err := s.client.Recv(); err != nil {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.ended = true
+			if s.check != nil {
+				s.check.Stop()
+			}
+			return err
+		}
+	}
+}
+
+// giveUp closes the connection, on which messages may have been lost.
+func (s *stream) giveUp(now time.Time) {
+	lastReply := "never"
+	if at := s.conn.LastRead(); !at.IsZero() {
+		lastReply = now.Sub(at).Round(time.Millisecond).String()
+	}
+	s.log.Emit(now, logger.ControlStreamSilent, "", logger.F("address", s.address),
+		logger.F("age", now.Sub(s.openedAt).Round(time.Millisecond)), logger.F("lastReply", lastReply))
+	_ = s.conn.Close()
+}
+
+// received has a reply sent within replyDelay.
+func (r *receipt) received() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.due == nil {
+		r.due = time.AfterFunc(replyDelay, r.reply)
+	}
+}
+
+func (r *receipt) reply() {
+	r.mu.Lock()
+	r.due = nil
+	r.mu.Unlock()
+	// A connection that has failed ends the receiving side too.
+	_ = r.messages.Send(&messenger.ExchangeReply{})
+}
+
+// stop ends the replies.
+func (r *receipt) stop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.due != nil {
+		r.due.Stop()
+	}
+}
--- a/internal/control/replicator/transport.go
+++ b/internal/control/replicator/transport.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"sync"
 	"time"
 
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcctx"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcpool"
 	"storj.io/drpc/drpcserver"
@@ -24,38 +24,32 @@
 	// stream of messages to each host, and a pool of connections for requests.
 	// Its methods Send and Ask fit the Replicator fields of the same names.
 	Transport struct {
-		// Timeout bounds a dial and each write, by default 1 s. Only the context bounds
-		// the wait for the reply to a request.
-		Timeout time.Duration
 		// Log receives the events; nil for none.
 		Log *logger.Logger
 
-		mu      sync.Mutex
-		streams map[string]*stream
-		pool    *drpcpool.Pool[string, drpcpool.Conn]
+		mu sync.Mutex
+		// routes holds the connections of the streams by the address of the other host.
+		routes map[string]*route
+		closed bool
+		// receiving counts the streams that this host opened until they have ended.
+		receiving sync.WaitGroup
+		pool      *drpcpool.Pool[string, drpcpool.Conn]
 	}
 
 	// Service handles the RPCs of other control hosts.
 	Service struct {
 		Replicator *Replicator
-	}
-
-	// stream sends messages to one address. mu is held during each send.
-	stream struct {
-		mu     sync.Mutex
-		conn   *drpcconn.Conn
-		client messenger.DRPCPeers_ExchangeClient
-		// openedAt is when the stream was opened. failing is set from the first failure to open
-		// it until it is open.
-		openedAt time.Time
-		failing  bool
+		Transport  *Transport
 	}
 )
 
 var _ messenger.DRPCPeersServer = &Service{}
 
 const (
-	defaultTimeout = time.Second
+	// dialTimeout bounds a dial and writeTimeout each write. Only the context bounds the wait for
+	// the reply to a request.
+	dialTimeout  = 500 * time.Millisecond
+	writeTimeout = time.Second
 	// maxMessageBytes bounds a message between control hosts, in bytes.
 	maxMessageBytes = 16 << 20
 	// maxIdlePerHost and idleTimeout bound the pooled connections for requests.
@@ -63,6 +57,13 @@
 	idleTimeout    = time.Minute
 )
 
+var errNotMonitored = errors.New("connection is not of a monitored listener")
+
+// Listener returns a listener whose connections Service.Exchange takes.
+func Listener(l net.Listener) net.Listener {
+	return &dialer.MonitoredListener{Listener: l, Timeout: writeTimeout}
+}
+
 // ServerOptions returns the options of a drpc server that accepts the largest
 // message that control hosts send.
 func ServerOptions() drpcserver.Options {
@@ -84,12 +85,12 @@
 	t.mu.Unlock()
 	var unsent error
 	conn := pool.Get(ctx, address, func(ctx context.Context, address string) (drpcpool.Conn, error) {
-		conn, err := t.dial(ctx, address)
+		conn, err := dial(ctx, address)
 		if err != nil {
 			unsent = &NotSentError{Cause: err}
 			return nil, unsent
 		}
-		return conn, nil
+		return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions()}), nil
 	})
 	reply, err := messenger.NewDRPCPeersClient(conn).Ask(ctx, req)
 	if unsent != nil {
@@ -101,45 +102,108 @@
 // Close closes all connections.
 func (t *Transport) Close() error {
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	var errs []error
-	for _, s := range t.streams {
-		s.mu.Lock()
-		errs = append(errs, s.close())
-		s.mu.Unlock()
+	t.closed = true
+	for _, r := range t.routes {
+		r.close()
 	}
-	if t.pool != nil {
-		errs = append(errs, t.pool.Close())
+	pool := t.pool
+	t.mu.Unlock()
+	t.receiving.Wait()
+	if pool != nil {
+		return pool.Close()
 	}
-	return errors.Join(errs...)
+	return nil
 }
 
 // Send sends a message to the host at an address. The message may be lost without an
 // error. After an error the next Send connects again.
 func (t *Transport) Send(ctx context.Context, address string, m *messenger.PeerMessage) error {
-	t.mu.Lock()
-	if t.streams == nil {
-		t.streams = make(map[string]*stream)
-	}
-	s := t.streams[address]
+	r := t.route(address)
+	s := r.stream()
 	if s == nil {
-		s = new(stream)
-		t.streams[address] = s
-	}
-	t.mu.Unlock()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.client == nil {
-		if err := t.openStream(ctx, s, address); err != nil {
+		var err error
+		if s, err = t.reopen(ctx, r, address); err != nil {
 			return err
 		}
 	}
-	if err := s.client.Send(m); err != nil {
+	if err := s.send(m); err != nil {
+		r.remove(s)
+		return errors.Join(err, s.conn.Close())
+	}
+	return nil
+}
+
+// accept records the connection of a stream that the host at an address opened, and returns the
+// connections of the streams to and from that host.
+func (t *Transport) accept(now time.Time, conn *dialer.MonitoredConn, address string) (*route, error) {
+	r := t.route(address)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return nil, net.ErrClosed
+	}
+	r.accept(now, conn)
+	return r, nil
+}
+
+// open opens a stream to the host at an address. It outlives ctx: ctx ends with the peer's send
+// goroutine, but later messages to the address reuse the stream.
+func (t *Transport) open(ctx context.Context, address string) (*stream, error) {
+	conn, err := dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	rpc := drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions()})
+	client, err := messenger.NewDRPCPeersClient(rpc).Exchange(context.WithoutCancel(ctx))
+	if err != nil {
+		return nil, errors.Join(err, rpc.Close())
+	}
+	return &stream{address: address, client: client, conn: conn, openedAt: time.Now(), log: t.Log}, nil
+}
+
+// reopen returns the stream to the host at an address, and opens it if there is none.
+func (t *Transport) reopen(ctx context.Context, r *route, address string) (*stream, error) {
+	r.opening.Lock()
+	defer r.opening.Unlock()
+	if s := r.stream(); s != nil {
+		return s, nil
+	}
+	s, err := t.open(ctx, address)
+	if err == nil || !r.failing {
+		t.Log.Emit(time.Now(), logger.ControlStreamOpened, "", logger.F("address", address), logger.F("error", err))
+	}
+	r.failing = err != nil
+	if err != nil {
+		return nil, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return nil, errors.Join(net.ErrClosed, s.conn.Close())
+	}
+	r.setStream(s)
+	t.receiving.Go(func() {
+		err := s.receive()
+		r.remove(s)
 		t.Log.Emit(time.Now(), logger.ControlStreamClosed, "", logger.F("address", address),
 			logger.F("age", time.Since(s.openedAt).Round(time.Millisecond)), logger.F("error", err))
-		return errors.Join(err, s.close())
+	})
+	return s, nil
+}
+
+// route returns the connections of the streams to and from the host at an address.
+func (t *Transport) route(address string) *route {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.routes == nil {
+		t.routes = make(map[string]*route)
 	}
-	return nil
+	r := t.routes[address]
+	if r == nil {
+		r = &route{}
+		t.routes[address] = r
+	}
+	return r
 }
 
 // Ask handles a request from another control host. The reply holds any failure; the error
@@ -148,60 +212,38 @@
 	return s.Replicator.Answer(ctx, req), nil
 }
 
-// Exchange receives the messages of one host until its stream ends.
-func (s *Service) Exchange(stream messenger.DRPCPeers_ExchangeStream) error {
+// Exchange receives the messages of one host until its stream ends. The connection must be one of
+// Listener.
+func (s *Service) Exchange(messages messenger.DRPCPeers_ExchangeStream) error {
+	raw, _ := drpcctx.Transport(messages.Context())
+	conn, ok := raw.(*dialer.MonitoredConn)
+	if !ok {
+		return errNotMonitored
+	}
+	replies := &receipt{messages: messages}
+	defer replies.stop()
+	var from *route
 	for {
-		m, err := stream.Recv()
-		if errors.Is(err, io.EOF) {
-			return stream.SendAndClose(&messenger.ExchangeReply{})
-		}
+		m, err := messages.Recv()
 		if err != nil {
 			return err
 		}
+		if from == nil {
+			if from, err = s.Transport.accept(time.Now(), conn, m.FromAddress); err != nil {
+				return err
+			}
+			defer from.release(conn)
+		}
+		replies.received()
 		s.Replicator.Receive(m)
 	}
 }
 
-func (s *stream) close() error {
-	if s.conn == nil {
-		return nil
-	}
-	err := s.conn.Close()
-	s.conn, s.client = nil, nil
-	return err
-}
-
-func (t *Transport) dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
-	timeout := t.Timeout
-	if timeout == 0 {
-		timeout = defaultTimeout
-	}
-	d := net.Dialer{Timeout: timeout}
+func dial(ctx context.Context, address string) (*dialer.MonitoredConn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
 	conn, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	return drpcconn.NewWithOptions(dialer.WriteTimeoutConn{Conn: conn, Timeout: timeout}, drpcconn.Options{Manager: managerOptions()}), nil
-}
-
-// openStream connects s to the host at an address. The stream outlives ctx: ctx ends with
-// the peer's send goroutine, but later messages to the address reuse the stream.
-func (t *Transport) openStream(ctx context.Context, s *stream, address string) error {
-	conn, err := t.dial(ctx, address)
-	var client messenger.DRPCPeers_ExchangeClient
-	if err == nil {
-		client, err = messenger.NewDRPCPeersClient(conn).Exchange(context.WithoutCancel(ctx))
-		if err != nil {
-			err = errors.Join(err, conn.Close())
-		}
-	}
-	if err == nil || !s.failing {
-		t.Log.Emit(time.Now(), logger.ControlStreamOpened, "", logger.F("address", address), logger.F("error", err))
-	}
-	s.failing = err != nil
-	if err != nil {
-		return err
-	}
-	s.conn, s.client, s.openedAt = conn, client, time.Now()
-	return nil
+	return dialer.Monitor(conn, writeTimeout), nil
 }
--- a/internal/event/logger/replicationevents.go
+++ b/internal/event/logger/replicationevents.go
@@ -22,11 +22,12 @@
 	ControlDiskFailed        = Event{1424, log.ErrorLevel, "control host stops: its log can't be read or written"}
 	ControlStreamOpened      = Event{1431, log.InfoLevel, "message stream to another control host opened"}
 	ControlStreamClosed      = Event{1432, log.WarnLevel, "message stream to another control host ended"}
+	ControlStreamSilent      = Event{1433, log.WarnLevel, "message stream given up: no reply tells that messages are received"}
 
 	replicationEvents = []Event{
 		ControlLeaderElected, ControlLeaderLost, ControlMembersChanged, ControlNotMember, ControlLogOpened, ControlElectionStarted,
 		ControlVoteRequested, ControlVoteAnswered, ControlFollowing, ControlSnapshotSaved,
 		ControlSnapshotInstalled, ControlSnapshotFailed, ControlLogDamaged, ControlDiskFull, ControlDiskSpaceFreed,
-		ControlDiskFailed, ControlStreamOpened, ControlStreamClosed,
+		ControlDiskFailed, ControlStreamOpened, ControlStreamClosed, ControlStreamSilent,
 	}
 )
--- a/internal/fleet/keeper/keeper.go
+++ b/internal/fleet/keeper/keeper.go
@@ -41,8 +41,9 @@
 		// version is 0 if there is none.
 		version uint64
 		encoded []byte
-		// replica is nil until Run has created it.
-		replica *replicator.Replicator
+		// replica and transport, which carries its messages, are nil until Run has created them.
+		replica   *replicator.Replicator
+		transport *replicator.Transport
 	}
 )
 
@@ -80,7 +81,7 @@
 		r.Peers = append(r.Peers, replicator.Peer{Name: h.Name, Address: h.Address})
 	}
 	k.mu.Lock()
-	k.replica = r
+	k.replica, k.transport = r, transport
 	k.mu.Unlock()
 	managing, stop := context.WithCancel(ctx)
 	defer stop()
@@ -95,6 +96,16 @@
 	return k.replica
 }
 
+// Service returns the service that answers the other hubs; nil until Run has created the replica.
+func (k *Keeper) Service() *replicator.Service {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.replica == nil {
+		return nil
+	}
+	return &replicator.Service{Replicator: k.replica, Transport: k.transport}
+}
+
 // State returns the newest committed configuration that this hub has applied.
 func (k *Keeper) State() (version uint64, encoded []byte) {
 	k.mu.Lock()
--- a/internal/fleet/keeper/keeper_test.go
+++ b/internal/fleet/keeper/keeper_test.go
@@ -46,19 +46,19 @@
 const catchUp = 4 * time.Second
 
 func (s peerServer) Ask(ctx context.Context, req *messenger.PeerRequest) (*messenger.PeerReply, error) {
-	r := s.keeper.Replicator()
-	if r == nil {
+	answering := s.keeper.Service()
+	if answering == nil {
 		return nil, ErrNotRunning
 	}
-	return r.Answer(ctx, req), nil
+	return answering.Ask(ctx, req)
 }
 
 func (s peerServer) Exchange(stream messenger.DRPCPeers_ExchangeStream) error {
-	r := s.keeper.Replicator()
-	if r == nil {
+	answering := s.keeper.Service()
+	if answering == nil {
 		return ErrNotRunning
 	}
-	return (&replicator.Service{Replicator: r}).Exchange(stream)
+	return answering.Exchange(stream)
 }
 
 // newTestFleet starts hubs with the given names and waits until one of them leads.
@@ -107,7 +107,9 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop = cancel
-	h.done.Go(func() { _ = drpcserver.NewWithOptions(mux, replicator.ServerOptions()).Serve(ctx, l) })
+	h.done.Go(func() {
+		_ = drpcserver.NewWithOptions(mux, replicator.ServerOptions()).Serve(ctx, replicator.Listener(l))
+	})
 	h.done.Go(func() { _ = h.Run(ctx, founders != nil) })
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/fleet/runner/runner.go
+++ b/internal/fleet/runner/runner.go
@@ -191,7 +191,7 @@
 				return eris.Wrap(err, "register services")
 			}
 		}
-		err := drpcserver.NewWithOptions(&recoverer.Handler{Handler: mux, Log: h.Log}, replicator.ServerOptions()).Serve(ctx, l.fleet)
+		err := drpcserver.NewWithOptions(&recoverer.Handler{Handler: mux, Log: h.Log}, replicator.ServerOptions()).Serve(ctx, replicator.Listener(l.fleet))
 		if err != nil && ctx.Err() == nil {
 			return eris.Wrap(err, "serve other hosts")
 		}
--- a/internal/fleet/runner/service.go
+++ b/internal/fleet/runner/service.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"verbenareach/internal/control/replicator"
 	"verbenareach/internal/fleet/keeper"
 	"verbenareach/internal/wire/messenger"
 )
@@ -79,20 +78,20 @@
 
 // Ask answers a request to the replicated log.
 func (p *peers) Ask(ctx context.Context, req *messenger.PeerRequest) (*messenger.PeerReply, error) {
-	r := p.keeper.Replicator()
-	if r == nil {
+	answering := p.keeper.Service()
+	if answering == nil {
 		return nil, keeper.ErrNotRunning
 	}
-	return (&replicator.Service{Replicator: r}).Ask(ctx, req)
+	return answering.Ask(ctx, req)
 }
 
 // Exchange handles the message stream of another hub.
 func (p *peers) Exchange(stream messenger.DRPCPeers_ExchangeStream) error {
-	r := p.keeper.Replicator()
-	if r == nil {
+	answering := p.keeper.Service()
+	if answering == nil {
 		return keeper.ErrNotRunning
 	}
-	return (&replicator.Service{Replicator: r}).Exchange(stream)
+	return answering.Exchange(stream)
 }
 
 func errorText(err error) string {
