fix: a pooled connection that went silent costs a call each

Hosts keep up to 64 idle connections an address for 90 s for calls to each other, and so do agents, entries and followers of the own interface. When open connections go silent without an error, each call takes the next silent one and fails only with its context, 300 to 1500 ms later: reports passed on by call failed 3 s after all links were up again.

A connection is reused only within 250 ms after bytes were last received on it, as long as the interval of pings on links. A call that ends by its time limit without a byte of an answer also closes the idle connections to that address on which nothing was received since it began. A call that its caller canceled says nothing. Pool.Silenced tells of each connection that is given up, and a call that could not dial fails with a DialError, so that a caller knows that nothing was sent. Options are those of each connection, such as the largest message.

TestEachSilentIdleConnectionFailsACall holds back the bytes of 5 idle connections. Before, 5 of the next 6 calls failed, at once and after a second without calls; now at most 1 at once and none after a second. Calls in flight at that moment still fail with their context.

Cost, BenchmarkCall on loopback, client and host in one process: a call over a reused connection took 0.074 ms and 2.3 kB of memory, over a new one 0.39 ms and 34 kB. With all hubs linked, an introduction to each comes every 5 s, which now dials; bytes on the wire were not measured.

--- a/internal/wire/dialer/pool.go
+++ b/internal/wire/dialer/pool.go
@@ -3,98 +3,220 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
-	"storj.io/drpc/drpcpool"
 )
 
 const (
-	dialTimeout    = 500 * time.Millisecond
-	idleExpiry     = 90 * time.Second
+	dialTimeout = 500 * time.Millisecond
+	// proofOfLife is how long a connection may be reused after bytes were last received on it. An
+	// open connection can go silent without an error.
+	proofOfLife    = 250 * time.Millisecond
 	idleCapacity   = 4096
 	idlePerAddress = 64
 )
 
 type (
-	// Pool keeps idle connections by address. Each stream uses a connection of its
-	// own. Set its exported fields before first use.
+	// Pool keeps connections by address for reuse, as long as bytes were received on them lately.
+	// Each call or stream uses a connection of its own. Set its exported fields before first use.
 	Pool struct {
-		// Dial opens a transport to an address; tests replace it.
+		// Dial opens a transport to an address; by default it dials TCP.
 		Dial func(ctx context.Context, address string) (drpc.Transport, error)
-
-		pool *drpcpool.Pool[string, drpcpool.Conn]
+		// Options are those of each connection.
+		Options drpcconn.Options
+		// Silenced is called for each connection that is given up as silent; nil for no call.
+		Silenced func(now time.Time, s Silence)
 
 		mu sync.Mutex
-		// open holds the open transports; nil once the pool is closed.
-		open map[*transport]struct{}
+		// open holds the open connections, idle those of them that can be reused, the last used one
+		// last. open is nil once the pool is closed.
+		open map[*connection]struct{}
+		idle map[string][]*connection
+		// idleCount is the number of connections in idle.
+		idleCount int
 	}
 
-	// transport is a connection that removes itself from its pool when closed.
-	transport struct {
-		drpc.Transport
+	// Silence describes a connection on which a call got no answer.
+	Silence struct {
+		Address string
+		// Opened and LastHeard are when the connection was opened, and when bytes were last received.
+		Opened, LastHeard time.Time
+		// Dropped is the number of idle connections to the address that were closed with it.
+		Dropped int
+	}
 
-		pool *Pool
+	// DialError reports that no connection could be made, so that nothing was sent.
+	DialError struct {
+		Address string
+		Cause   error
 	}
 )
 
-var _ drpc.Transport = &transport{}
+var _ error = &DialError{}
+
+// Error returns why no connection could be made.
+func (e *DialError) Error() string { return fmt.Sprintf("dial %s: %v", e.Address, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *DialError) Unwrap() error { return e.Cause }
 
 // New returns a pool that dials TCP.
 func New() *Pool {
-	options := drpcpool.Options{Expiration: idleExpiry, Capacity: idleCapacity, KeyCapacity: idlePerAddress}
-	return &Pool{
-		Dial: dialTCP,
-		pool: drpcpool.New[string, drpcpool.Conn](options),
-		open: make(map[*transport]struct{}),
-	}
+	return &Pool{Dial: dialTCP, open: make(map[*connection]struct{}), idle: make(map[string][]*connection)}
 }
 
-// Close closes all connections, including those in use: one that is returned to
-// the pool later would otherwise stay open.
+// Close closes all connections, including those in use.
 func (p *Pool) Close() error {
-	err := p.pool.Close()
 	p.mu.Lock()
 	open := p.open
 	p.open = nil
+	p.idle, p.idleCount = nil, 0
 	p.mu.Unlock()
-	for t := range open {
-		_ = t.Transport.Close()
+	var errs []error
+	for c := range open {
+		errs = append(errs, c.close())
 	}
-	return err
+	return errors.Join(errs...)
 }
 
-// Conn returns a connection to address for one stream at a time. It is dialed on
-// first use.
-func (p *Pool) Conn(ctx context.Context, address string) drpc.Conn {
-	return p.pool.Get(ctx, address, p.dial)
+// Conn returns a connection to address. Each call and stream takes one that is free, or dials;
+// a call that could not dial fails with a DialError. To close it prevents further calls only.
+func (p *Pool) Conn(_ context.Context, address string) drpc.Conn {
+	return &handle{pool: p, address: address, done: make(chan struct{})}
 }
 
-func (p *Pool) dial(ctx context.Context, address string) (drpcpool.Conn, error) {
+// acquire returns a connection for one call or stream.
+func (p *Pool) acquire(ctx context.Context, address string) (*connection, error) {
+	if c := p.takeIdle(time.Now(), address); c != nil {
+		return c, nil
+	}
 	raw, err := p.Dial(ctx, address)
 	if err != nil {
-		return nil, err
+		return nil, &DialError{Address: address, Cause: err}
+	}
+	c := newConnection(raw, address, p.Options)
+	p.mu.Lock()
+	closed := p.open == nil
+	if !closed {
+		p.open[c] = struct{}{}
+	}
+	p.mu.Unlock()
+	if closed {
+		return nil, errors.Join(&DialError{Address: address, Cause: net.ErrClosed}, c.close())
+	}
+	return c, nil
+}
+
+// takeIdle returns the last used connection to address that can be reused, or nil.
+func (p *Pool) takeIdle(now time.Time, address string) *connection {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, c := range slices.Backward(p.idle[address]) {
+		if !c.free() || !c.reusable(now) {
+			continue
+		}
+		p.removeIdle(address, i)
+		c.expiry.Stop()
+		return c
+	}
+	return nil
+}
+
+// removeIdle removes the i-th idle connection to address. The caller holds p.mu.
+func (p *Pool) removeIdle(address string, i int) {
+	p.idle[address] = slices.Delete(p.idle[address], i, i+1)
+	p.idleCount--
+	if len(p.idle[address]) == 0 {
+		delete(p.idle, address)
+	}
+}
+
+// release keeps c for reuse after a call or stream that began at a time and ended with err, or
+// closes it.
+func (p *Pool) release(ctx context.Context, c *connection, began time.Time, err error) {
+	now := time.Now()
+	if c.wasSilent(ctx, began, err) {
+		p.giveUp(now, c, began)
+		return
 	}
-	t := &transport{Transport: raw, pool: p}
+	if !p.keep(now, c) {
+		p.discard(c)
+	}
+}
+
+// keep makes c idle and reports whether it can be reused.
+func (p *Pool) keep(now time.Time, c *connection) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.open == nil {
-		_ = raw.Close()
-		return nil, net.ErrClosed
+	if p.open == nil || !c.reusable(now) || p.idleCount >= idleCapacity || len(p.idle[c.address]) >= idlePerAddress {
+		return false
+	}
+	p.idle[c.address] = append(p.idle[c.address], c)
+	p.idleCount++
+	c.expiry = time.AfterFunc(proofOfLife-now.Sub(c.lastHeard()), func() { p.expire(c) })
+	return true
+}
+
+// expire closes c if it is idle and its time is over.
+func (p *Pool) expire(c *connection) {
+	if p.removeExpired(time.Now(), c) {
+		p.discard(c)
 	}
-	p.open[t] = struct{}{}
-	return drpcconn.New(t), nil
 }
 
-// Close closes the connection.
-func (t *transport) Close() error {
-	t.pool.mu.Lock()
-	delete(t.pool.open, t)
-	t.pool.mu.Unlock()
-	return t.Transport.Close()
+// removeExpired removes c from the idle connections if its time is over. If bytes were received
+// meanwhile, such as the end of an answer, c stays for the time that is left.
+func (p *Pool) removeExpired(now time.Time, c *connection) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	i := slices.Index(p.idle[c.address], c)
+	if i < 0 {
+		return false
+	}
+	if c.reusable(now) {
+		c.expiry.Reset(proofOfLife - now.Sub(c.lastHeard()))
+		return false
+	}
+	p.removeIdle(c.address, i)
+	return true
+}
+
+// giveUp closes c, which was silent since a time, and the idle connections to its address on which
+// nothing was received since then.
+func (p *Pool) giveUp(now time.Time, c *connection, since time.Time) {
+	p.mu.Lock()
+	var silent []*connection
+	for i, other := range slices.Backward(p.idle[c.address]) {
+		if other.lastHeard().After(since) {
+			continue
+		}
+		p.removeIdle(c.address, i)
+		other.expiry.Stop()
+		silent = append(silent, other)
+	}
+	p.mu.Unlock()
+	p.discard(c)
+	for _, other := range silent {
+		p.discard(other)
+	}
+	if p.Silenced != nil {
+		p.Silenced(now, Silence{Address: c.address, Opened: c.opened, LastHeard: c.lastHeard(), Dropped: len(silent)})
+	}
+}
+
+// discard closes a connection that is in use by nobody. The error says nothing of any call.
+func (p *Pool) discard(c *connection) {
+	p.mu.Lock()
+	delete(p.open, c)
+	p.mu.Unlock()
+	_ = c.close()
 }
 
 func dialTCP(ctx context.Context, address string) (drpc.Transport, error) {
