fix: a write to a host that reads nothing waits for the call's end

Connections that dialer.Pool dials itself had no time limit for writes. A large message to a host that accepts connections and reads nothing waited for the call's context, which may be far off or never end. Each write is now bounded by 1 s, as on links and in the replicated log.

--- a/internal/wire/dialer/pool.go
+++ b/internal/wire/dialer/pool.go
@@ -16,6 +16,8 @@
 
 const (
 	dialTimeout = 500 * time.Millisecond
+	// writeTimeout bounds a write to a connection that Pool dials.
+	writeTimeout = time.Second
 	// proofOfLife is how long a connection may be reused after bytes were last received on it. An
 	// open connection can go silent without an error.
 	proofOfLife    = 250 * time.Millisecond
@@ -27,7 +29,8 @@
 	// Pool keeps connections by address for reuse, as long as bytes were received on them lately.
 	// Each call or stream uses a connection of its own. Set its exported fields before first use.
 	Pool struct {
-		// Dial opens a transport to an address; by default it dials TCP.
+		// Dial opens a transport to an address. By default it dials TCP, with a timeout for each
+		// write. Others should bound writes too.
 		Dial func(ctx context.Context, address string) (drpc.Transport, error)
 		// Options are those of each connection.
 		Options drpcconn.Options
@@ -219,7 +222,12 @@
 	_ = c.close()
 }
 
+// dialTCP opens a TCP connection whose writes are bounded.
 func dialTCP(ctx context.Context, address string) (drpc.Transport, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	return dialer.DialContext(ctx, "tcp", address)
+	d := net.Dialer{Timeout: dialTimeout}
+	raw, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return WriteTimeoutConn{Conn: raw, Timeout: writeTimeout}, nil
 }
--- a/internal/wire/dialer/pool_test.go
+++ b/internal/wire/dialer/pool_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -143,6 +144,18 @@
 	}
 }
 
+func TestWriteToAHostThatReadsNothingWaitsForTheCall(t *testing.T) {
+	p, _ := newPool(t)
+	address := listen(t).Addr().String()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	begun := time.Now()
+	err := introduce(ctx, p, address, strings.Repeat("x", 64<<20))
+	if took := time.Since(begun); err == nil || took > 3*time.Second {
+		t.Errorf("call ended after %v with %v", took, err)
+	}
+}
+
 func BenchmarkCall(b *testing.B) {
 	for _, tt := range []struct {
 		name  string
