feat: an event for each connection for calls that is given up as silent

VR6116 names the address, the connection's age, the time since bytes were last received on it, and the number of idle connections closed with it. Its counter is that of each event.

--- a/internal/event/logger/fleetevents.go
+++ b/internal/event/logger/fleetevents.go
@@ -28,6 +28,7 @@
 	FleetIdentifyFailed = Event{6113, log.WarnLevel, "linked hub did not tell its identity"}
 	FleetBackendLeaving = Event{6114, log.InfoLevel, "backend server said in an answer that it leaves"}
 	FleetReportOutdated = Event{6115, log.WarnLevel, "another host's report of a backend server is outdated"}
+	FleetCallSilent     = Event{6116, log.WarnLevel, "connection for calls to another host was given up as silent"}
 
 	// Events of the configuration.
 	FleetConfigAdopted   = Event{6201, log.InfoLevel, "configuration applied"}
@@ -70,7 +71,7 @@
 	fleetEvents = []Event{
 		FleetStarted, FleetStopping, FleetStopped, FleetReloaded, FleetReadiness, FleetPaused, TaskPanicked, FleetLinked, FleetUnlinked,
 		FleetMemberChanged, FleetLogFailed, FleetBackendChanged, FleetDeciderChanged, FleetInformFailed,
-		FleetUnknownGone, FleetEngineProbed, FleetMemberChanging, FleetHubLearned, FleetDialFailed, FleetIdentifyFailed, FleetBackendLeaving, FleetReportOutdated, FleetConfigAdopted,
+		FleetUnknownGone, FleetEngineProbed, FleetMemberChanging, FleetHubLearned, FleetDialFailed, FleetIdentifyFailed, FleetBackendLeaving, FleetReportOutdated, FleetCallSilent, FleetConfigAdopted,
 		FleetConfigSubmitted, FleetConfigRefused, FleetConfigRead, FleetConfigRejected, FleetReportRefused,
 		ForwardMalformed, ForwardRefused, ForwardFailed, ForwardAttemptFailed, ForwardServed, ForwardDisconnected, ForwardLost,
 		RunPlaced, RunMoving, RunMoved, RunMoveFailed, RunAborted, RunCopyReleased, RunLost,
--- a/internal/fleet/linker/linker.go
+++ b/internal/fleet/linker/linker.go
@@ -38,6 +38,8 @@
 		HubLearned func(hub *messenger.FleetHost)
 		// DialFailed is called with the first error of a series when a hub is dialed.
 		DialFailed func(hub *messenger.FleetHost, err error)
+		// CallSilenced is called for each connection for calls that is given up as silent; it may be nil.
+		CallSilenced func(now time.Time, s dialer.Silence)
 		// LinkUp is called when a link to a host is up, LinkDown once the host's last link is
 		// down. A link that replaces another one gets another LinkUp.
 		LinkUp   func(host *messenger.FleetHost)
@@ -185,7 +187,10 @@
 
 // connections returns the pool of connections for calls.
 func (l *Linker) connections() *dialer.Pool {
-	l.makePool.Do(func() { l.pool = dialer.New() })
+	l.makePool.Do(func() {
+		l.pool = dialer.New()
+		l.pool.Silenced = l.CallSilenced
+	})
 	return l.pool
 }
 
--- a/internal/fleet/runner/distribution.go
+++ b/internal/fleet/runner/distribution.go
@@ -8,6 +8,7 @@
 	"verbenareach/internal/control/recorder"
 	"verbenareach/internal/event/logger"
 	"verbenareach/internal/fleet/cataloger"
+	"verbenareach/internal/wire/dialer"
 	"verbenareach/internal/wire/messenger"
 )
 
@@ -180,6 +181,12 @@
 		logger.F("error", err))
 }
 
+// callSilenced logs that a connection for calls to another host was given up.
+func (h *Runner) callSilenced(now time.Time, s dialer.Silence) {
+	h.Log.Emit(now, logger.FleetCallSilent, "", logger.F("address", s.Address), logger.F("age", now.Sub(s.Opened).Round(time.Millisecond)),
+		logger.F("silent", now.Sub(s.LastHeard).Round(time.Millisecond)), logger.F("dropped", s.Dropped))
+}
+
 // linkUp sends the states and limits of all backend servers, and what is known of prompts that crash
 // engines, to a host that has just been linked.
 func (h *Runner) linkUp(host *messenger.FleetHost) {
