fix: requests on a link that another one replaces wait for a decision for good

A link that is silent in one way ends at the host that receives nothing, after 0.8 s. If that host is the decider of generations and dials the link, it forgets the runs and requests of the other host and opens a new link. The other host, which still got pings, sees the new link replace the old one: no LinkDown, the decider is the same, so nothing was sent again. Its generations waited for a decision until their time was over, and its runs were unknown to the decider.

When a link to the decider is up, the host now sends it all its runs and pending requests, which replace what the decider knew. To another host nothing is sent.

TestRequestsOnALinkThatWasReplacedAreLost failed before: nothing was sent over the new link. That the two sides see it so was read, not played.

--- a/internal/fleet/allocator/allocator.go
+++ b/internal/fleet/allocator/allocator.go
@@ -152,6 +152,17 @@
 	}
 }
 
+// HostUp is called when a link to a host is up. What was sent to the decider over a link that this
+// one replaces may be lost, so it gets this host's runs and pending requests again.
+func (a *Allocator) HostUp(now time.Time, host string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.init()
+	if host == a.decider {
+		a.reportAll(now)
+	}
+}
+
 // HostDown drops a host whose link is lost, with its runs and requests.
 func (a *Allocator) HostDown(now time.Time, host string) {
 	a.mu.Lock()
--- a/internal/fleet/allocator/allocator_test.go
+++ b/internal/fleet/allocator/allocator_test.go
@@ -173,3 +173,26 @@
 		})
 	}
 }
+
+func TestRequestsOnALinkThatWasReplacedAreLost(t *testing.T) {
+	run := &messenger.RunState{Run: "2", Backend: "e1", Phase: messenger.RunState_PHASE_STREAMING, Request: placeRequest("2")}
+	a, n := newAllocator(run)
+	a.Receive(time.Now(), hub("h1"), &messenger.LinkMessage{Leads: 1})
+	a.Receive(time.Now(), hub("h2"), &messenger.LinkMessage{})
+	decided := place(t, a)
+	awaitRequest(t, a, n, "h1")
+	a.mu.Lock()
+	n.sent = make(map[string]*messenger.LinkMessage)
+	a.mu.Unlock()
+	a.HostUp(time.Now(), "h2")
+	if len(n.sent) != 0 {
+		t.Errorf("sent %v as another host was linked", n.sent)
+	}
+	a.HostUp(time.Now(), "h1")
+	m := n.sent["h1"]
+	if !m.GetAllRuns() || len(m.GetRuns()) != 1 || len(m.GetPlaces()) != 1 {
+		t.Errorf("sent %v over the new link to the decider", m)
+	}
+	a.Receive(time.Now(), hub("h1"), &messenger.LinkMessage{Leads: 1, Placements: []*messenger.Placement{{Run: "1", Backend: "e1"}}})
+	awaitDecision(t, decided)
+}
--- a/internal/fleet/runner/distribution.go
+++ b/internal/fleet/runner/distribution.go
@@ -188,7 +188,7 @@
 }
 
 // linkUp sends the states and limits of all backend servers, and what is known of prompts that crash
-// engines, to a host that has just been linked.
+// engines, to a host that has just been linked. The link may replace another one.
 func (h *Runner) linkUp(host *messenger.FleetHost) {
 	h.Log.Emit(time.Now(), logger.FleetLinked, "", logger.F("host", host.Name), logger.F("address", host.Address))
 	all := h.tracker.All()
@@ -201,6 +201,7 @@
 			m.CrashReports = append(m.CrashReports, crashes)
 		}
 	})
+	h.allocator.HostUp(now, host.Name)
 }
 
 // linkDown tells the allocator that a host is no longer linked.
