--- a/internal/control/controller/peers.go
+++ b/internal/control/controller/peers.go
@@ -144,6 +144,8 @@
 func (p *peers) exchangeLoadsOnce(
 	ctx context.Context, peer parser.Peer, send func(context.Context, messenger.DRPCControl_ExchangeClient) error,
 ) (err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	conn := p.pool.Conn(ctx, peer.Address)
 	defer func() { err = errors.Join(err, conn.Close()) }()
 	stream, err := messenger.NewDRPCControlClient(conn).Exchange(ctx)
