fix: an accepted connection without a call is kept for good

A caller that goes silent never closes its connection. Between calls the accepting side waited for the next one without end, with its goroutines.

A connection without a call is closed after 2 minutes, longer than callers of before kept theirs, at agents, entries, hosts and control hosts. Writes to other hosts have a bound already (MonitoredListener), which a test now shows with a caller that reads nothing; agents and entries get none, as a slow client may hold a sound stream back.

TestConnectionWithoutCallsIsKeptForGood failed before: open after 2 s with a limit of 50 ms. TestWriteToACallerThatReadsNothingNeverEnds failed with a plain listener: a write had waited for 5 s.

--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -21,6 +21,7 @@
 	"verbenareach/internal/control/replicator"
 	"verbenareach/internal/event/logger"
 	"verbenareach/internal/operator/responder"
+	"verbenareach/internal/wire/acceptor"
 	"verbenareach/internal/wire/recoverer"
 )
 
@@ -105,7 +106,9 @@
 		return errors.Join(err, lis.Close())
 	}
 	c.Log.Emit(time.Now(), logger.ControlStarted, "", logger.F("listen", lis.Addr().String()))
-	server := drpcserver.NewWithOptions(&recoverer.Handler{Handler: mux, Log: c.Log}, replicator.ServerOptions())
+	options := replicator.ServerOptions()
+	options.Manager.InactivityTimeout = acceptor.DefaultIdleTimeout
+	server := drpcserver.NewWithOptions(&recoverer.Handler{Handler: mux, Log: c.Log}, options)
 	g.Go(func() error { return eris.Wrap(server.Serve(serving, replicator.Listener(lis)), "serve followers") })
 	g.Go(func() error { return c.runReplicator(serving) })
 	g.Go(func() error {
--- a/internal/fleet/runner/runner.go
+++ b/internal/fleet/runner/runner.go
@@ -35,6 +35,7 @@
 	"verbenareach/internal/fleet/sender"
 	"verbenareach/internal/fleet/throttler"
 	"verbenareach/internal/fleet/tracker"
+	"verbenareach/internal/wire/acceptor"
 	"verbenareach/internal/wire/messenger"
 	"verbenareach/internal/wire/recoverer"
 )
@@ -191,7 +192,10 @@
 				return eris.Wrap(err, "register services")
 			}
 		}
-		err := drpcserver.NewWithOptions(&recoverer.Handler{Handler: mux, Log: h.Log}, replicator.ServerOptions()).Serve(ctx, replicator.Listener(l.fleet))
+		options := replicator.ServerOptions()
+		options.Manager.InactivityTimeout = acceptor.DefaultIdleTimeout
+		server := drpcserver.NewWithOptions(&recoverer.Handler{Handler: mux, Log: h.Log}, options)
+		err := server.Serve(ctx, replicator.Listener(l.fleet))
 		if err != nil && ctx.Err() == nil {
 			return eris.Wrap(err, "serve other hosts")
 		}
--- a/internal/wire/acceptor/acceptor.go
+++ b/internal/wire/acceptor/acceptor.go
@@ -4,8 +4,10 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"github.com/rotisserie/eris"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
@@ -20,11 +22,17 @@
 		Listener net.Listener
 		// Register registers the process's services.
 		Register func(mux *drpcmux.Mux) error
+		// IdleTimeout is how long a connection without a call is kept; 0 for DefaultIdleTimeout.
+		IdleTimeout time.Duration
 		// Log receives the panics of calls; nil drops them.
 		Log *logger.Logger
 	}
 )
 
+// DefaultIdleTimeout is how long a connection without a call is kept. A caller that went silent
+// never closes its own.
+const DefaultIdleTimeout = 2 * time.Minute
+
 // Listen opens a TCP listener on an IP address and port.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
 	var lc net.ListenConfig
@@ -38,8 +46,17 @@
 	if err := a.Register(mux); err != nil {
 		return eris.Wrap(err, "register services")
 	}
-	if err := drpcserver.New(&recoverer.Handler{Handler: mux, Log: a.Log}).Serve(ctx, a.Listener); err != nil && ctx.Err() == nil {
+	server := drpcserver.NewWithOptions(&recoverer.Handler{Handler: mux, Log: a.Log}, a.options())
+	if err := server.Serve(ctx, a.Listener); err != nil && ctx.Err() == nil {
 		return eris.Wrap(err, "serve")
 	}
 	return nil
 }
+
+func (a *Acceptor) options() drpcserver.Options {
+	idle := a.IdleTimeout
+	if idle == 0 {
+		idle = DefaultIdleTimeout
+	}
+	return drpcserver.Options{Manager: drpcmanager.Options{InactivityTimeout: idle}}
+}
