fix: an agent reuses idle connections to its backend server for good

The HTTP clients of an agent for its engine or service kept idle connections without a time limit. One that went silent without an error was used again at any later time, and that call failed only with its context; each silent one cost a call. Idle connections are now kept for 1 s. Calls with a claim always had a connection of their own.

A connection that goes silent less than a second after its last answer still costs one call.

--- a/internal/agent/server/backend.go
+++ b/internal/agent/server/backend.go
@@ -30,6 +30,8 @@
 	loadPollInterval = 250 * time.Millisecond
 	maxAnnounceBytes = 64 << 10
 	engineIdleConns  = 256
+	// engineIdleTimeout is how long an idle connection is kept. An open one can go silent without an error.
+	engineIdleTimeout = time.Second
 )
 
 type (
@@ -129,7 +131,9 @@
 	}
 	b := &backend{announced: ann, announcedAt: now}
 	if ann.Kind == registrar.BackendEngine {
-		transport := &http.Transport{MaxIdleConnsPerHost: engineIdleConns, DisableCompression: true}
+		transport := &http.Transport{
+			MaxIdleConnsPerHost: engineIdleConns, IdleConnTimeout: engineIdleTimeout, DisableCompression: true,
+		}
 		b.engine = &engineconnector.Engine{Address: ann.Address, Client: &http.Client{Transport: transport}}
 	} else {
 		b.service = serviceconnector.New(ann.Address)
--- a/internal/service/connector/connector.go
+++ b/internal/service/connector/connector.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"time"
 
 	"verbenareach/internal/wire/messenger"
 )
@@ -19,6 +20,8 @@
 
 	// idleConnections bounds the idle connections to one service.
 	idleConnections = 64
+	// idleTimeout is how long an idle connection is kept. An open one can go silent without an error.
+	idleTimeout = time.Second
 )
 
 type (
@@ -37,8 +40,11 @@
 // New returns the client of the service at an IP number and port.
 func New(address string) *Service {
 	return &Service{
-		address:  address,
-		pooled:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections}, CheckRedirect: noRedirect},
+		address: address,
+		pooled: &http.Client{
+			Transport:     &http.Transport{MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout},
+			CheckRedirect: noRedirect,
+		},
 		unpooled: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, CheckRedirect: noRedirect},
 	}
 }
