--- a/internal/event/logger/fleetevents.go
+++ b/internal/event/logger/fleetevents.go
@@ -28,7 +28,7 @@
 	FleetIdentifyFailed = Event{6113, log.WarnLevel, "linked hub did not tell its identity"}
 	FleetBackendLeaving = Event{6114, log.InfoLevel, "backend server said in an answer that it leaves"}
 	FleetReportOutdated = Event{6115, log.WarnLevel, "another host's report of a backend server is outdated"}
-	FleetCallSilent     = Event{6116, log.WarnLevel, "connection for calls to another host was given up as silent"}
+	FleetCallSilent     = Event{6116, log.WarnLevel, "call to another host got no answer in its time, its connection was given up"}
 
 	// Events of the configuration.
 	FleetConfigAdopted   = Event{6201, log.InfoLevel, "configuration applied"}
