--- a/internal/fleet/linker/dialing_test.go
+++ b/internal/fleet/linker/dialing_test.go
@@ -36,8 +36,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return startHubAt(t, name, listener, listener.Addr().String(), seeds...)
+}
+
+// startHubAt does so on a listener, with the address at which others reach it.
+func startHubAt(t *testing.T, name string, listener net.Listener, address string, seeds ...string) *Linker {
+	t.Helper()
 	l := newBareLinker()
-	l.Self = &messenger.FleetHost{Name: name, Address: listener.Addr().String(), Hub: true}
+	l.Self = &messenger.FleetHost{Name: name, Address: address, Hub: true}
 	l.Seeds = func() []string { return seeds }
 	mux := drpcmux.New()
 	if err := messenger.DRPCRegisterFleet(mux, &server{linker: l}); err != nil {
--- a/internal/fleet/linker/silence_test.go
+++ b/internal/fleet/linker/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -27,12 +28,13 @@
 	}
 
 	// silencer is a loopback proxy. Connections that are open when silence is called hold back all
-	// bytes for good and stay open; later ones work.
+	// bytes and closes for good and stay open; later ones work.
 	silencer struct {
-		target   string
-		mu       sync.Mutex
-		muted    chan struct{}
-		accepted atomic.Int64
+		target string
+		// oneWay lets bytes that clients send pass through silent connections, but no end.
+		oneWay bool
+		mu     sync.Mutex
+		muted  chan struct{}
 	}
 )
 
@@ -75,7 +77,6 @@
 		if err != nil {
 			return
 		}
-		p.accepted.Add(1)
 		server, err := net.Dial("tcp", p.target)
 		if err != nil {
 			_ = client.Close()
@@ -85,27 +86,29 @@
 		p.mu.Lock()
 		muted := p.muted
 		p.mu.Unlock()
-		go pass(client, server, muted)
-		go pass(server, client, muted)
+		go pass(client, server, muted, false)
+		go pass(server, client, muted, p.oneWay)
 	}
 }
 
-// pass copies from one connection to the other, and closes both at the end of the first. Once
-// muted is closed, it drops what it reads.
-func pass(to, from net.Conn, muted <-chan struct{}) {
-	defer func() { _, _ = to.Close(), from.Close() }()
+// pass copies from one connection to the other, and closes that at the end of the first. Once muted
+// is closed, it passes no end on, and drops what it reads unless keepBytes is set.
+func pass(to, from net.Conn, muted <-chan struct{}, keepBytes bool) {
 	buf := make([]byte, 4096)
 	for {
-		n, err := from.Read(buf)
-		if err != nil {
-			return
-		}
+		n, readErr := from.Read(buf)
 		select {
 		case <-muted:
-			continue
+			if readErr != nil {
+				return
+			}
+			if !keepBytes {
+				continue
+			}
 		default:
 		}
-		if _, err := to.Write(buf[:n]); err != nil {
+		if _, err := to.Write(buf[:n]); err != nil || readErr != nil {
+			_ = to.Close()
 			return
 		}
 	}
@@ -171,3 +174,42 @@
 		})
 	}
 }
+
+func TestSilentLinkStaysUpAtOneSide(t *testing.T) {
+	for _, oneWay := range []bool{false, true} {
+		t.Run(fmt.Sprint("one way ", oneWay), func(t *testing.T) {
+			front, back := listen(t), listen(t)
+			p := &silencer{target: back.Addr().String(), oneWay: oneWay, muted: make(chan struct{})}
+			go p.serve(t, front)
+			accepting := startHubAt(t, "b", back, front.Addr().String())
+			dialing := startHub(t, "a", front.Addr().String())
+			awaitLink(t, dialing, "b", successorLinkTimeout)
+			awaitLink(t, accepting, "a", successorLinkTimeout)
+			before := []*link{currentLink(dialing, "b"), currentLink(accepting, "a")}
+			p.silence()
+			for i, l := range []*Linker{dialing, accepting} {
+				name := []string{"b", "a"}[i]
+				awaitNewLink(t, l, name, before[i])
+			}
+		})
+	}
+}
+
+func currentLink(l *Linker, name string) *link {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.links[name]
+}
+
+// awaitNewLink waits until a link to a host has taken the place of another one.
+func awaitNewLink(t *testing.T, l *Linker, name string, before *link) {
+	t.Helper()
+	for end := time.Now().Add(successorLinkTimeout); ; time.Sleep(10 * time.Millisecond) {
+		if k := currentLink(l, name); k != nil && k != before {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%s has no new link to %s after %v", l.Self.Name, name, successorLinkTimeout)
+		}
+	}
+}
