fix: a silent connection costs each request to the leader of the log

What callers saw: after open connections had gone silent, reads and changes of the configuration that a hub forwards to the leader failed one after the other, each after 850 ms.

Cause: as for calls between hosts, the transport of the replicated log kept up to 16 idle connections to each hub for a minute, and each silent one cost a request. It had a pool of its own. It uses dialer.Pool now, with its time limit for reuse; VR1434 tells of each connection given up.

--- a/internal/control/replicator/transport.go
+++ b/internal/control/replicator/transport.go
@@ -10,7 +10,6 @@
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcctx"
 	"storj.io/drpc/drpcmanager"
-	"storj.io/drpc/drpcpool"
 	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcwire"
 
@@ -33,7 +32,7 @@
 		closed bool
 		// receiving counts the streams that this host opened until they have ended.
 		receiving sync.WaitGroup
-		pool      *drpcpool.Pool[string, drpcpool.Conn]
+		pool      *dialer.Pool
 	}
 
 	// Service handles the RPCs of other control hosts.
@@ -52,9 +51,6 @@
 	writeTimeout = time.Second
 	// maxMessageBytes bounds a message between control hosts, in bytes.
 	maxMessageBytes = 16 << 20
-	// maxIdlePerHost and idleTimeout bound the pooled connections for requests.
-	maxIdlePerHost = 16
-	idleTimeout    = time.Minute
 )
 
 var errNotMonitored = errors.New("connection is not of a monitored listener")
@@ -77,28 +73,33 @@
 // Ask sends a request to the host at an address and returns the reply. It fails
 // with NotSentError if no connection could be made.
 func (t *Transport) Ask(ctx context.Context, address string, req *messenger.PeerRequest) (*messenger.PeerReply, error) {
-	t.mu.Lock()
-	if t.pool == nil {
-		t.pool = drpcpool.New[string, drpcpool.Conn](drpcpool.Options{Expiration: idleTimeout, KeyCapacity: maxIdlePerHost})
-	}
-	pool := t.pool
-	t.mu.Unlock()
-	var unsent error
-	conn := pool.Get(ctx, address, func(ctx context.Context, address string) (drpcpool.Conn, error) {
-		conn, err := dial(ctx, address)
-		if err != nil {
-			unsent = &NotSentError{Cause: err}
-			return nil, unsent
-		}
-		return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions()}), nil
-	})
+	conn := t.requests().Conn(ctx, address)
 	reply, err := messenger.NewDRPCPeersClient(conn).Ask(ctx, req)
-	if unsent != nil {
-		return nil, unsent
+	if unsent := new(dialer.DialError); errors.As(err, &unsent) {
+		return nil, &NotSentError{Cause: unsent.Cause}
 	}
 	return reply, errors.Join(err, conn.Close())
 }
 
+// requests returns the pool of connections for requests.
+func (t *Transport) requests() *dialer.Pool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.pool == nil {
+		t.pool = dialer.New()
+		t.pool.Options = drpcconn.Options{Manager: managerOptions()}
+		t.pool.Silenced = t.logSilence
+	}
+	return t.pool
+}
+
+// logSilence logs that a connection for requests is given up.
+func (t *Transport) logSilence(now time.Time, s dialer.Silence) {
+	t.Log.Emit(now, logger.ControlRequestSilent, "", logger.F("address", s.Address),
+		logger.F("age", now.Sub(s.Opened).Round(time.Millisecond)),
+		logger.F("silent", now.Sub(s.LastHeard).Round(time.Millisecond)), logger.F("dropped", s.Dropped))
+}
+
 // Close closes all connections.
 func (t *Transport) Close() error {
 	t.mu.Lock()
--- a/internal/event/logger/replicationevents.go
+++ b/internal/event/logger/replicationevents.go
@@ -23,11 +23,13 @@
 	ControlStreamOpened      = Event{1431, log.InfoLevel, "message stream to another control host opened"}
 	ControlStreamClosed      = Event{1432, log.WarnLevel, "message stream to another control host ended"}
 	ControlStreamSilent      = Event{1433, log.WarnLevel, "message stream given up: no reply tells that messages are received"}
+	ControlRequestSilent     = Event{1434, log.WarnLevel, "connection for requests to another control host was given up as silent"}
 
 	replicationEvents = []Event{
 		ControlLeaderElected, ControlLeaderLost, ControlMembersChanged, ControlNotMember, ControlLogOpened, ControlElectionStarted,
 		ControlVoteRequested, ControlVoteAnswered, ControlFollowing, ControlSnapshotSaved,
 		ControlSnapshotInstalled, ControlSnapshotFailed, ControlLogDamaged, ControlDiskFull, ControlDiskSpaceFreed,
 		ControlDiskFailed, ControlStreamOpened, ControlStreamClosed, ControlStreamSilent,
+		ControlRequestSilent,
 	}
 )
