--- a/internal/wire/dialer/connection.go
+++ b/internal/wire/dialer/connection.go
@@ -5,7 +5,6 @@
 	"errors"
 	"os"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -28,9 +27,7 @@
 	hearing struct {
 		drpc.Transport
 
-		// last is when, in nanoseconds after opened.
-		opened time.Time
-		last   atomic.Int64
+		received receiveClock
 	}
 
 	// handle makes calls over connections of a pool.
@@ -50,22 +47,23 @@
 var errHandleClosed = eris.New("connection closed")
 
 func newConnection(raw drpc.Transport, address string, options drpcconn.Options) *connection {
-	heard := &hearing{Transport: raw, opened: time.Now()}
-	return &connection{conn: drpcconn.NewWithOptions(heard, options), address: address, opened: heard.opened, heard: heard}
+	opened := time.Now()
+	heard := &hearing{Transport: raw, received: receiveClock{openedAt: opened}}
+	return &connection{conn: drpcconn.NewWithOptions(heard, options), address: address, opened: opened, heard: heard}
 }
 
 // Read reads, and records when.
 func (h *hearing) Read(p []byte) (int, error) {
 	n, err := h.Transport.Read(p)
 	if n > 0 {
-		h.last.Store(int64(time.Since(h.opened)))
+		h.received.record(time.Now())
 	}
 	return n, err
 }
 
 // lastHeard returns when bytes were last received, or when the connection was opened.
 func (c *connection) lastHeard() time.Time {
-	return c.opened.Add(time.Duration(c.heard.last.Load()))
+	return c.heard.received.lastHeard()
 }
 
 // reusable reports whether the connection is open and its proof of life is fresh.
--- a/internal/wire/dialer/monitoredconn.go
+++ b/internal/wire/dialer/monitoredconn.go
@@ -12,10 +12,14 @@
 	MonitoredConn struct {
 		WriteTimeoutConn
 
+		received receiveClock
+	}
+
+	// receiveClock tells when bytes were last received on a connection.
+	receiveClock struct {
 		openedAt time.Time
-		// lastRead is the time from openedAt until bytes were last received, in nanoseconds; 0 if
-		// none were.
-		lastRead atomic.Int64
+		// last is the time from openedAt until then, in nanoseconds; 0 if none were received.
+		last atomic.Int64
 	}
 
 	// MonitoredListener accepts connections of other hosts as MonitoredConns.
@@ -34,23 +38,22 @@
 
 // Monitor returns conn as a MonitoredConn with a timeout for each write.
 func Monitor(conn net.Conn, timeout time.Duration) *MonitoredConn {
-	return &MonitoredConn{WriteTimeoutConn: WriteTimeoutConn{Conn: conn, Timeout: timeout}, openedAt: time.Now()}
+	return &MonitoredConn{WriteTimeoutConn: WriteTimeoutConn{Conn: conn, Timeout: timeout}, received: receiveClock{openedAt: time.Now()}}
 }
 
 // LastRead returns when bytes were last received; the zero time if none were.
 func (c *MonitoredConn) LastRead() time.Time {
-	after := c.lastRead.Load()
-	if after == 0 {
+	if c.received.last.Load() == 0 {
 		return time.Time{}
 	}
-	return c.openedAt.Add(time.Duration(after))
+	return c.received.lastHeard()
 }
 
 // Read reads into p.
 func (c *MonitoredConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.lastRead.Store(int64(max(time.Since(c.openedAt), 1)))
+		c.received.record(time.Now())
 	}
 	return n, err
 }
@@ -63,3 +66,9 @@
 	}
 	return Monitor(conn, l.Timeout), nil
 }
+
+// record records that bytes were received at now.
+func (r *receiveClock) record(now time.Time) { r.last.Store(int64(max(now.Sub(r.openedAt), 1))) }
+
+// lastHeard returns when bytes were last received, or when the connection was opened.
+func (r *receiveClock) lastHeard() time.Time { return r.openedAt.Add(time.Duration(r.last.Load())) }
