test: a hub that opens its log again hears the other hubs

A hub whose log had ended and was opened again knew no leader until the other hubs' streams to it ended: each stream handed its messages to the replica that was present when it was opened, which drops all once it has ended. The senders saw no error.

--- a/internal/fleet/keeper/keeper_test.go
+++ b/internal/fleet/keeper/keeper_test.go
@@ -33,7 +33,9 @@
 		// lost is set once the hub has ended.
 		lost bool
 		stop context.CancelFunc
-		done sync.WaitGroup
+		// endLog ends the hub's log, but not its server, and waits for its end.
+		endLog func()
+		done   sync.WaitGroup
 	}
 
 	// peerServer answers the calls of other hubs once the keeper has created its replica.
@@ -110,7 +112,16 @@
 	h.done.Go(func() {
 		_ = drpcserver.NewWithOptions(mux, replicator.ServerOptions()).Serve(ctx, replicator.Listener(l))
 	})
-	h.done.Go(func() { _ = h.Run(ctx, founders != nil) })
+	logCtx, endLog := context.WithCancel(ctx)
+	logDone := make(chan struct{})
+	h.endLog = func() {
+		endLog()
+		<-logDone
+	}
+	h.done.Go(func() {
+		defer close(logDone)
+		_ = h.Run(logCtx, founders != nil)
+	})
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.hubs = append(f.hubs, h)
