test: a voter that moved is called at its former address

A voter restarts with its disk at another address and follows; then the leader is lost, and the third host needs its vote. The third host is elected again and again and loses the leadership after one election timeout: becoming leader sets the voter's address to the one in the membership, and the voter's own requests, from which the address is learned, come only after it. The network of the tests tells hosts apart by address now.

--- a/internal/control/replicator/membership_test.go
+++ b/internal/control/replicator/membership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"verbenareach/internal/wire/messenger"
 )
@@ -30,3 +31,31 @@
 		})
 	}
 }
+
+// TestVoterIsCalledAtItsFormerAddress: a voter has moved with its disk, and a quorum needs its vote.
+func TestVoterIsCalledAtItsFormerAddress(t *testing.T) {
+	n := newNetwork(t, 28)
+	n.cluster("a", "b", "c")
+	n.propose("c1")
+	lead := n.awaitLeader()
+	moved := n.host("a")
+	if moved == lead {
+		moved = n.host("b")
+	}
+	if err := n.stop(moved.Name); err != nil {
+		t.Fatal(err)
+	}
+	n.start(&Replicator{Name: moved.Name, Address: "d", Peers: moved.Peers, Folder: moved.Folder})
+	n.eventually("the moved voter follows", func() bool { return n.host("d").Status().Leader.Name == lead.Name })
+	n.isolate("d", true)
+	n.propose("c2") // So only the third host may lead now.
+	if err := n.stop(lead.Name); err != nil {
+		t.Fatal(err)
+	}
+	n.isolate("d", false)
+	begun := time.Now()
+	n.propose("c3")
+	if took, limit := time.Since(begun), 20*lead.ElectionTimeout; took > limit {
+		t.Errorf("no change was taken for %v, want at most %v", took, limit)
+	}
+}
--- a/internal/control/replicator/network_test.go
+++ b/internal/control/replicator/network_test.go
@@ -69,7 +69,7 @@
 	t.TempDir()
 	t.Cleanup(func() {
 		for _, h := range n.runningHosts() {
-			n.stop(h.Name)
+			n.stop(h.Address)
 		}
 		n.wg.Wait()
 	})
@@ -92,7 +92,9 @@
 // start runs a host on its data folder.
 func (n *network) start(r *Replicator) *host {
 	h := &host{Replicator: r, done: make(chan error, 1)}
-	r.Address = r.Name
+	if r.Address == "" {
+		r.Address = r.Name
+	}
 	if r.Heartbeat == 0 {
 		r.Heartbeat = 5 * time.Millisecond
 		r.ElectionTimeout = 50 * time.Millisecond
@@ -126,12 +128,12 @@
 		return nil
 	}
 	r.Send = func(_ context.Context, address string, m *messenger.PeerMessage) error {
-		return n.send(r.Name, address, m)
+		return n.send(r.Address, address, m)
 	}
 	r.Ask = func(ctx context.Context, address string, req *messenger.PeerRequest) (*messenger.PeerReply, error) {
 		n.mu.Lock()
 		to := n.hosts[address]
-		cut := n.cut[r.Name+">"+address] || n.cut[address+">"+r.Name]
+		cut := n.cut[r.Address+">"+address] || n.cut[address+">"+r.Address]
 		n.mu.Unlock()
 		if to == nil || cut {
 			return nil, &NotSentError{Cause: errCut}
@@ -141,7 +143,7 @@
 	var ctx context.Context
 	ctx, h.cancel = context.WithCancel(context.Background())
 	n.mu.Lock()
-	n.hosts[r.Name] = h
+	n.hosts[r.Address] = h
 	n.mu.Unlock()
 	go func() { h.done <- r.Run(ctx) }()
 	return h
