fix: a voter is called at its former address after it has moved

What callers see: no change is taken for as long as a quorum needs the vote of a hub that came back with its disk at another address, while all run.

Cause: the membership names the address at which a hub was added. Others learn a newer one from its messages, but a hub that became leader put the membership's back. The moved voter then heard nothing, the leader lost its quorum, and so on with each term. A peer keeps its learned address now.

--- a/internal/control/replicator/peer.go
+++ b/internal/control/replicator/peer.go
@@ -96,7 +96,8 @@
 	return p
 }
 
-// updatePeers drops peers that are no members and creates a peer for each other member.
+// updatePeers drops peers that are no members and creates a peer for each other member. A peer keeps
+// the address at which it was last heard.
 func (r *Replicator) updatePeers() {
 	for id, p := range r.peers {
 		if r.member(id) == nil {
@@ -105,7 +106,7 @@
 		}
 	}
 	for _, m := range r.members() {
-		if m.Id != r.rec.ID() {
+		if m.Id != r.rec.ID() && r.peers[m.Id] == nil {
 			r.ensurePeer(m.Id, m.Name, m.Address)
 		}
 	}
