fix: large responses to clients that do not read no longer fill the memory

What callers saw: 50 responses of 8 MiB to clients that did not read took the host process to 460 to 476 MiB of 134; a process beyond its memory is killed, and the requests of all its clients end with it.

Cause: a place for a large response was held only while it was read. Once read it stayed in memory, copied once more for the write, until its client had read it or 10 s had passed, and a failure until the last attempt.

The body is written without a copy. A large failure is not kept for the case that the other attempts fail too: the client gets 502 then.

--- a/internal/fleet/forwarder/call.go
+++ b/internal/fleet/forwarder/call.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"verbenareach/internal/event/logger"
 	"verbenareach/internal/fleet/balancer"
 	"verbenareach/internal/fleet/cataloger"
@@ -21,6 +23,8 @@
 		status int
 		header http.Header
 		body   []byte
+		// held is how many bytes of Forwarder.LargeBytes the response takes until release is called.
+		held int64
 	}
 
 	// attempts records what was tried for one request.
@@ -59,7 +63,7 @@
 	avoidUnreachable = 500 * time.Millisecond
 	// maxResponseBytes bounds a response that is read whole before it is forwarded. Beyond
 	// smallResponseBytes it needs one of maxLargeResponses places, so that backend servers which
-	// send without end can't fill the memory.
+	// send without end can't fill the memory. Once read, it takes a part of Forwarder.LargeBytes.
 	maxResponseBytes   = 8 << 20
 	smallResponseBytes = 64 << 10
 	maxLargeResponses  = 2
@@ -111,7 +115,7 @@
 			answered := time.Now()
 			f.Quarantine.RecordHealthy(answered, answered, t.parts)
 		}
-		if err == nil && !t.keepFailure(x, b, resp) {
+		if err == nil && !f.keepFailure(x, t, b, resp) {
 			f.deliver(x, b, resp)
 			return
 		}
@@ -153,11 +157,16 @@
 
 // keepFailure reports whether resp is a failure after which another backend server may serve
 // the request. If so, it keeps resp, which is forwarded if no other backend server serves it.
-func (t *attempts) keepFailure(x *exchange, b *messenger.Backend, resp *wholeResponse) bool {
+// A large one is dropped: other large responses would wait for the attempts that are left.
+func (f *Forwarder) keepFailure(x *exchange, t *attempts, b *messenger.Backend, resp *wholeResponse) bool {
 	repeatable := x.route.Kind == cataloger.Idempotent && t.reached+1 < x.route.Attempts
 	if resp.status != http.StatusInternalServerError || !repeatable {
 		return false
 	}
+	if resp.held > 0 {
+		f.release(resp)
+		return true
+	}
 	t.backend, t.failure = b, resp
 	return true
 }
@@ -195,6 +204,7 @@
 	}
 	resp.Done()
 	if f.notRun(resp) {
+		f.release(whole)
 		return nil, errDeclined
 	}
 	x.mayHaveRun = true
@@ -220,45 +230,77 @@
 // readWhole reads a response to its end and checks that it is complete, at most maxResponseBytes
 // long, not encoded and, with a status below 300, signed. If it is not, the error is a
 // sender.LostError. If the body can't be read and the header states that the request did not
-// run, the error is errDeclined.
+// run, the error is errDeclined. The caller must release the response.
 func (f *Forwarder) readWhole(ctx context.Context, resp *sender.Response) (*wholeResponse, error) {
-	body, err := f.readBody(ctx, resp.Body)
+	whole := &wholeResponse{status: resp.Status, header: resp.Header}
+	err := f.readBody(ctx, resp.Body, whole)
 	switch {
 	case err != nil && f.notRun(resp):
-		return nil, errDeclined
+		err = errDeclined
 	case err != nil:
-		return nil, &sender.LostError{Cause: err}
-	case len(body) > maxResponseBytes:
-		return nil, &sender.LostError{Cause: errTooLarge}
+		err = &sender.LostError{Cause: err}
 	case resp.Header.Get("Content-Encoding") != "":
-		return nil, &sender.LostError{Cause: errEncoded}
+		err = &sender.LostError{Cause: errEncoded}
 	case resp.Status < http.StatusMultipleChoices && resp.Header.Get(f.Dialect.Signature) == "":
-		return nil, &sender.LostError{Cause: errUnsigned}
+		err = &sender.LostError{Cause: errUnsigned}
 	}
-	return &wholeResponse{status: resp.Status, header: resp.Header, body: body}, nil
+	if err != nil {
+		f.release(whole)
+		return nil, err
+	}
+	return whole, nil
 }
 
-// readBody reads a body of at most maxResponseBytes, or one byte more of a longer one. A body
-// above smallResponseBytes waits until another one of that size has been read, or ctx ends.
-func (f *Forwarder) readBody(ctx context.Context, body io.Reader) ([]byte, error) {
+// readBody reads the body of a response; its error is errTooLarge beyond maxResponseBytes. A body
+// above smallResponseBytes waits until others of that size have been read and delivered, or ctx ends.
+func (f *Forwarder) readBody(ctx context.Context, body io.Reader, whole *wholeResponse) error {
 	small, err := io.ReadAll(io.LimitReader(body, smallResponseBytes+1))
+	whole.body = small
 	if err != nil || len(small) <= smallResponseBytes {
-		return small, err
+		return err
 	}
-	f.makeLarge.Do(func() { f.large = make(chan struct{}, maxLargeResponses) })
+	f.makeLarge.Do(f.initLarge)
 	select {
 	case f.large <- struct{}{}:
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return ctx.Err()
 	}
 	defer func() { <-f.large }()
 	rest, err := io.ReadAll(io.LimitReader(body, maxResponseBytes-smallResponseBytes))
-	return append(small, rest...), err
+	if err != nil {
+		return err
+	}
+	whole.body = append(whole.body, rest...)
+	if len(whole.body) > maxResponseBytes {
+		return errTooLarge
+	}
+	size := int64(len(whole.body))
+	if err := f.largeHeld.Acquire(ctx, size); err != nil {
+		return err
+	}
+	whole.held = size
+	return nil
+}
+
+// initLarge creates what bounds large responses.
+func (f *Forwarder) initLarge() {
+	f.large = make(chan struct{}, maxLargeResponses)
+	f.largeHeld = semaphore.NewWeighted(max(f.LargeBytes, maxResponseBytes))
+}
+
+// release gives back what a response takes of LargeBytes.
+func (f *Forwarder) release(resp *wholeResponse) {
+	if resp.held > 0 {
+		f.largeHeld.Release(resp.held)
+		resp.held = 0
+	}
 }
 
 // deliver sends a whole response to the client. A status that implies that the request did not
-// run is forwarded only if the request is idempotent, as it may have run all the same.
+// run is forwarded only if the request is idempotent, as it may have run all the same. It releases
+// the response.
 func (f *Forwarder) deliver(x *exchange, b *messenger.Backend, resp *wholeResponse) {
+	defer f.release(resp)
 	if impliesNotRun(resp.status) && x.route.Kind != cataloger.Idempotent {
 		f.fail(x, http.StatusBadGateway, "backend server did not say whether the request ran", errDeclined)
 		return
--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -18,6 +18,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"verbenareach/internal/event/logger"
 	"verbenareach/internal/fleet/balancer"
 	"verbenareach/internal/fleet/budgeter"
@@ -69,8 +71,14 @@
 		ObserveFirstEvent func(d time.Duration)
 		ObserveGap        func(d time.Duration)
 
-		// large holds a value for each response above smallResponseBytes that is being read.
+		// LargeBytes bounds the responses above smallResponseBytes that are being delivered, all
+		// together. It counts as at least the size of the largest one.
+		LargeBytes int64
+
+		// large holds a value for each response above smallResponseBytes that is being read,
+		// largeHeld counts the bytes of those that are being delivered.
 		large     chan struct{}
+		largeHeld *semaphore.Weighted
 		makeLarge sync.Once
 
 		mu sync.Mutex
--- a/internal/fleet/receiver/writer.go
+++ b/internal/fleet/receiver/writer.go
@@ -23,6 +23,9 @@
 	buf []byte
 }
 
+// maxCopiedBytes is the largest body in bytes that is sent in one write with its header.
+const maxCopiedBytes = 16 << 10
+
 // Started reports whether Reply or Begin was called, also if no byte was sent yet.
 func (w *Writer) Started() bool { return w.started }
 
@@ -32,10 +35,14 @@
 	w.buf = append(w.buf, "Content-Length: "...)
 	w.buf = strconv.AppendInt(w.buf, int64(len(body)), 10)
 	w.buf = append(w.buf, "\r\n\r\n"...)
-	if !w.noBody {
+	if !w.noBody && len(body) <= maxCopiedBytes {
 		w.buf = append(w.buf, body...)
+		body = nil
 	}
 	w.flush()
+	if !w.noBody {
+		w.send(body)
+	}
 	w.complete = !w.failed
 }
 
@@ -88,12 +95,17 @@
 
 // flush sends the buffered bytes, unless the response has failed.
 func (w *Writer) flush() {
-	if w.failed || len(w.buf) == 0 {
+	w.send(w.buf)
+	w.buf = w.buf[:0]
+}
+
+// send sends bytes, unless the response has failed.
+func (w *Writer) send(p []byte) {
+	if w.failed || len(p) == 0 {
 		return
 	}
 	_ = w.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if _, err := w.conn.Write(w.buf); err != nil {
+	if _, err := w.conn.Write(p); err != nil {
 		w.failed = true
 	}
-	w.buf = w.buf[:0]
 }
