fix: large requests that do not end no longer fill the memory

What callers saw: 100 clients that each sent 4 MiB but for the last byte, the length that the configuration allows, took the host process to 419 MiB of 134. Such a process is killed, with the requests of all its clients.

Cause: each body was bounded, all together were not, and memory was taken for the announced length.

Change: what has arrived of all bodies beyond 64 KiB each counts against an eighth of the allowed memory, at least one body of the largest size. A request for which there is none is refused with 503 and Retry-After; it did not run. Requests with small bodies are not affected.

--- a/internal/fleet/receiver/fuzz_test.go
+++ b/internal/fleet/receiver/fuzz_test.go
@@ -17,7 +17,7 @@
 		if err != nil {
 			return
 		}
-		if err := r.readBody(br, bodyBytes); err == nil && len(r.Body) > bodyBytes {
+		if err := r.readBody(br, bodyBytes, (&Receiver{}).newBodyMemory(Limits{})); err == nil && len(r.Body) > bodyBytes {
 			t.Errorf("a body of %d bytes is accepted", len(r.Body))
 		}
 	})
--- a/internal/fleet/receiver/receiver.go
+++ b/internal/fleet/receiver/receiver.go
@@ -36,6 +36,9 @@
 		Handle func(ctx context.Context, w *Writer, r *Request)
 		// Limits returns the limits in force.
 		Limits func() Limits
+		// LargeBytes bounds what arrives of all bodies together, without the first freeBodyBytes of
+		// each; 0 means defaultLargeBytes. It counts as at least Limits.BodyBytes.
+		LargeBytes int64
 		// OnRefused is called for each request that is refused before Handle; it may be nil.
 		OnRefused func(status int, reason string)
 
@@ -49,6 +52,8 @@
 		base     context.Context //nolint:containedctx // It is the parent of contexts made later.
 		end      context.CancelCauseFunc
 		makeBase sync.Once
+		// bodies counts the bytes beyond freeBodyBytes of the bodies of all requests.
+		bodies atomic.Int64
 	}
 
 	// conn is a client's connection.
@@ -74,6 +79,11 @@
 	// the connection with unread bytes would send a reset, which can destroy the response.
 	drainTimeout    = 500 * time.Millisecond
 	readBufferBytes = 4096
+	// defaultLargeBytes is used for a LargeBytes of 0.
+	defaultLargeBytes = 16 << 20
+	// retryAfterBusy is the time in seconds after which a client may send a body again for which
+	// there was no memory.
+	retryAfterBusy = "1"
 	// acceptRetryDelay is the delay after a failed accept, for example with too many open
 	// files.
 	acceptRetryDelay = 20 * time.Millisecond
@@ -159,9 +169,11 @@
 	arrived := time.Now()
 	_ = c.SetReadDeadline(arrived.Add(limits.HeaderTimeout))
 	r, err := readHeader(c.br, limits.HeaderBytes)
+	memory := s.newBodyMemory(limits)
+	defer memory.release()
 	if err == nil {
 		r.Arrived = arrived
-		err = s.readBody(c, r, limits)
+		err = s.readBody(c, r, limits, memory)
 	}
 	if err != nil {
 		s.refuse(c, err)
@@ -196,7 +208,7 @@
 }
 
 // readBody invites the body if the client waits for that, and reads it within bodyTimeout.
-func (s *Receiver) readBody(c *conn, r *Request, limits Limits) error {
+func (s *Receiver) readBody(c *conn, r *Request, limits Limits, memory *bodyMemory) error {
 	if r.length <= 0 && !r.chunked {
 		return nil
 	}
@@ -206,7 +218,16 @@
 		}
 	}
 	_ = c.SetReadDeadline(time.Now().Add(bodyTimeout))
-	return r.readBody(c.br, limits.BodyBytes)
+	return r.readBody(c.br, limits.BodyBytes, memory)
+}
+
+// newBodyMemory returns the memory for the body of one request.
+func (s *Receiver) newBodyMemory(limits Limits) *bodyMemory {
+	total := s.LargeBytes
+	if total == 0 {
+		total = defaultLargeBytes
+	}
+	return &bodyMemory{all: &s.bodies, total: max(total, limits.BodyBytes), free: freeBodyBytes}
 }
 
 // refuse answers a request that is invalid, too large or too slow. It sends nothing if err is
@@ -222,7 +243,11 @@
 		s.OnRefused(rejection.status, rejection.reason)
 	}
 	w := &Writer{conn: c, close: true}
-	w.Reply(rejection.status, nil, []byte(rejection.reason+"\n"))
+	var fields []Field
+	if rejection.status == http.StatusServiceUnavailable {
+		fields = []Field{{Name: "Retry-After", Value: retryAfterBusy}}
+	}
+	w.Reply(rejection.status, fields, []byte(rejection.reason+"\n"))
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.CloseWrite()
 	}
--- a/internal/fleet/receiver/request.go
+++ b/internal/fleet/receiver/request.go
@@ -178,13 +178,14 @@
 	return nil
 }
 
-// readBody reads the whole body. It refuses one of more than limit bytes.
-func (r *Request) readBody(br *bufio.Reader, limit int64) error {
+// readBody reads the whole body. It refuses one of more than limit bytes, and one for
+// which there is no memory.
+func (r *Request) readBody(br *bufio.Reader, limit int64, memory *bodyMemory) error {
 	if r.length > limit {
 		return &requestError{http.StatusRequestEntityTooLarge, "body is too large"}
 	}
 	if r.chunked {
-		body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(br), limit+1))
+		body, err := io.ReadAll(&meteredReader{r: io.LimitReader(httputil.NewChunkedReader(br), limit+1), memory: memory})
 		if err != nil {
 			return bodyError(err)
 		}
@@ -197,11 +198,27 @@
 	if r.length <= 0 {
 		return nil
 	}
+	if r.length > freeBodyBytes {
+		return r.readLargeBody(br, memory)
+	}
 	r.Body = make([]byte, r.length)
 	_, err := io.ReadFull(br, r.Body)
 	return err
 }
 
+// readLargeBody reads a body of a known length. It takes memory only for what arrives.
+func (r *Request) readLargeBody(br *bufio.Reader, memory *bodyMemory) error {
+	body, err := io.ReadAll(&meteredReader{r: io.LimitReader(br, r.length), memory: memory})
+	if err != nil {
+		return err
+	}
+	if int64(len(body)) < r.length {
+		return io.ErrUnexpectedEOF
+	}
+	r.Body = body
+	return nil
+}
+
 // bodyError turns the error of a malformed chunk into a requestError and returns any other
 // error, such as that of a failed connection, unchanged.
 func bodyError(err error) error {
--- a/internal/fleet/runner/build.go
+++ b/internal/fleet/runner/build.go
@@ -65,7 +65,9 @@
 		Stopping: h.stopState, Log: h.Log, Observe: h.meter.Request,
 		ObserveFirstEvent: h.meter.FirstToken, ObserveGap: h.meter.Gap, LargeBytes: int64(largeShare * float64(s.MemoryBytes)),
 	}
-	h.receiver = &receiver.Receiver{Handle: h.handleRequest, Limits: h.limits, OnRefused: h.logMalformed}
+	h.receiver = &receiver.Receiver{
+		Handle: h.handleRequest, Limits: h.limits, LargeBytes: int64(largeShare * float64(s.MemoryBytes)), OnRefused: h.logMalformed,
+	}
 	if !s.Host.Hub {
 		return
 	}
--- a/internal/fleet/runner/runner.go
+++ b/internal/fleet/runner/runner.go
@@ -117,7 +117,8 @@
 	// memoryLimitShare is the part of the allowed memory that is set as the soft memory limit,
 	// above which the garbage collector runs more often.
 	memoryLimitShare = 0.5
-	// largeShare is the part of the allowed memory for large responses that are being delivered.
+	// largeShare is the part of the allowed memory for large responses that are being delivered, and
+	// for the bodies of large requests.
 	largeShare = 0.125
 )
 
