fix: heads of many lines on many connections no longer fill the memory

Cause: a head was bounded by 128 KiB, but a short line takes ten times its bytes once it is parsed, and heads are held at once on all connections.

Change: a head has 32 KiB and 256 lines at most, with informational responses. Beyond that the connection is closed and the answer counts as lost, as before.

--- a/internal/fleet/sender/limit.go
+++ b/internal/fleet/sender/limit.go
@@ -1,15 +1,18 @@
 package sender
 
 import (
+	"bytes"
 	"errors"
 	"io"
 )
 
 type (
-	// limitedReader reads at most left bytes, or without a limit while left is unlimited.
+	// limitedReader reads at most left bytes, and stops once lines ends of lines were read, or reads
+	// without a limit while left is unlimited.
 	limitedReader struct {
-		r    io.Reader
-		left int64
+		r     io.Reader
+		left  int64
+		lines int
 	}
 
 	// bodyReader reads a response body and notes that its end was reached.
@@ -26,19 +29,27 @@
 	_ io.Reader = &limitedReader{}
 	_ io.Reader = &bodyReader{}
 
+	lineEnd = []byte{'\n'}
+
 	errHeaderTooLarge = errors.New("response header is too large")
 )
 
+// allowHeader allows to read the next header.
+func (l *limitedReader) allowHeader() {
+	l.left, l.lines = maxHeaderBytes, maxHeaderLines
+}
+
 // Read reads up to the limit. Beyond it the error is errHeaderTooLarge.
 func (l *limitedReader) Read(p []byte) (int, error) {
 	if l.left == unlimited {
 		return l.r.Read(p)
 	}
-	if l.left == 0 {
+	if l.left == 0 || l.lines <= 0 {
 		return 0, errHeaderTooLarge
 	}
 	n, err := l.r.Read(p[:min(int64(len(p)), l.left)])
 	l.left -= int64(n)
+	l.lines -= bytes.Count(p[:n], lineEnd)
 	return n, err
 }
 
--- a/internal/fleet/sender/response.go
+++ b/internal/fleet/sender/response.go
@@ -86,9 +86,12 @@
 	// maxOtherResponses bounds the responses with the id of another request that are skipped,
 	// such as a second response to an earlier request on the connection.
 	maxOtherResponses = 3
-	// maxHeaderBytes bounds the bytes until the header of the response has been read, with those of
-	// informational responses, and maxSkippedBytes the body of a response that is skipped.
-	maxHeaderBytes  = 128 << 10
+	// maxHeaderBytes and maxHeaderLines bound what is read until the header of the response is whole,
+	// with informational responses: a line takes ten times its bytes. A header may have a few lines
+	// more, as up to readBufferBytes are read at once. maxSkippedBytes bounds the body of a response
+	// that is skipped.
+	maxHeaderBytes  = 32 << 10
+	maxHeaderLines  = 256
 	maxSkippedBytes = 1 << 20
 	// maxInlineBodyBytes is the largest body in bytes that is written together with the header,
 	// before the response is read.
@@ -191,7 +194,7 @@
 // responses and those to other requests.
 func (resp *Response) readHeader(r Request) error {
 	skipped := 0
-	resp.conn.limited.left = maxHeaderBytes
+	resp.conn.limited.allowHeader()
 	defer func() { resp.conn.limited.left = unlimited }()
 	for {
 		next, err := http.ReadResponse(resp.conn.br, &http.Request{Method: r.Method}) //nolint:bodyclose,nolintlint // Done and Abort close the connection.
@@ -234,7 +237,7 @@
 	if n == maxSkippedBytes {
 		return errOtherResponses
 	}
-	resp.conn.limited.left = maxHeaderBytes
+	resp.conn.limited.allowHeader()
 	return nil
 }
 
--- a/internal/fleet/sender/sender_test.go
+++ b/internal/fleet/sender/sender_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 )
@@ -51,3 +52,40 @@
 		})
 	}
 }
+
+// A header of many short lines takes ten times its bytes in memory.
+func TestHeaderOfManyLinesIsRead(t *testing.T) {
+	const length = "Content-Length: 4000\r\n"
+	tests := []struct {
+		name     string
+		response string
+		refused  bool
+	}{
+		{"200 lines", "HTTP/1.1 200 X\r\n" + length + strings.Repeat("A: b\r\n", 200) + "\r\n" + strings.Repeat("c", 4000), false},
+		{"a body of lines behind a short header", "HTTP/1.1 200 X\r\n" + length + "\r\n" + strings.Repeat("\n", 4000), false},
+		{"5000 lines", "HTTP/1.1 200 X\r\n" + strings.Repeat("A:\r\n", 5000) + length + "\r\n" + strings.Repeat("c", 4000), true},
+		{"many informational responses", strings.Repeat("HTTP/1.1 102 X\r\n\r\n", 1500) + "HTTP/1.1 200 X\r\n" + length + "\r\n", true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			near, far := net.Pipe()
+			defer func() { _ = far.Close() }()
+			go func() {
+				if _, err := http.ReadRequest(bufio.NewReader(far)); err == nil {
+					_, _ = io.WriteString(far, tt.response)
+				}
+			}()
+			resp, err := new(Pool).Send(t.Context(), newConn(near, "b"), Request{Method: http.MethodGet, Target: "/", Host: "h"})
+			if refused := err != nil; refused != tt.refused {
+				t.Fatalf("the header is refused: %t, want %t (%v)", refused, tt.refused, err)
+			}
+			if tt.refused {
+				return
+			}
+			if n, err := io.Copy(io.Discard, resp.Body); n != 4000 || err != nil {
+				t.Errorf("%d bytes of the body were read: %v", n, err)
+			}
+			resp.Done()
+		})
+	}
+}
