fix: large events to a client that does not read no longer fill the memory

What callers saw: nothing yet. Of an engine that sends large events without end to a client that does not read, 6.5 MiB of each stream were kept (events of 100 KiB); by that figure 32 such streams, the slots of one engine, take 208 MiB of a host's 134.

Cause: the events that wait for a client were bounded by the number of batches, and a batch may be an event of 128 KiB.

Change: batches that wait hold 256 KiB at most, by the buffers that they keep; beyond that no more is read of the stream.

Evidence: forwarder TestEventsThatNobodyReadsFillTheMemory: 6500 KiB were read before, less than 512 KiB after.

--- a/internal/fleet/forwarder/eventreader.go
+++ b/internal/fleet/forwarder/eventreader.go
@@ -2,9 +2,12 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 
+	"golang.org/x/sync/semaphore"
+
 	"verbenareach/internal/fleet/sender"
 )
 
@@ -18,6 +21,8 @@
 		// err ends the stream; it is io.EOF if the stream is complete. A batch with an err has no
 		// events.
 		err error
+		// written is to be called once the batch needs no memory anymore.
+		written func()
 	}
 
 	// eventReader splits a response body into whole events.
@@ -32,8 +37,10 @@
 	readSize = 4096
 	// maxEventBytes bounds one event.
 	maxEventBytes = 128 << 10
-	// maxPendingBatches bounds the batches that are queued for the client.
+	// maxPendingBatches and maxPendingBytes bound what is queued for a client, of whose stream no more
+	// is read then. A larger batch is queued alone.
 	maxPendingBatches = 64
+	maxPendingBytes   = 256 << 10
 )
 
 var (
@@ -49,15 +56,22 @@
 // be called once, ends the sending; a read in progress ends when the response is closed.
 func readEvents(resp *sender.Response) (events <-chan eventBatch, stop func()) {
 	ch := make(chan eventBatch, maxPendingBatches)
-	stopped := make(chan struct{})
+	ctx, cancel := context.WithCancel(context.Background())
+	pending := semaphore.NewWeighted(maxPendingBytes)
 	go func() {
 		defer close(ch)
 		r := &eventReader{body: resp.Body}
 		for {
 			b := r.next()
+			// The bytes keep all of the buffer that they were read to.
+			size := int64(min(cap(b.bytes), maxPendingBytes))
+			b.written = func() { pending.Release(size) }
+			if pending.Acquire(ctx, size) != nil {
+				return
+			}
 			select {
 			case ch <- b:
-			case <-stopped:
+			case <-ctx.Done():
 				return
 			}
 			if b.err != nil {
@@ -65,7 +79,7 @@
 			}
 		}
 	}()
-	return ch, func() { close(stopped) }
+	return ch, cancel
 }
 
 // next reads until at least one event is whole and returns all whole events.
--- a/internal/fleet/forwarder/stream.go
+++ b/internal/fleet/forwarder/stream.go
@@ -130,6 +130,7 @@
 // forward sends a batch to the client. It reports whether the stream is still open on both
 // sides. If not, streamErr is set if the backend server's side has ended, nil if the client left.
 func (s *stream) forward(b eventBatch) bool {
+	defer b.written()
 	if b.err != nil {
 		s.streamErr = b.err
 		if errors.Is(b.err, io.EOF) && s.eventsHere == 0 && !s.response.Framed {
