fix: a load report without end no longer fills an agent's memory

What callers saw: nothing yet. An engine that sent its load report without end was read until it stopped: 265 MiB in two seconds.

Cause: the report was decoded from the body without a bound, and net/http reads heads of 10 MiB unless told otherwise.

Change: a load report has 64 KiB at most, heads of engines and services have 32 KiB.

Evidence: connector TestLoadWithoutEndFillsTheMemory: 265 MiB before, closed at once after. The bound on heads of services is the same setting, without a test of its own.

--- a/internal/agent/server/backend.go
+++ b/internal/agent/server/backend.go
@@ -131,10 +131,7 @@
 	}
 	b := &backend{announced: ann, announcedAt: now}
 	if ann.Kind == registrar.BackendEngine {
-		transport := &http.Transport{
-			MaxIdleConnsPerHost: engineIdleConns, IdleConnTimeout: engineIdleTimeout, DisableCompression: true,
-		}
-		b.engine = &engineconnector.Engine{Address: ann.Address, Client: &http.Client{Transport: transport}}
+		b.engine = &engineconnector.Engine{Address: ann.Address, Client: engineconnector.NewClient(engineIdleConns, engineIdleTimeout)}
 	} else {
 		b.service = serviceconnector.New(ann.Address)
 	}
--- a/internal/engine/connector/connector.go
+++ b/internal/engine/connector/connector.go
@@ -27,6 +27,9 @@
 	// follows the last token of a stream.
 	maxErrorBytes = 4 << 10
 	drainTimeout  = 100 * time.Millisecond
+	// maxHeaderBytes bounds the header of a response, maxLoadBytes a load report.
+	maxHeaderBytes = 32 << 10
+	maxLoadBytes   = 64 << 10
 )
 
 var (
@@ -125,6 +128,14 @@
 	return e.Err
 }
 
+// NewClient returns a client for one engine that keeps the given number of idle connections for the
+// given time.
+func NewClient(idleConns int, idleTimeout time.Duration) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: idleConns, IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
+	}}
+}
+
 // Load fetches the engine's latest load report.
 func (e *Engine) Load(ctx context.Context) (Load, error) {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Address+"/v1/load", nil)
@@ -140,7 +151,7 @@
 		return Load{}, eris.Errorf("engine load: status %d", resp.StatusCode)
 	}
 	var load Load
-	err = json.NewDecoder(resp.Body).Decode(&load)
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxLoadBytes)).Decode(&load)
 	return load, eris.Wrap(err, "engine load")
 }
 
--- a/internal/engine/connector/connector_test.go
+++ b/internal/engine/connector/connector_test.go
@@ -4,8 +4,11 @@
 	"bufio"
 	"errors"
 	"io"
+	"net"
+	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"verbenareach/internal/wire/messenger"
 )
@@ -71,3 +74,47 @@
 		}
 	})
 }
+
+// An engine in trouble may send its load, or the head of any answer, without end.
+func TestLoadWithoutEndFillsTheMemory(t *testing.T) {
+	const most = 16 << 20
+	for name, begin := range map[string]string{
+		"body": "HTTP/1.1 200 X\r\n\r\n{\"running\":\"", "head": "HTTP/1.1 200 X\r\nA: ",
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = l.Close() }()
+			closed := make(chan int, 1)
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer func() { _ = c.Close() }()
+				_ = c.SetDeadline(time.Now().Add(2 * time.Second))
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, begin)
+				block := strings.Repeat("a", 64<<10)
+				for sent := 0; ; sent += len(block) {
+					if _, err := io.WriteString(c, block); err != nil {
+						closed <- sent
+						return
+					}
+				}
+			}()
+			e := &Engine{Address: l.Addr().String(), Client: NewClient(1, time.Second)}
+			if _, err := e.Load(t.Context()); err == nil {
+				t.Error("a load without end was read")
+			}
+			e.Client.CloseIdleConnections()
+			if sent := <-closed; sent > most {
+				t.Errorf("%d MiB were sent before the connection was closed", sent>>20)
+			}
+		})
+	}
+}
--- a/internal/service/connector/connector.go
+++ b/internal/service/connector/connector.go
@@ -18,6 +18,9 @@
 	// MaxReplyBytes bounds the body of a service's reply.
 	MaxReplyBytes = 1 << 20
 
+	// maxHeaderBytes bounds the header of a reply.
+	maxHeaderBytes = 32 << 10
+
 	// idleConnections bounds the idle connections to one service.
 	idleConnections = 64
 	// idleTimeout is how long an idle connection is kept. An open one can go silent without an error.
@@ -41,11 +44,12 @@
 func New(address string) *Service {
 	return &Service{
 		address: address,
-		pooled: &http.Client{
-			Transport:     &http.Transport{MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout},
-			CheckRedirect: noRedirect,
-		},
-		unpooled: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, CheckRedirect: noRedirect},
+		pooled: &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
+			MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxHeaderBytes,
+		}},
+		unpooled: &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
+			DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes,
+		}},
 	}
 }
 
