--- a/internal/fleet/forwarder/endless_test.go
+++ b/internal/fleet/forwarder/endless_test.go
@@ -51,6 +51,10 @@
 		{"body in chunks", "/once/", func(s seenRequest) string { return head(s, chunked) }, "1\r\na\r\n"},
 		{"trailer", "/read/", func(s seenRequest) string { return head(s, chunked) + "0\r\n" }, "A: b\r\n"},
 		{"chunk size", "/read/", func(s seenRequest) string { return head(s, chunked) }, "0"},
+		{"chunk extension", "/read/", func(s seenRequest) string { return head(s, chunked) + "1;" }, "a"},
+		{"body that is misdirected", "/once/", func(s seenRequest) string {
+			return fmt.Sprintf("HTTP/1.1 421 X\r\nT-Id: %s\r\n\r\n", s.Header.Get("T-Id"))
+		}, "a"},
 		{"body of another response", "/read/", func(seenRequest) string {
 			return "HTTP/1.1 200 X\r\nT-Id: other\r\n" + chunked + "\r\n"
 		}, chunk},
@@ -98,6 +102,44 @@
 	}
 }
 
+// A backend server may go on sending after the client has left.
+func TestBytesWithoutEndAfterTheClientLeft(t *testing.T) {
+	event := "5\r\nid: 1\r\n2\r\n\n\n\r\n"
+	for _, path := range []string{"/read/", "/stream/"} {
+		t.Run(path, func(t *testing.T) {
+			begun, closed := make(chan struct{}, 10), make(chan int, 10)
+			b := newStandIn(t, "e", func(c net.Conn, seen seenRequest) bool {
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 X\r\nT-Id: %s\r\n%sTransfer-Encoding: chunked\r\n\r\n", seen.Header.Get("T-Id"), signed)
+				begun <- struct{}{}
+				for sent := 0; ; sent += len(event) {
+					if _, err := c.Write([]byte(event)); err != nil {
+						closed <- sent
+						return false
+					}
+					time.Sleep(time.Millisecond)
+				}
+			})
+			if path == "/read/" {
+				b.id = "plain"
+			}
+			x := newFixture(t, b)
+			x.place = b.id
+			c, err := net.Dial("tcp", x.address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\nT-Id: id-1\r\n%s\r\n", path, key)
+			<-begun
+			_ = c.Close()
+			select {
+			case <-closed:
+			case <-time.After(time.Second):
+				t.Error("the connection is still open 1 s after the client left")
+			}
+		})
+	}
+}
+
 // A stream that trickles is neither cut while it is sound, nor kept beyond its deadline if it
 // never ends.
 func TestSlowStreams(t *testing.T) {
