--- a/internal/control/replicator/silence_test.go
+++ b/internal/control/replicator/silence_test.go
@@ -3,15 +3,20 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"net"
 	"path/filepath"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"verbenareach/internal/event/logger"
 	"verbenareach/internal/wire/messenger"
 )
 
@@ -40,6 +45,10 @@
 	tcpHost struct {
 		*Replicator
 		proxy *silentProxy
+		// stop ends the host.
+		stop context.CancelFunc
+		// givenUp counts the streams that were given up as silent.
+		givenUp atomic.Int64
 	}
 )
 
@@ -50,6 +59,10 @@
 	// must, after connections went silent.
 	leaderWithin = 3 * time.Second
 	followWithin = 5 * time.Second
+	// readTimeout bounds one read of the configuration.
+	readTimeout = 850 * time.Millisecond
+	// pooledReads is how many reads at once leave a connection each.
+	pooledReads = 16
 )
 
 func newSilentProxy(t *testing.T, target string) *silentProxy {
@@ -128,6 +141,12 @@
 
 // newTCPCluster starts three hosts with the timing of the fleet's hubs.
 func newTCPCluster(t *testing.T) []*tcpHost {
+	t.Helper()
+	return newTCPClusterWith(t, func(*Replicator) {})
+}
+
+// newTCPClusterWith starts three hosts that change has changed before their start.
+func newTCPClusterWith(t *testing.T, change func(r *Replicator)) []*tcpHost {
 	t.Helper()
 	var hosts []*tcpHost
 	var peers []Peer
@@ -146,7 +165,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	for i, h := range hosts {
-		transport := &Transport{}
+		running, stop := context.WithCancel(ctx)
+		h.stop = stop
+		transport := &Transport{Log: &logger.Logger{Count: func(ev logger.Event) {
+			if ev.Code() == logger.ControlStreamSilent.Code() {
+				h.givenUp.Add(1)
+			}
+		}}}
 		h.Replicator = &Replicator{
 			Name: peers[i].Name, Address: peers[i].Address, Peers: peers, Folder: filepath.Join(folder, peers[i].Name),
 			Send: transport.Send, Ask: transport.Ask, Heartbeat: 150 * time.Millisecond, ElectionTimeout: 900 * time.Millisecond,
@@ -154,13 +179,14 @@
 			Snapshot: func() ([]byte, error) { return nil, nil },
 			Restore:  func(uint64, []byte) error { return nil },
 		}
+		change(h.Replicator)
 		mux := drpcmux.New()
 		if err := messenger.DRPCRegisterPeers(mux, &Service{Replicator: h.Replicator, Transport: transport}); err != nil {
 			t.Fatal(err)
 		}
-		wg.Go(func() { _ = drpcserver.NewWithOptions(mux, ServerOptions()).Serve(ctx, Listener(listeners[i])) })
+		wg.Go(func() { _ = drpcserver.NewWithOptions(mux, ServerOptions()).Serve(running, Listener(listeners[i])) })
 		wg.Go(func() {
-			if err := h.Run(ctx); err != nil {
+			if err := h.Run(running); err != nil {
 				t.Error(err)
 			}
 			_ = transport.Close()
@@ -260,3 +286,266 @@
 		})
 	}
 }
+
+// The last leader's end must not add to what the silence has cost: the hubs left have talked before.
+func TestSilentConnectionsBesideTheLeadersEndLeaveNoLeader(t *testing.T) {
+	t.Parallel()
+	hosts := newTCPCluster(t)
+	awaitTCPLeader(t, hosts, startWithin)
+	for range 3 {
+		leads := awaitTCPLeader(t, hosts, leaderWithin)
+		_ = hosts[leads].TransferLeadership(t.Context())
+		awaitTCPCommit(t, hosts, time.Now())
+	}
+	last := awaitTCPLeader(t, hosts, leaderWithin)
+	for _, h := range hosts {
+		h.proxy.silence(true, true)
+	}
+	begun := time.Now()
+	hosts[last].stop()
+	left := slices.Delete(slices.Clone(hosts), last, last+1)
+	awaitTCPLeader(t, left, followWithin)
+	t.Logf("a quorum follows a leader after %v", time.Since(begun))
+	awaitTCPCommit(t, left, time.Now())
+}
+
+// A transfer of the leadership whose message is lost must not leave the hubs without a leader.
+func TestSilentConnectionsBesideATransferLeaveNoLeader(t *testing.T) {
+	t.Parallel()
+	hosts := newTCPCluster(t)
+	for range 3 {
+		leads := awaitTCPLeader(t, hosts, startWithin)
+		awaitTCPCommit(t, hosts, time.Now())
+		for _, h := range hosts {
+			h.proxy.silence(true, true)
+		}
+		begun := time.Now()
+		err := hosts[leads].TransferLeadership(t.Context())
+		awaitTCPLeader(t, hosts, leaderWithin)
+		t.Logf("a quorum follows a leader after %v; transfer: %v", time.Since(begun), err)
+		awaitTCPCommit(t, hosts, begun)
+		time.Sleep(2 * time.Second)
+	}
+}
+
+// A hub that nobody can dial must not keep the others from a leader, nor lead them.
+func TestLeaderThatNobodyCanDialIsReplaced(t *testing.T) {
+	t.Parallel()
+	hosts := newTCPCluster(t)
+	awaitTCPLeader(t, hosts, startWithin)
+	awaitTCPCommit(t, hosts, time.Now())
+	leads := awaitTCPLeader(t, hosts, leaderWithin)
+	_ = hosts[leads].proxy.listener.Close()
+	hosts[leads].proxy.silence(true, true)
+	left := slices.Delete(slices.Clone(hosts), leads, leads+1)
+	begun := time.Now()
+	awaitTCPLeader(t, left, followWithin)
+	t.Logf("a quorum follows a leader after %v", time.Since(begun))
+}
+
+// A hub that stalls may cost streams; once it runs again none may be given up.
+func TestStreamsAreKeptAfterAHubHasStalled(t *testing.T) {
+	t.Parallel()
+	hosts := newTCPCluster(t)
+	awaitTCPLeader(t, hosts, startWithin)
+	awaitTCPCommit(t, hosts, time.Now())
+	for range 2 {
+		leads := awaitTCPLeader(t, hosts, leaderWithin)
+		stalled := hosts[(leads+1)%len(hosts)]
+		stalled.mu.Lock()
+		time.Sleep(3 * time.Second)
+		stalled.mu.Unlock()
+		awaitTCPCommit(t, hosts, time.Now())
+		awaitNoneGivenUp(t, hosts)
+	}
+}
+
+// Silence may cost the streams that it hits; the streams that replace them must be kept.
+func TestStreamsAreKeptAfterSilence(t *testing.T) {
+	t.Parallel()
+	hosts := newTCPCluster(t)
+	awaitTCPLeader(t, hosts, startWithin)
+	for range 3 {
+		leads := awaitTCPLeader(t, hosts, leaderWithin)
+		_ = hosts[leads].TransferLeadership(t.Context())
+		awaitTCPCommit(t, hosts, time.Now())
+		for _, h := range hosts {
+			h.proxy.silence(true, true)
+		}
+		awaitTCPCommit(t, hosts, time.Now())
+		awaitNoneGivenUp(t, hosts)
+	}
+}
+
+// awaitNoneGivenUp waits until replaced streams have settled, and fails if one is given up later.
+func awaitNoneGivenUp(t *testing.T, hosts []*tcpHost) {
+	t.Helper()
+	time.Sleep(2 * time.Second)
+	before := make([]int64, len(hosts))
+	for i, h := range hosts {
+		before[i] = h.givenUp.Load()
+	}
+	time.Sleep(2 * time.Second)
+	for i, h := range hosts {
+		t.Logf("%s gave up %d streams in all", h.Name, h.givenUp.Load())
+		if n := h.givenUp.Load() - before[i]; n > 0 {
+			t.Errorf("%s gave up %d streams that were not silent", h.Name, n)
+		}
+	}
+}
+
+// A reply of the largest size must reach a host behind a slow link.
+func TestLargeRepliesPassTheWriteTimeout(t *testing.T) {
+	t.Parallel()
+	for _, mbits := range []int{23, 13, 6} {
+		t.Run(fmt.Sprint(mbits, " Mbit a second"), func(t *testing.T) {
+			t.Parallel()
+			raw, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = raw.Close() }()
+			proxy := newSlowProxy(t, raw.Addr().String(), mbits*bytesPerMbit)
+			written := make(chan error, 1)
+			go func() {
+				conn, err := Listener(raw).Accept()
+				for range largestConfig / (64 << 10) {
+					if err == nil {
+						_, err = conn.Write(make([]byte, 64<<10))
+					}
+				}
+				written <- err
+				if conn != nil {
+					_ = conn.Close()
+				}
+			}()
+			conn, err := net.Dial("tcp", proxy.listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			n, err := io.Copy(io.Discard, conn)
+			if n != largestConfig || err != nil {
+				t.Errorf("%d of %d bytes arrived: %v", n, largestConfig, err)
+			}
+			if err := <-written; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// A stream that went silent must be replaced before its loss costs the leadership.
+func TestSilentConnectionsKeepTheLeader(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name              string
+		requests, replies bool
+	}{
+		{"both directions", true, true},
+		{"what the openers send", true, false},
+		{"what the openers receive", false, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			hosts := newTCPCluster(t)
+			leads := awaitTCPLeader(t, hosts, startWithin)
+			awaitTCPCommit(t, hosts, time.Now())
+			term := hosts[leads].Status().Term
+			for range 5 {
+				time.Sleep(2 * time.Second)
+				for _, h := range hosts {
+					h.proxy.silence(tt.requests, tt.replies)
+				}
+				time.Sleep(2 * time.Second)
+				if s := hosts[leads].Status(); s.Role != "leader" || s.Term != term {
+					t.Fatalf("%s is %s in term %d, want leader in term %d", hosts[leads].Name, s.Role, s.Term, term)
+				}
+			}
+		})
+	}
+}
+
+// A snapshot of which chunks are lost in silence must be installed nevertheless.
+func TestSilentConnectionsBesideASnapshotLeaveAHubBehind(t *testing.T) {
+	t.Parallel()
+	state := make([]byte, 4<<20)
+	_, _ = rand.NewChaCha8([32]byte{}).Read(state)
+	var restored atomic.Int64
+	hosts := newTCPClusterWith(t, func(r *Replicator) {
+		r.SnapshotEntries, r.TrailingEntries = 20, 5
+		r.Snapshot = func() ([]byte, error) { return state, nil }
+		r.Restore = func(uint64, []byte) error {
+			restored.Add(1)
+			return nil
+		}
+	})
+	awaitTCPLeader(t, hosts, startWithin)
+	awaitTCPCommit(t, hosts, time.Now())
+	leads := awaitTCPLeader(t, hosts, leaderWithin)
+	behind := hosts[(leads+1)%len(hosts)]
+	behind.mu.Lock()
+	for range 60 {
+		ctx, cancel := context.WithTimeout(t.Context(), leaderWithin)
+		_, _, err := hosts[leads].Propose(ctx, []byte("x"))
+		cancel()
+		if err != nil {
+			behind.mu.Unlock()
+			t.Fatal(err)
+		}
+	}
+	time.Sleep(time.Second)
+	for _, h := range hosts {
+		h.proxy.silence(true, true)
+	}
+	behind.mu.Unlock()
+	begun := time.Now()
+	for range 3 {
+		time.Sleep(700 * time.Millisecond)
+		for _, h := range hosts {
+			h.proxy.silence(true, true)
+		}
+	}
+	awaitTCPCommit(t, hosts, time.Now())
+	t.Logf("restored %d times, all follow after %v", restored.Load(), time.Since(begun))
+	if restored.Load() == 0 {
+		t.Error("no snapshot was installed")
+	}
+}
+
+// Each pooled connection to the leader that has gone silent must not cost a hub one read or change.
+func TestSilentPooledConnectionsFailReadsOfAHub(t *testing.T) {
+	t.Parallel()
+	hosts := newTCPCluster(t)
+	awaitTCPLeader(t, hosts, startWithin)
+	awaitTCPCommit(t, hosts, time.Now())
+	leads := awaitTCPLeader(t, hosts, leaderWithin)
+	follower := hosts[(leads+1)%len(hosts)]
+	read := func() error {
+		ctx, cancel := context.WithTimeout(t.Context(), readTimeout)
+		defer cancel()
+		_, err := follower.Confirm(ctx)
+		return err
+	}
+	var wg sync.WaitGroup
+	for range pooledReads {
+		wg.Go(func() {
+			if err := read(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	wg.Wait()
+	hosts[leads].proxy.silence(true, true)
+	begun := time.Now()
+	failed := 0
+	for err := read(); err != nil; err = read() {
+		failed++
+		if time.Since(begun) >= followWithin {
+			t.Fatalf("%d reads in a row failed within %v, while the follower knows that %s leads: %v",
+				failed, time.Since(begun), follower.Status().Leader.Name, err)
+		}
+	}
+	t.Logf("%d reads failed; the first after that succeeds %v after the silence", failed, time.Since(begun))
+}
