fix: one hub without a leader no longer keeps the others from being asked

Cause: such a host asked its linked hubs one after the other, the nearest first, within one limit of 850 ms. A hub that looks for a leader, or is reached over a pooled connection that is silent, takes all of it.

Change: the next hub is asked too once one has taken 250 ms, and the first answer counts. Sending a version to two hubs is harmless, as the second commit of it changes nothing.

--- a/internal/fleet/runner/distribution.go
+++ b/internal/fleet/runner/distribution.go
@@ -69,17 +69,18 @@
 	if h.keeper != nil {
 		return h.keeper.Put(ctx, version, packed)
 	}
-	for _, hub := range h.linkedHubs() {
+	answer, err := askHubs(ctx, h.linkedHubs(), func(ctx context.Context, hub *messenger.FleetHost) (hubAnswer, error) {
 		var reply *messenger.ConfigureReply
 		err := h.linker.Call(ctx, hub.Address, func(ctx context.Context, c messenger.DRPCFleetClient) (err error) {
 			reply, err = c.Configure(ctx, &messenger.ConfigureRequest{Version: version, Body: packed})
 			return err
 		})
-		if err == nil && reply.Error == "" {
-			return reply.Version, nil
+		if err == nil && reply.Error != "" {
+			err = errors.New(reply.Error)
 		}
-	}
-	return 0, ErrNoQuorum
+		return hubAnswer{version: reply.GetVersion()}, err
+	})
+	return answer.version, err
 }
 
 // ReadConfiguration returns the newest configuration in the operators' format, confirmed
@@ -109,22 +110,25 @@
 	if held == nil {
 		held = &packedConfig{}
 	}
-	for _, hub := range h.linkedHubs() {
+	answer, err := askHubs(ctx, h.linkedHubs(), func(ctx context.Context, hub *messenger.FleetHost) (hubAnswer, error) {
 		var reply *messenger.FetchReply
 		err := h.linker.Call(ctx, hub.Address, func(ctx context.Context, c messenger.DRPCFleetClient) (err error) {
 			reply, err = c.Fetch(ctx, &messenger.FetchRequest{Confirm: true, Held: held.version})
 			return err
 		})
-		if err != nil || reply.Error != "" {
-			continue
-		}
-		if reply.Version <= held.version {
-			// The reply omits the body of a version that is held here.
-			return held.version, held.packed, nil
+		if err == nil && reply.Error != "" {
+			err = errors.New(reply.Error)
 		}
-		return reply.Version, reply.Body, nil
+		return hubAnswer{version: reply.GetVersion(), packed: reply.GetBody()}, err
+	})
+	if err != nil {
+		return 0, nil, err
+	}
+	if answer.version <= held.version {
+		// The answer omits the body of a version that is held here.
+		return held.version, held.packed, nil
 	}
-	return 0, nil, ErrNoQuorum
+	return answer.version, answer.packed, nil
 }
 
 // ReportBackend records a backend server's report of its own state; see informer.Informer.Report.
