fix: a stream that the other hub ends leaves its connection open

A hub whose log has ended refuses streams, and each attempt left a connection open, some seven a second, until the other side closed it after two minutes. The connection ends with the stream now.

Found by the review.

--- a/internal/control/replicator/stream.go
+++ b/internal/control/replicator/stream.go
@@ -107,8 +107,9 @@
 	return now.Sub(since) >= suspicionTimeout
 }
 
-// receive receives replies until the stream ends.
+// receive receives replies until the stream ends, and closes its connection.
 func (s *stream) receive() error {
+	defer func() { _ = s.conn.Close() }()
 	for {
 		if _, err := s.client.Recv(); err != nil {
 			s.mu.Lock()
