fix: tell the other hub while bytes arrive, not after a whole message

The reply that tells a hub that its messages arrive came 0.2 s after a whole message.

The receiving hub now replies each 0.1 s while bytes arrive. A stream is given up after 0.45 s instead of 0.5 s.

--- a/internal/control/replicator/stream.go
+++ b/internal/control/replicator/stream.go
@@ -1,6 +1,7 @@
 package replicator
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -10,8 +11,8 @@
 )
 
 type (
-	// stream sends messages to another host, which replies within replyDelay that it has received
-	// some. So a host that receives nothing after it has sent a message knows that the connection
+	// stream sends messages to another host, which replies every replyInterval while bytes arrive
+	// there. So a host that receives nothing after it has sent a message knows that the connection
 	// is silent.
 	stream struct {
 		address  string
@@ -32,26 +33,18 @@
 		check *time.Timer
 		ended bool
 	}
-
-	// receipt sends the replies on a stream that another host opened.
-	receipt struct {
-		messages messenger.DRPCPeers_ExchangeStream
-
-		// mu guards due, which sends the next reply; nil if there is nothing to reply to.
-		mu  sync.Mutex
-		due *time.Timer
-	}
 )
 
 const (
 	// silenceTimeout is how long nothing may be received after a message was sent. It is well
 	// below the election timeout, so that a leader keeps a follower whose connection is replaced.
-	silenceTimeout = 500 * time.Millisecond
+	silenceTimeout = 450 * time.Millisecond
 	// suspicionTimeout replaces silenceTimeout, for a stream whether in use or not, once the other
 	// host has given up a connection to this one.
 	suspicionTimeout = 300 * time.Millisecond
-	// replyDelay is how long after the first of some messages the reply to them is sent.
-	replyDelay = 200 * time.Millisecond
+	// replyInterval is the time between two replies while bytes arrive. A message on a slow link
+	// takes longer than that.
+	replyInterval = 100 * time.Millisecond
 )
 
 // send sends a message.
@@ -134,28 +127,26 @@
 	_ = s.conn.Close()
 }
 
-// received has a reply sent within replyDelay.
-func (r *receipt) received() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.due == nil {
-		r.due = time.AfterFunc(replyDelay, r.reply)
-	}
-}
-
-func (r *receipt) reply() {
-	r.mu.Lock()
-	r.due = nil
-	r.mu.Unlock()
-	// A connection that has failed ends the receiving side too.
-	_ = r.messages.Send(&messenger.ExchangeReply{})
-}
-
-// stop ends the replies.
-func (r *receipt) stop() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.due != nil {
-		r.due.Stop()
+// reply sends replies on a stream that another host opened, while bytes arrive on its connection and
+// until ctx ends.
+func reply(ctx context.Context, messages messenger.DRPCPeers_ExchangeStream, conn *dialer.MonitoredConn) {
+	ticker := time.NewTicker(replyInterval)
+	defer ticker.Stop()
+	var replied time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		lastRead := conn.LastRead()
+		if !lastRead.After(replied) {
+			continue
+		}
+		replied = lastRead
+		if messages.Send(&messenger.ExchangeReply{}) != nil {
+			// The connection has failed, which ends the receiving side too.
+			return
+		}
 	}
 }
--- a/internal/control/replicator/transport.go
+++ b/internal/control/replicator/transport.go
@@ -221,8 +221,9 @@
 	if !ok {
 		return errNotMonitored
 	}
-	replies := &receipt{messages: messages}
-	defer replies.stop()
+	ctx, stop := context.WithCancel(messages.Context())
+	defer stop()
+	go reply(ctx, messages, conn)
 	var from *route
 	for {
 		m, err := messages.Recv()
@@ -235,7 +236,6 @@
 			}
 			defer from.release(conn)
 		}
-		replies.received()
 		s.Replicator.Receive(m)
 	}
 }
