fix: a read that gets no answer says that no leader is known

What operators saw: reads of the configuration at a hub end with "not the leader, and no leader is known", also where the hub knows its leader and only the call to it got no answer. So the lines of the incident don't prove that no leader stood. A read now ends with "no answer from the leader at ADDRESS" then.

--- a/internal/control/replicator/errors.go
+++ b/internal/control/replicator/errors.go
@@ -19,6 +19,14 @@
 		Cause error
 	}
 
+	// NoAnswerError reports that the leader did not answer a read, which may be repeated, as
+	// with NotLeaderError.
+	NoAnswerError struct {
+		// Address is that of the leader that was asked.
+		Address string
+		Cause   error
+	}
+
 	// RefusedError reports that a proposal or a membership change was rejected for
 	// a reason that retrying does not resolve. The rejected request has no effect.
 	RefusedError struct {
@@ -29,6 +37,7 @@
 var (
 	_ error = &NotLeaderError{}
 	_ error = &OutcomeUnknownError{}
+	_ error = &NoAnswerError{}
 	_ error = &RefusedError{}
 
 	// ErrStopped is returned while the host has not started yet, and after it has stopped.
@@ -56,6 +65,14 @@
 // Unwrap returns the cause.
 func (e *OutcomeUnknownError) Unwrap() error { return e.Cause }
 
+// Error names the leader and includes the cause.
+func (e *NoAnswerError) Error() string {
+	return fmt.Sprintf("no answer from the leader at %s: %v", e.Address, e.Cause)
+}
+
+// Unwrap returns a NotLeaderError and the cause.
+func (e *NoAnswerError) Unwrap() []error { return []error{&NotLeaderError{}, e.Cause} }
+
 // Error includes the reason.
 func (e *RefusedError) Error() string { return "refused: " + e.Reason }
 
--- a/internal/control/replicator/propose.go
+++ b/internal/control/replicator/propose.go
@@ -60,7 +60,7 @@
 		})
 		index = reply.GetConfirmRead().GetIndex()
 		if unknown := new(OutcomeUnknownError); errors.As(err, &unknown) {
-			return &NotLeaderError{} // A read may be repeated.
+			return &NoAnswerError{Address: address, Cause: unknown.Cause}
 		}
 		return err
 	})
