fix: a hub that refuses streams fills the log of the others

A hub whose log has ended refuses each stream as it is opened, some seven a second, and the others logged VR1431 and VR1432 for each. VR1431 comes with the first reply now, so it tells of a stream that works, and VR1432 once in a row for streams without a reply.

--- a/internal/control/replicator/route.go
+++ b/internal/control/replicator/route.go
@@ -11,10 +11,10 @@
 type route struct {
 	// opening is held while a stream is opened.
 	opening sync.Mutex
-	// failing is set from the first failure to open a stream until one is open; opening guards it.
-	failing bool
 
 	mu sync.Mutex
+	// failing is set from the first stream that could not be opened, or had no reply, until one has.
+	failing bool
 	// opened is the stream on which messages are sent; nil if one is to be opened.
 	opened *stream
 	// accepted is the connection of the stream that the other host opened last; nil if there is none.
@@ -35,6 +35,15 @@
 	r.opened = s
 }
 
+// setFailing sets whether streams fail, and reports whether that is news.
+func (r *route) setFailing(failing bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	news := r.failing != failing
+	r.failing = failing
+	return news
+}
+
 // remove removes a stream that has ended.
 func (r *route) remove(s *stream) {
 	r.mu.Lock()
--- a/internal/control/replicator/stream.go
+++ b/internal/control/replicator/stream.go
@@ -31,7 +31,8 @@
 		unansweredSince time.Time
 		// check is the next check whether the stream is silent; nil if none is due.
 		check *time.Timer
-		ended bool
+		// replied is set with the first reply.
+		replied, ended bool
 	}
 )
 
@@ -100,19 +101,28 @@
 	return now.Sub(since) >= suspicionTimeout
 }
 
-// receive receives replies until the stream ends, and closes its connection.
-func (s *stream) receive() error {
+// receive receives replies until the stream ends, and closes its connection. It calls onReply with the
+// first one.
+func (s *stream) receive(onReply func()) error {
 	defer func() { _ = s.conn.Close() }()
 	for {
-		if _, err := s.client.Recv(); err != nil {
-			s.mu.Lock()
-			defer s.mu.Unlock()
+		_, err := s.client.Recv()
+		s.mu.Lock()
+		first := err == nil && !s.replied
+		s.replied = s.replied || first
+		if err != nil {
 			s.ended = true
 			if s.check != nil {
 				s.check.Stop()
 			}
+		}
+		s.mu.Unlock()
+		if err != nil {
 			return err
 		}
+		if first {
+			onReply()
+		}
 	}
 }
 
@@ -127,6 +137,13 @@
 	_ = s.conn.Close()
 }
 
+// hadReply reports whether the stream had a reply.
+func (s *stream) hadReply() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.replied
+}
+
 // reply sends replies on a stream that another host opened, while bytes arrive on its connection and
 // until ctx ends.
 func reply(ctx context.Context, messages messenger.DRPCPeers_ExchangeStream, conn *dialer.MonitoredConn) {
--- a/internal/control/replicator/transport.go
+++ b/internal/control/replicator/transport.go
@@ -170,11 +170,10 @@
 		return s, nil
 	}
 	s, err := t.open(ctx, address)
-	if err == nil || !r.failing {
-		t.Log.Emit(time.Now(), logger.ControlStreamOpened, "", logger.F("address", address), logger.F("error", err))
-	}
-	r.failing = err != nil
 	if err != nil {
+		if r.setFailing(true) {
+			t.Log.Emit(time.Now(), logger.ControlStreamOpened, "", logger.F("address", address), logger.F("error", err))
+		}
 		return nil, err
 	}
 	t.mu.Lock()
@@ -183,15 +182,24 @@
 		return nil, errors.Join(net.ErrClosed, s.conn.Close())
 	}
 	r.setStream(s)
-	t.receiving.Go(func() {
-		err := s.receive()
-		r.remove(s)
-		t.Log.Emit(time.Now(), logger.ControlStreamClosed, "", logger.F("address", address),
-			logger.F("age", time.Since(s.openedAt).Round(time.Millisecond)), logger.F("error", err))
-	})
+	t.receiving.Go(func() { t.receive(s, r) })
 	return s, nil
 }
 
+// receive receives the replies of a stream until it ends. Of streams without a reply, only the first in a
+// row is logged.
+func (t *Transport) receive(s *stream, r *route) {
+	err := s.receive(func() {
+		r.setFailing(false)
+		t.Log.Emit(time.Now(), logger.ControlStreamOpened, "", logger.F("address", s.address), logger.F("error", nil))
+	})
+	r.remove(s)
+	if s.hadReply() || r.setFailing(true) {
+		t.Log.Emit(time.Now(), logger.ControlStreamClosed, "", logger.F("address", s.address),
+			logger.F("age", time.Since(s.openedAt).Round(time.Millisecond)), logger.F("error", err))
+	}
+}
+
 // route returns the connections of the streams to and from the host at an address.
 func (t *Transport) route(address string) *route {
 	t.mu.Lock()
