--- a/internal/control/replicator/stream_test.go
+++ b/internal/control/replicator/stream_test.go
@@ -40,6 +40,9 @@
 	}
 )
 
+// trickleInterval is the time between two bytes of a peer that trickles.
+const trickleInterval = 300 * time.Millisecond
+
 var errRefusing = errors.New("replicated log is not ready")
 
 func (refusingService) Exchange(messenger.DRPCPeers_ExchangeStream) error { return errRefusing }
@@ -89,6 +92,62 @@
 	return l
 }
 
+// serveTrickle accepts connections, reads nothing and sends a byte now and then.
+func serveTrickle(t *testing.T) *countingListener {
+	t.Helper()
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &countingListener{Listener: raw}
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			wg.Go(func() {
+				defer func() { _ = conn.Close() }()
+				for {
+					if _, err := conn.Write([]byte{0}); err != nil {
+						return
+					}
+					time.Sleep(trickleInterval)
+				}
+			})
+		}
+	})
+	t.Cleanup(func() {
+		_ = l.Close()
+		wg.Wait()
+	})
+	return l
+}
+
+// A peer whose bytes make no reply must neither hold more than one connection nor what is sent to others.
+func TestPeerThatTricklesDelaysOthers(t *testing.T) {
+	t.Parallel()
+	slow, sound := serveTrickle(t), serveCounted(t, mutePeer{})
+	transport := &Transport{}
+	for range 30 {
+		_ = transport.Send(t.Context(), slow.Addr().String(), &messenger.PeerMessage{})
+		begun := time.Now()
+		_ = transport.Send(t.Context(), sound.Addr().String(), &messenger.PeerMessage{})
+		if took := time.Since(begun); took > dialTimeout {
+			t.Errorf("a message to another host took %v", took)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	time.Sleep(2 * trickleInterval)
+	if open := slow.open.Load(); open > 1 {
+		t.Errorf("%d of %d connections are open after 30 messages, want at most 1", open, slow.accepted.Load())
+	}
+	if err := transport.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
 // A stream that the other host ends with an error must not leave its connection open.
 func TestRefusedStreamsLeaveNoConnectionOpen(t *testing.T) {
 	t.Parallel()
