--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -21,7 +21,6 @@
 	"verbenareach/internal/control/replicator"
 	"verbenareach/internal/event/logger"
 	"verbenareach/internal/operator/responder"
-	"verbenareach/internal/wire/acceptor"
 	"verbenareach/internal/wire/recoverer"
 )
 
@@ -106,9 +105,7 @@
 		return errors.Join(err, lis.Close())
 	}
 	c.Log.Emit(time.Now(), logger.ControlStarted, "", logger.F("listen", lis.Addr().String()))
-	options := replicator.ServerOptions()
-	options.Manager.InactivityTimeout = acceptor.DefaultIdleTimeout
-	server := drpcserver.NewWithOptions(&recoverer.Handler{Handler: mux, Log: c.Log}, options)
+	server := drpcserver.NewWithOptions(&recoverer.Handler{Handler: mux, Log: c.Log}, replicator.ServerOptions())
 	g.Go(func() error { return eris.Wrap(server.Serve(serving, replicator.Listener(lis)), "serve followers") })
 	g.Go(func() error { return c.runReplicator(serving) })
 	g.Go(func() error {
--- a/internal/control/replicator/transport.go
+++ b/internal/control/replicator/transport.go
@@ -14,6 +14,7 @@
 	"storj.io/drpc/drpcwire"
 
 	"verbenareach/internal/event/logger"
+	"verbenareach/internal/wire/acceptor"
 	"verbenareach/internal/wire/dialer"
 	"verbenareach/internal/wire/messenger"
 )
@@ -61,9 +62,11 @@
 }
 
 // ServerOptions returns the options of a drpc server that accepts the largest
-// message that control hosts send.
+// message that control hosts send, and closes connections that have long had no call.
 func ServerOptions() drpcserver.Options {
-	return drpcserver.Options{Manager: managerOptions()}
+	options := drpcserver.Options{Manager: managerOptions()}
+	options.Manager.InactivityTimeout = acceptor.DefaultIdleTimeout
+	return options
 }
 
 func managerOptions() drpcmanager.Options {
--- a/internal/fleet/runner/runner.go
+++ b/internal/fleet/runner/runner.go
@@ -35,7 +35,6 @@
 	"verbenareach/internal/fleet/sender"
 	"verbenareach/internal/fleet/throttler"
 	"verbenareach/internal/fleet/tracker"
-	"verbenareach/internal/wire/acceptor"
 	"verbenareach/internal/wire/messenger"
 	"verbenareach/internal/wire/recoverer"
 )
@@ -195,9 +194,7 @@
 				return eris.Wrap(err, "register services")
 			}
 		}
-		options := replicator.ServerOptions()
-		options.Manager.InactivityTimeout = acceptor.DefaultIdleTimeout
-		server := drpcserver.NewWithOptions(&recoverer.Handler{Handler: mux, Log: h.Log}, options)
+		server := drpcserver.NewWithOptions(&recoverer.Handler{Handler: mux, Log: h.Log}, replicator.ServerOptions())
 		err := server.Serve(ctx, replicator.Listener(l.fleet))
 		if err != nil && ctx.Err() == nil {
 			return eris.Wrap(err, "serve other hosts")
