--- a/internal/control/replicator/stream_test.go
+++ b/internal/control/replicator/stream_test.go
@@ -12,6 +12,7 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"verbenareach/internal/wire/dialer"
 	"verbenareach/internal/wire/messenger"
 )
 
@@ -134,7 +135,7 @@
 		_ = transport.Send(t.Context(), slow.Addr().String(), &messenger.PeerMessage{})
 		begun := time.Now()
 		_ = transport.Send(t.Context(), sound.Addr().String(), &messenger.PeerMessage{})
-		if took := time.Since(begun); took > dialTimeout {
+		if took := time.Since(begun); took > dialer.DialTimeout {
 			t.Errorf("a message to another host took %v", took)
 		}
 		time.Sleep(100 * time.Millisecond)
--- a/internal/control/replicator/transport.go
+++ b/internal/control/replicator/transport.go
@@ -45,20 +45,14 @@
 
 var _ messenger.DRPCPeersServer = &Service{}
 
-const (
-	// dialTimeout bounds a dial and writeTimeout each write. Only the context bounds the wait for
-	// the reply to a request.
-	dialTimeout  = 500 * time.Millisecond
-	writeTimeout = time.Second
-	// maxMessageBytes bounds a message between control hosts, in bytes.
-	maxMessageBytes = 16 << 20
-)
+// maxMessageBytes bounds a message between control hosts, in bytes.
+const maxMessageBytes = 16 << 20
 
 var errNotMonitored = errors.New("connection is not of a monitored listener")
 
 // Listener returns a listener whose connections Service.Exchange takes.
 func Listener(l net.Listener) net.Listener {
-	return &dialer.MonitoredListener{Listener: l, Timeout: writeTimeout}
+	return &dialer.MonitoredListener{Listener: l, Timeout: dialer.WriteTimeout}
 }
 
 // ServerOptions returns the options of a drpc server that accepts the largest
@@ -74,7 +68,7 @@
 }
 
 // Ask sends a request to the host at an address and returns the reply. It fails
-// with NotSentError if no connection could be made.
+// with NotSentError if no connection could be made. Only ctx bounds the wait for the reply.
 func (t *Transport) Ask(ctx context.Context, address string, req *messenger.PeerRequest) (*messenger.PeerReply, error) {
 	conn := t.requests().Conn(ctx, address)
 	reply, err := messenger.NewDRPCPeersClient(conn).Ask(ctx, req)
@@ -153,7 +147,7 @@
 // open opens a stream to the host at an address. It outlives ctx: ctx ends with the peer's send
 // goroutine, but later messages to the address reuse the stream.
 func (t *Transport) open(ctx context.Context, address string) (*stream, error) {
-	conn, err := dial(ctx, address)
+	conn, err := dialer.Dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
@@ -250,12 +244,3 @@
 		s.Replicator.Receive(m)
 	}
 }
-
-func dial(ctx context.Context, address string) (*dialer.MonitoredConn, error) {
-	d := net.Dialer{Timeout: dialTimeout}
-	conn, err := d.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	return dialer.Monitor(conn, writeTimeout), nil
-}
--- a/internal/wire/dialer/monitoredconn.go
+++ b/internal/wire/dialer/monitoredconn.go
@@ -1,6 +1,7 @@
 package dialer
 
 import (
+	"context"
 	"net"
 	"sync/atomic"
 	"time"
@@ -36,6 +37,16 @@
 	_ net.Listener = &MonitoredListener{}
 )
 
+// Dial opens a TCP connection to a host, within DialTimeout and with WriteTimeout for each write.
+func Dial(ctx context.Context, address string) (*MonitoredConn, error) {
+	d := net.Dialer{Timeout: DialTimeout}
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return Monitor(conn, WriteTimeout), nil
+}
+
 // Monitor returns conn as a MonitoredConn with a timeout for each write.
 func Monitor(conn net.Conn, timeout time.Duration) *MonitoredConn {
 	return &MonitoredConn{WriteTimeoutConn: WriteTimeoutConn{Conn: conn, Timeout: timeout}, received: receiveClock{openedAt: time.Now()}}
--- a/internal/wire/dialer/pool.go
+++ b/internal/wire/dialer/pool.go
@@ -15,9 +15,9 @@
 )
 
 const (
-	dialTimeout = 500 * time.Millisecond
-	// writeTimeout bounds a write to a connection that Pool dials.
-	writeTimeout = time.Second
+	// DialTimeout bounds a dial, WriteTimeout a write to another host.
+	DialTimeout  = 500 * time.Millisecond
+	WriteTimeout = time.Second
 	// proofOfLife is how long a connection may be reused after bytes were last received on it. An
 	// open connection can go silent without an error.
 	proofOfLife    = 250 * time.Millisecond
@@ -222,12 +222,11 @@
 	_ = c.close()
 }
 
-// dialTCP opens a TCP connection whose writes are bounded.
+// dialTCP is Dial as Pool.Dial has it.
 func dialTCP(ctx context.Context, address string) (drpc.Transport, error) {
-	d := net.Dialer{Timeout: dialTimeout}
-	raw, err := d.DialContext(ctx, "tcp", address)
+	conn, err := Dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	return WriteTimeoutConn{Conn: raw, Timeout: writeTimeout}, nil
+	return conn, nil
 }
