--- a/internal/control/replicator/transport.go
+++ b/internal/control/replicator/transport.go
@@ -92,9 +92,7 @@
 
 // logSilence logs that a connection for requests is given up.
 func (t *Transport) logSilence(now time.Time, s dialer.Silence) {
-	t.Log.Emit(now, logger.ControlRequestSilent, "", logger.F("address", s.Address),
-		logger.F("age", now.Sub(s.Opened).Round(time.Millisecond)),
-		logger.F("silent", now.Sub(s.LastHeard).Round(time.Millisecond)), logger.F("dropped", s.Dropped))
+	t.Log.Emit(now, logger.ControlRequestSilent, "", s.Fields(now)...)
 }
 
 // Close closes all connections.
--- a/internal/fleet/runner/distribution.go
+++ b/internal/fleet/runner/distribution.go
@@ -187,8 +187,7 @@
 
 // callSilenced logs that a connection for calls to another host was given up.
 func (h *Runner) callSilenced(now time.Time, s dialer.Silence) {
-	h.Log.Emit(now, logger.FleetCallSilent, "", logger.F("address", s.Address), logger.F("age", now.Sub(s.Opened).Round(time.Millisecond)),
-		logger.F("silent", now.Sub(s.LastHeard).Round(time.Millisecond)), logger.F("dropped", s.Dropped))
+	h.Log.Emit(now, logger.FleetCallSilent, "", s.Fields(now)...)
 }
 
 // linkUp sends the states and limits of all backend servers, and what is known of prompts that crash
--- a/internal/wire/dialer/pool.go
+++ b/internal/wire/dialer/pool.go
@@ -12,6 +12,8 @@
 
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
+
+	"verbenareach/internal/event/logger"
 )
 
 const (
@@ -64,6 +66,14 @@
 
 var _ error = &DialError{}
 
+// Fields returns what is logged of the connection at now.
+func (s Silence) Fields(now time.Time) []logger.Field {
+	return []logger.Field{
+		logger.F("address", s.Address), logger.F("age", now.Sub(s.Opened).Round(time.Millisecond)),
+		logger.F("silent", now.Sub(s.LastHeard).Round(time.Millisecond)), logger.F("dropped", s.Dropped),
+	}
+}
+
 // Error returns why no connection could be made.
 func (e *DialError) Error() string { return fmt.Sprintf("dial %s: %v", e.Address, e.Cause) }
 
