--- a/internal/wire/dialer/pool.go
+++ b/internal/wire/dialer/pool.go
@@ -17,8 +17,9 @@
 )
 
 const (
-	// DialTimeout bounds a dial, WriteTimeout a write to another host.
-	DialTimeout  = 500 * time.Millisecond
+	// DialTimeout bounds a dial.
+	DialTimeout = 500 * time.Millisecond
+	// WriteTimeout bounds a write to another host.
 	WriteTimeout = time.Second
 	// proofOfLife is how long a connection may be reused after bytes were last received on it. An
 	// open connection can go silent without an error.
