chore: the end of a stream and silence of all proxies in functions of their own

The loop that receives replies set the end, the first reply and the checks in one body; tests silenced all hosts' proxies by nine equal loops.

--- a/internal/control/replicator/silence_test.go
+++ b/internal/control/replicator/silence_test.go
@@ -131,6 +131,13 @@
 	}
 }
 
+// silenceAll silences the connections to all hosts that are open now, in the given directions.
+func silenceAll(hosts []*tcpHost, requests, replies bool) {
+	for _, h := range hosts {
+		h.proxy.silence(requests, replies)
+	}
+}
+
 // forward copies bytes in one direction, and drops them once it is silent. The end of a silent
 // connection is not passed on either.
 func (c *proxiedConn) forward(to, from net.Conn, isSilent func() bool) {
@@ -267,19 +274,13 @@
 		silence func(hosts []*tcpHost, leader int)
 	}{
 		{"all connections", func(hosts []*tcpHost, _ int) {
-			for _, h := range hosts {
-				h.proxy.silence(true, true)
-			}
+			silenceAll(hosts, true, true)
 		}},
 		{"all connections, what their openers send", func(hosts []*tcpHost, _ int) {
-			for _, h := range hosts {
-				h.proxy.silence(true, false)
-			}
+			silenceAll(hosts, true, false)
 		}},
 		{"all connections, what their openers receive", func(hosts []*tcpHost, _ int) {
-			for _, h := range hosts {
-				h.proxy.silence(false, true)
-			}
+			silenceAll(hosts, false, true)
 		}},
 		{"those to the leader", func(hosts []*tcpHost, leader int) { hosts[leader].proxy.silence(true, true) }},
 		{"those to the followers", func(hosts []*tcpHost, leader int) {
@@ -316,9 +317,7 @@
 		awaitTCPCommit(t, hosts, time.Now())
 	}
 	last := awaitTCPLeader(t, hosts, leaderWithin)
-	for _, h := range hosts {
-		h.proxy.silence(true, true)
-	}
+	silenceAll(hosts, true, true)
 	begun := time.Now()
 	hosts[last].stop()
 	left := slices.Delete(slices.Clone(hosts), last, last+1)
@@ -334,9 +333,7 @@
 	for range 3 {
 		leads := awaitTCPLeader(t, hosts, startWithin)
 		awaitTCPCommit(t, hosts, time.Now())
-		for _, h := range hosts {
-			h.proxy.silence(true, true)
-		}
+		silenceAll(hosts, true, true)
 		begun := time.Now()
 		err := hosts[leads].TransferLeadership(t.Context())
 		awaitTCPLeader(t, hosts, leaderWithin)
@@ -387,9 +384,7 @@
 		leads := awaitTCPLeader(t, hosts, leaderWithin)
 		_ = hosts[leads].TransferLeadership(t.Context())
 		awaitTCPCommit(t, hosts, time.Now())
-		for _, h := range hosts {
-			h.proxy.silence(true, true)
-		}
+		silenceAll(hosts, true, true)
 		awaitTCPCommit(t, hosts, time.Now())
 		awaitNoneGivenUp(t, hosts)
 	}
@@ -473,9 +468,7 @@
 			term := hosts[leads].Status().Term
 			for range 5 {
 				time.Sleep(2 * time.Second)
-				for _, h := range hosts {
-					h.proxy.silence(tt.requests, tt.replies)
-				}
+				silenceAll(hosts, tt.requests, tt.replies)
 				time.Sleep(2 * time.Second)
 				if s := hosts[leads].Status(); s.Role != "leader" || s.Term != term {
 					t.Fatalf("%s is %s in term %d, want leader in term %d", hosts[leads].Name, s.Role, s.Term, term)
@@ -514,16 +507,12 @@
 		}
 	}
 	time.Sleep(time.Second)
-	for _, h := range hosts {
-		h.proxy.silence(true, true)
-	}
+	silenceAll(hosts, true, true)
 	behind.mu.Unlock()
 	begun := time.Now()
 	for range 3 {
 		time.Sleep(700 * time.Millisecond)
-		for _, h := range hosts {
-			h.proxy.silence(true, true)
-		}
+		silenceAll(hosts, true, true)
 	}
 	awaitTCPCommit(t, hosts, time.Now())
 	t.Logf("restored %d times, all follow after %v", restored.Load(), time.Since(begun))
--- a/internal/control/replicator/stream.go
+++ b/internal/control/replicator/stream.go
@@ -104,28 +104,37 @@
 // receive receives replies until the stream ends, and closes its connection. It calls onReply with the
 // first one.
 func (s *stream) receive(onReply func()) error {
-	defer func() { _ = s.conn.Close() }()
+	defer s.end()
 	for {
-		_, err := s.client.Recv()
-		s.mu.Lock()
-		first := err == nil && !s.replied
-		s.replied = s.replied || first
-		if err != nil {
-			s.ended = true
-			if s.check != nil {
-				s.check.Stop()
-			}
-		}
-		s.mu.Unlock()
-		if err != nil {
+		if _, err := s.client.Recv(); err != nil {
 			return err
 		}
-		if first {
+		if s.isFirstReply() {
 			onReply()
 		}
 	}
 }
 
+// isFirstReply records a reply, and reports whether it is the first.
+func (s *stream) isFirstReply() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first := !s.replied
+	s.replied = true
+	return first
+}
+
+// end closes the connection and ends the checks.
+func (s *stream) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = true
+	if s.check != nil {
+		s.check.Stop()
+	}
+	_ = s.conn.Close()
+}
+
 // giveUp closes the connection, on which messages may have been lost.
 func (s *stream) giveUp(now time.Time) {
 	lastReply := "never"
