feat: log orders to stop a generation, and responses that end after them

The record of the incident names three generations of which no host's line tells that their engine was told to stop, nor whether their response had a length or chunks. VR6409 and VR6410 tell when an engine is told to stop a generation and what it answered, VR6411 that its response ended after that, and how; VR6305 of a stream has framed. interruption records since when a response may end early; nothing is decided by it yet.

go test ./internal/fleet/forwarder ./internal/event/logger: ok.

--- a/internal/event/logger/fleetevents.go
+++ b/internal/event/logger/fleetevents.go
@@ -61,6 +61,12 @@
 	// RunCopyReleased reports that the memory copied for a failed move was released.
 	RunCopyReleased = Event{6406, log.InfoLevel, "copy of a generation released"}
 	RunLost         = Event{6407, log.WarnLevel, "backend server lost a generation"}
+	// RunStopOrdered reports that an engine is about to be told to stop a generation, so that its memory
+	// can follow; RunStopAnswered what came of that.
+	RunStopOrdered  = Event{6409, log.InfoLevel, "engine is told to stop a generation that moves"}
+	RunStopAnswered = Event{6410, log.InfoLevel, "order to stop a generation ended"}
+	// RunStreamEnded reports an engine's response that ended after the engine may have been told to stop.
+	RunStreamEnded = Event{6411, log.InfoLevel, "engine ended its response after it may have been told to stop the generation"}
 	// RunNotSaved is logged by the host that decides.
 	RunNotSaved = Event{6408, log.WarnLevel, "generation was lost with its engine, which had announced its end"}
 	// RunResumed reports a generation that an engine continues which reads its prompt again.
@@ -103,7 +109,7 @@
 		FleetTraffic, FleetSubscribed, FleetDeparturePlanned, FleetConfigAdopted,
 		FleetConfigSubmitted, FleetConfigRefused, FleetConfigRead, FleetConfigRejected, FleetReportRefused,
 		ForwardMalformed, ForwardRefused, ForwardFailed, ForwardAttemptFailed, ForwardServed, ForwardDisconnected, ForwardLost,
-		RunPlaced, RunMoving, RunMoved, RunMoveFailed, RunAborted, RunCopyReleased, RunLost, RunNotSaved, RunResumed, RunNotResumed, RunResumedByClient, RunRepeated,
+		RunPlaced, RunMoving, RunMoved, RunMoveFailed, RunAborted, RunCopyReleased, RunLost, RunStopOrdered, RunStopAnswered, RunStreamEnded, RunNotSaved, RunResumed, RunNotResumed, RunResumedByClient, RunRepeated,
 		PartQuarantined, PartReleased, PartProbed, PartsNotStored,
 		BackendLimited, BackendPaused, BackendCold, BackendWarm,
 		EvacuationOrdered, EvacuationCommitted, EvacuationAdopted, EvacuationEnded, EvacuationAcknowledged, EvacuationRefused,
--- a/internal/fleet/forwarder/move.go
+++ b/internal/fleet/forwarder/move.go
@@ -55,17 +55,17 @@
 		return
 	}
 	s.currentMove = m
-	from := s.backend.Address
-	go func() { s.copyDone <- s.f.copyMemory(ctx, from, s.x.id, to) }()
+	from, interrupted := s.backend, s.interrupted
+	go func() { s.copyDone <- s.f.copyMemory(ctx, from, s.x.id, to, interrupted) }()
 }
 
 // copyMemory copies a run's memory while the run continues, then stops the run and copies
 // the rest. It continues after the request has ended, as only a completed copy can be
 // released.
-func (f *Forwarder) copyMemory(ctx context.Context, from, run string, to *messenger.Backend) copyResult {
+func (f *Forwarder) copyMemory(ctx context.Context, from *messenger.Backend, run string, to *messenger.Backend, interrupted *interruption) copyResult {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), copyTimeout)
 	defer cancel()
-	partial, err := f.Dialect.Copy(ctx, f.Pool, from, run, to.Address, false)
+	partial, err := f.Dialect.Copy(ctx, f.Pool, from.Address, run, to.Address, false)
 	if err != nil {
 		return copyResult{err: err}
 	}
@@ -74,7 +74,7 @@
 	if !f.unavailable(time.Now(), to) {
 		go func() { _ = f.Pool.Prepare(ctx, time.Now(), to.Address, maxIdleUnrepeatable/2) }()
 	}
-	handle, err := f.Dialect.Copy(ctx, f.Pool, from, run, to.Address, true)
+	handle, err := f.stopRun(ctx, from, run, to, interrupted)
 	o := copyResult{handle: handle, err: err, stopped: handle != ""}
 	switch {
 	case err == nil || partial == "":
@@ -87,6 +87,20 @@
 	return o
 }
 
+// stopRun has the engine stop a run and copy the rest of its memory, as Dialect.Copy does.
+func (f *Forwarder) stopRun(
+	ctx context.Context, from *messenger.Backend, run string, to *messenger.Backend, interrupted *interruption,
+) (CopyHandle, error) {
+	orderedAt := time.Now()
+	interrupted.begin(orderedAt)
+	f.Log.Emit(orderedAt, logger.RunStopOrdered, run, logger.F("from", from.Id), logger.F("to", to.Id))
+	handle, err := f.Dialect.Copy(ctx, f.Pool, from.Address, run, to.Address, true)
+	answeredAt := time.Now()
+	f.Log.Emit(answeredAt, logger.RunStopAnswered, run, logger.F("from", from.Id), logger.F("stopped", handle != ""),
+		logger.F("took", answeredAt.Sub(orderedAt).Round(time.Millisecond)), logger.F("cause", err))
+	return handle, err
+}
+
 // releaseCopy releases a copy that is not needed and reports whether that succeeded. It
 // has its own timeout, as the run may have ended already.
 func (f *Forwarder) releaseCopy(run, address string, handle CopyHandle) bool {
--- a/internal/fleet/forwarder/stream.go
+++ b/internal/fleet/forwarder/stream.go
@@ -30,6 +30,8 @@
 	response    *sender.Response
 	events      <-chan eventBatch
 	stopReading func()
+	// interrupted tells whether something may have made backend end response early.
+	interrupted *interruption
 	// backend runs the generation, backup holds a copy of its memory.
 	backend *messenger.Backend
 	backup  *messenger.Backend
@@ -82,7 +84,7 @@
 
 // attach makes resp the response whose events are forwarded.
 func (s *stream) attach(resp *sender.Response) {
-	s.response = resp
+	s.response, s.interrupted = resp, &interruption{}
 	s.begunAt, s.eventsHere, s.healthRecorded = time.Now(), 0, false
 	s.streamErr, s.lostHere = nil, false
 	s.arrivedLast = time.Time{}
@@ -152,6 +154,7 @@
 func (s *stream) forward(b eventBatch) bool {
 	defer b.written()
 	if b.err != nil {
+		s.logInterrupted(b)
 		s.streamErr = b.err
 		if errors.Is(b.err, io.EOF) && s.eventsHere == 0 && !s.response.Framed {
 			// Nothing but the end of the connection says that the stream is whole.
@@ -197,6 +200,16 @@
 	return true
 }
 
+// logInterrupted logs the end of a response that its engine may have been made to end early.
+func (s *stream) logInterrupted(end eventBatch) {
+	if !s.interrupted.before(end.arrived) {
+		return
+	}
+	s.f.Log.Emit(time.Now(), logger.RunStreamEnded, s.x.id, logger.F("backend", s.backend.Id), logger.F("framed", s.response.Framed),
+		logger.F("events", s.eventsHere), logger.F("last", s.lastEventID), logger.F("since", s.interrupted.age(end.arrived).Round(time.Millisecond)),
+		logger.F("cause", end.err))
+}
+
 // complete ends a stream that is complete.
 func (s *stream) complete() {
 	if s.eventsSent == 0 {
@@ -209,8 +222,8 @@
 	s.x.outcome = "served"
 	s.f.ObservePause(s.expectedGap, s.longestGap)
 	s.f.Log.Emit(time.Now(), logger.ForwardServed, s.x.id, logger.F("backend", s.backend.Id),
-		logger.F("events", s.eventsSent), logger.F("firstToken", s.firstToken()), logger.F("longestGap", s.longestGap.Round(time.Millisecond)),
-		logger.F("expectedGap", s.expectedGap), logger.F("after", time.Since(s.x.r.Arrived).Round(time.Millisecond)))
+		logger.F("events", s.eventsSent), logger.F("framed", s.response.Framed), logger.F("firstToken", s.firstToken()),
+		logger.F("longestGap", s.longestGap.Round(time.Millisecond)), logger.F("expectedGap", s.expectedGap), logger.F("after", time.Since(s.x.r.Arrived).Round(time.Millisecond)))
 }
 
 // abort ends an incomplete stream so that the client can tell that it is incomplete. If no part
