fix: the end of a connection ends a response only if nothing made the engine end it

Cause: a response without length or chunks ends with its connection, which was taken for the end of the run, also after the host had told the engine to stop the run. A race decided: if the stream's end came before the answer to that order, or the answer had no handle, the client got the part as the whole. In chunks the missing last chunk told. The class: a sign that others can give, too, taken for a proof.

Change: interruption records from when on something may make an engine end its response: the order to stop the run, from before it is sent, and a run that another engine may have gone on with. The end of a connection counts only if it was read before that; otherwise the answer decides. With a handle, the run goes on as before. An engine that surely did not stop the run (404, 409, not executed, not sent: NotStoppedError) has ended the response by itself: whole. After all other answers, or none, the response is broken: the run goes on at its backup, or the client sees that the stream is incomplete. A former order without an answer is remembered while the same engine has the run. A response whose own framing has ended is whole, whichever comes first.

--- a/internal/fleet/forwarder/dialect.go
+++ b/internal/fleet/forwarder/dialect.go
@@ -49,7 +49,8 @@
 		// Copy has the engine at address copy the memory of a run to the engine at address to,
 		// and returns the handle of the copy. If stop is set, the run stops first. A handle with
 		// an error means that the run has stopped, the copy did not arrive and the source still
-		// holds the memory.
+		// holds the memory. A NotStoppedError means that the call did not stop the run. After any other
+		// error the run may have stopped, or may do so later.
 		Copy func(ctx context.Context, pool *sender.Pool, address, run, to string, stop bool) (CopyHandle, error)
 		// Release has the engine at address, which received a copy of a run's memory, release it.
 		Release func(ctx context.Context, pool *sender.Pool, address string, handle CopyHandle) error
@@ -57,11 +58,19 @@
 		Leaving func(ctx context.Context, pool *sender.Pool, address string) (bool, error)
 	}
 
+	// NotStoppedError reports that a call did not stop a run: it did not reach the engine, or the engine
+	// said that it did not carry it out.
+	NotStoppedError struct {
+		Cause error
+	}
+
 	// CopyHandle identifies a copy of a run's memory, together with the address of the engine
 	// that it was copied from. It is empty if there is none.
 	CopyHandle string
 )
 
+var _ error = &NotStoppedError{}
+
 // hopByHop holds the header fields that concern a single connection or its framing.
 var hopByHop = map[string]bool{
 	"connection": true, "keep-alive": true, "proxy-authenticate": true, "proxy-authorization": true,
@@ -69,6 +78,12 @@
 	"content-length": true, "host": true, "expect": true, "http2-settings": true,
 }
 
+// Error returns the text of the cause, with a prefix.
+func (e *NotStoppedError) Error() string { return "not stopped: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *NotStoppedError) Unwrap() error { return e.Cause }
+
 // reserved reports whether clients may not set a header field; name is in lower case.
 func (d Dialect) reserved(name string) bool {
 	own := []string{d.Deadline, d.Expect, d.Workspace, d.Backup, d.Continue, d.LastEvent}
--- a/internal/fleet/forwarder/harness_test.go
+++ b/internal/fleet/forwarder/harness_test.go
@@ -109,6 +109,13 @@
 	defer resp.Done()
 	var reply struct{ ID CopyHandle }
 	err = json.NewDecoder(resp.Body).Decode(&reply)
+	if err == nil && resp.Status != http.StatusOK {
+		err = fmt.Errorf("status %d", resp.Status)
+	}
+	notRun := resp.Header.Get("T-Not-Run") != ""
+	if notRun || resp.Status == http.StatusNotFound || resp.Status == http.StatusConflict {
+		err = &NotStoppedError{Cause: err}
+	}
 	return reply.ID, err
 }
 
--- a/internal/fleet/forwarder/interruption.go
+++ b/internal/fleet/forwarder/interruption.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"errors"
 	"sync"
 	"time"
 )
@@ -8,11 +9,16 @@
 // interruption records whether an engine may have been made to end its response to a run before the run's
 // end: it was told to stop the run, or another engine may have gone on with it. Any goroutine may use it.
 type interruption struct {
+	// backend is the id of the engine. It is set before first use.
+	backend string
+
 	mu sync.Mutex
 	// since is from when on the engine may end the response early; zero if nothing makes it.
 	since time.Time
 }
 
+var errInterrupted = errors.New("response ends after its engine may have been told to stop")
+
 // begin records that the engine may end the response early from now on. It reports whether nothing made
 // it before.
 func (i *interruption) begin(now time.Time) (first bool) {
@@ -32,6 +38,13 @@
 	return !i.since.IsZero() && !at.Before(i.since)
 }
 
+// withdraw records that nothing makes the engine end the response early.
+func (i *interruption) withdraw() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.since = time.Time{}
+}
+
 // age returns for how long the engine may have ended the response early; 0 if nothing makes it.
 func (i *interruption) age(now time.Time) time.Duration {
 	i.mu.Lock()
--- a/internal/fleet/forwarder/move.go
+++ b/internal/fleet/forwarder/move.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net/http"
 	"time"
 
@@ -20,6 +22,8 @@
 	// stopped is set if the run has stopped at its engine, released if a partial copy was
 	// released.
 	stopped, released bool
+	// runs is set if the engine was told to stop the run, for the first time, and surely did not.
+	runs bool
 }
 
 const (
@@ -48,7 +52,11 @@
 	s.f.Log.Emit(time.Now(), logger.RunMoving, s.x.id, logger.F("from", s.backend.Id), logger.F("to", to.Id),
 		logger.F("copied", m.Copied), logger.F("events", s.eventsSent))
 	if m.Copied {
-		if s.resume(ctx, to, m.Backup, to.Address+"/"+s.x.id, overlapTimeout) != nil {
+		orderedAt := time.Now()
+		if err := s.resume(ctx, to, m.Backup, to.Address+"/"+s.x.id, overlapTimeout); err != nil {
+			if mayHaveRun(err) {
+				s.interrupted.begin(orderedAt)
+			}
 			s.backup = nil
 			s.reportMoveFailed(false)
 		}
@@ -74,10 +82,9 @@
 	if !f.unavailable(time.Now(), to) {
 		go func() { _ = f.Pool.Prepare(ctx, time.Now(), to.Address, maxIdleUnrepeatable/2) }()
 	}
-	handle, err := f.stopRun(ctx, from, run, to, interrupted)
-	o := copyResult{handle: handle, err: err, stopped: handle != ""}
+	o := f.stopRun(ctx, from, run, to, interrupted)
 	switch {
-	case err == nil || partial == "":
+	case o.err == nil || partial == "":
 	case o.stopped:
 		// The run is stopped until it resumes, so the release must not delay it.
 		go f.releaseCopy(run, to.Address, partial)
@@ -87,18 +94,20 @@
 	return o
 }
 
-// stopRun has the engine stop a run and copy the rest of its memory, as Dialect.Copy does.
+// stopRun has the engine stop a run and copy the rest of its memory.
 func (f *Forwarder) stopRun(
 	ctx context.Context, from *messenger.Backend, run string, to *messenger.Backend, interrupted *interruption,
-) (CopyHandle, error) {
+) copyResult {
 	orderedAt := time.Now()
-	interrupted.begin(orderedAt)
+	first := interrupted.begin(orderedAt)
 	f.Log.Emit(orderedAt, logger.RunStopOrdered, run, logger.F("from", from.Id), logger.F("to", to.Id))
 	handle, err := f.Dialect.Copy(ctx, f.Pool, from.Address, run, to.Address, true)
 	answeredAt := time.Now()
 	f.Log.Emit(answeredAt, logger.RunStopAnswered, run, logger.F("from", from.Id), logger.F("stopped", handle != ""),
 		logger.F("took", answeredAt.Sub(orderedAt).Round(time.Millisecond)), logger.F("cause", err))
-	return handle, err
+	o := copyResult{handle: handle, err: err, stopped: handle != ""}
+	o.runs = !o.stopped && first && errors.As(err, new(*NotStoppedError))
+	return o
 }
 
 // releaseCopy releases a copy that is not needed and reports whether that succeeded. It
@@ -113,18 +122,12 @@
 
 // finishMove ends a move once its copy has ended: a run that was stopped resumes, another one
 // stays where it is, or resumes from its backup if its engine was lost. finishMove reports
-// whether the stream continues.
+// whether the stream continues; if not, streamErr is io.EOF if it is complete.
 func (s *stream) finishMove(ctx context.Context, o copyResult) bool {
 	m := s.currentMove
 	s.currentMove = nil
 	if !o.stopped {
-		s.f.Log.Emit(time.Now(), logger.RunMoveFailed, s.x.id, logger.F("from", m.From), logger.F("to", m.To),
-			logger.F("cause", o.err))
-		if s.streamErr != nil {
-			return s.recover(ctx)
-		}
-		s.reportMoveFailed(o.released)
-		return true
+		return s.stay(ctx, m, o)
 	}
 	if o.err == nil {
 		s.reportEvent(messenger.RunState_PHASE_COPIED, false)
@@ -132,6 +135,12 @@
 	if !s.forwardRemaining(ctx) {
 		return false
 	}
+	if errors.Is(s.streamErr, io.EOF) {
+		// The response had its end nevertheless.
+		go s.f.releaseCopy(s.x.id, s.f.Tracker.Find(m.To).GetAddress(), o.handle)
+		return false
+	}
+	s.interrupted.withdraw()
 	source := s.backend.Address + "/" + string(o.handle)
 	// If the copy did not arrive, the run resumes on the engine that it was copied from.
 	targets := []string{m.To, m.From}
@@ -148,6 +157,25 @@
 	return s.resumeAnew(ctx, processRuns, errMoveFailed)
 }
 
+// stay ends a move of a run that its engine has not said to have stopped. It reports whether the stream
+// continues, as finishMove does.
+func (s *stream) stay(ctx context.Context, m *messenger.MoveOrder, o copyResult) bool {
+	s.f.Log.Emit(time.Now(), logger.RunMoveFailed, s.x.id, logger.F("from", m.From), logger.F("to", m.To),
+		logger.F("runs", o.runs), logger.F("cause", o.err))
+	if o.runs {
+		s.interrupted.withdraw()
+	}
+	if o.runs && errors.Is(s.streamErr, errInterrupted) {
+		s.streamErr = io.EOF
+		return false
+	}
+	if s.streamErr != nil {
+		return s.recover(ctx)
+	}
+	s.reportMoveFailed(o.released)
+	return true
+}
+
 // reportMoveFailed reports that a move failed; released means that its destination holds
 // no copy.
 func (s *stream) reportMoveFailed(released bool) {
--- a/internal/fleet/forwarder/stream.go
+++ b/internal/fleet/forwarder/stream.go
@@ -30,7 +30,8 @@
 	response    *sender.Response
 	events      <-chan eventBatch
 	stopReading func()
-	// interrupted tells whether something may have made backend end response early.
+	// interrupted tells whether something may have made backend end response early. An engine that gets
+	// the run once more may still have an order to stop it.
 	interrupted *interruption
 	// backend runs the generation, backup holds a copy of its memory.
 	backend *messenger.Backend
@@ -84,7 +85,10 @@
 
 // attach makes resp the response whose events are forwarded.
 func (s *stream) attach(resp *sender.Response) {
-	s.response, s.interrupted = resp, &interruption{}
+	s.response = resp
+	if s.interrupted == nil || s.interrupted.backend != s.backend.Id {
+		s.interrupted = &interruption{backend: s.backend.Id}
+	}
 	s.begunAt, s.eventsHere, s.healthRecorded = time.Now(), 0, false
 	s.streamErr, s.lostHere = nil, false
 	s.arrivedLast = time.Time{}
@@ -124,25 +128,21 @@
 			if s.forward(b) {
 				continue
 			}
-			if errors.Is(s.streamErr, io.EOF) {
-				s.complete()
-				return
-			}
 			if s.streamErr == nil {
 				s.detach()
 				s.abort(ctx, context.Canceled)
 				return
 			}
 			// During a move, finishMove decides how to continue.
-			if s.currentMove == nil && !s.recover(ctx) {
-				s.abort(ctx, s.streamErr)
+			if errors.Is(s.streamErr, io.EOF) || s.currentMove == nil && !s.recover(ctx) {
+				s.conclude(ctx)
 				return
 			}
 		case m := <-s.orders:
 			s.startMove(ctx, m)
 		case o := <-s.copyDone:
 			if !s.finishMove(ctx, o) {
-				s.abort(ctx, s.streamErr)
+				s.conclude(ctx)
 				return
 			}
 		}
@@ -155,11 +155,7 @@
 	defer b.written()
 	if b.err != nil {
 		s.logInterrupted(b)
-		s.streamErr = b.err
-		if errors.Is(b.err, io.EOF) && s.eventsHere == 0 && !s.response.Framed {
-			// Nothing but the end of the connection says that the stream is whole.
-			s.streamErr = errNoEvent
-		}
+		s.streamErr = s.ending(b)
 		return false
 	}
 	if s.x.route.Resumable && !s.order.accept(b.bytes) {
@@ -200,6 +196,31 @@
 	return true
 }
 
+// ending returns how a response has ended, io.EOF if it is complete.
+func (s *stream) ending(end eventBatch) error {
+	if !errors.Is(end.err, io.EOF) || s.response.Framed {
+		return end.err
+	}
+	// Nothing but the end of the connection says that the stream is whole.
+	switch {
+	case s.eventsHere == 0:
+		return errNoEvent
+	case s.interrupted.before(end.arrived):
+		return errInterrupted
+	default:
+		return end.err
+	}
+}
+
+// conclude ends a stream that does not continue, as streamErr says.
+func (s *stream) conclude(ctx context.Context) {
+	if errors.Is(s.streamErr, io.EOF) {
+		s.complete()
+		return
+	}
+	s.abort(ctx, s.streamErr)
+}
+
 // logInterrupted logs the end of a response that its engine may have been made to end early.
 func (s *stream) logInterrupted(end eventBatch) {
 	if !s.interrupted.before(end.arrived) {
