--- a/internal/fleet/forwarder/move.go
+++ b/internal/fleet/forwarder/move.go
@@ -14,23 +14,7 @@
 	"verbenareach/internal/wire/messenger"
 )
 
-// copyResult is the result of copying a run's memory.
-type copyResult struct {
-	// handle and err are those that Dialect.Copy returned last.
-	handle CopyHandle
-	err    error
-	// stopped is set if the run has stopped at its engine, released if a partial copy was
-	// released.
-	stopped, released bool
-	// runs is set if the engine was told to stop the run, for the first time, and surely did not.
-	runs bool
-}
-
 const (
-	// copyTimeout bounds both steps of copyMemory together.
-	copyTimeout = 4 * time.Second
-	// releaseTimeout bounds the call that releases a copy.
-	releaseTimeout = 150 * time.Millisecond
 	// lastEventsTimeout bounds the wait for the last events of a stopped run.
 	lastEventsTimeout = 150 * time.Millisecond
 	// resumeTimeout bounds the wait for the response header of an engine that resumes a run which
@@ -67,59 +51,6 @@
 	go func() { s.copyDone <- s.f.copyMemory(ctx, from, s.x.id, to, interrupted) }()
 }
 
-// copyMemory copies a run's memory while the run continues, then stops the run and copies
-// the rest. It continues after the request has ended, as only a completed copy can be
-// released.
-func (f *Forwarder) copyMemory(ctx context.Context, from *messenger.Backend, run string, to *messenger.Backend, interrupted *interruption) copyResult {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), copyTimeout)
-	defer cancel()
-	partial, err := f.Dialect.Copy(ctx, f.Pool, from.Address, run, to.Address, false)
-	if err != nil {
-		return copyResult{err: err}
-	}
-	// The run is stopped from the next call until it resumes, so the connection for that is opened
-	// meanwhile, unless one is idle that will still be young enough then. Without it the run opens its own.
-	if !f.unavailable(time.Now(), to) {
-		go func() { _ = f.Pool.Prepare(ctx, time.Now(), to.Address, maxIdleUnrepeatable/2) }()
-	}
-	o := f.stopRun(ctx, from, run, to, interrupted)
-	switch {
-	case o.err == nil || partial == "":
-	case o.stopped:
-		// The run is stopped until it resumes, so the release must not delay it.
-		go f.releaseCopy(run, to.Address, partial)
-	default:
-		o.released = f.releaseCopy(run, to.Address, partial)
-	}
-	return o
-}
-
-// stopRun has the engine stop a run and copy the rest of its memory.
-func (f *Forwarder) stopRun(
-	ctx context.Context, from *messenger.Backend, run string, to *messenger.Backend, interrupted *interruption,
-) copyResult {
-	orderedAt := time.Now()
-	first := interrupted.begin(orderedAt)
-	f.Log.Emit(orderedAt, logger.RunStopOrdered, run, logger.F("from", from.Id), logger.F("to", to.Id))
-	handle, err := f.Dialect.Copy(ctx, f.Pool, from.Address, run, to.Address, true)
-	answeredAt := time.Now()
-	f.Log.Emit(answeredAt, logger.RunStopAnswered, run, logger.F("from", from.Id), logger.F("stopped", handle != ""),
-		logger.F("took", answeredAt.Sub(orderedAt).Round(time.Millisecond)), logger.F("cause", err))
-	o := copyResult{handle: handle, err: err, stopped: handle != ""}
-	o.runs = !o.stopped && first && errors.As(err, new(*NotStoppedError))
-	return o
-}
-
-// releaseCopy releases a copy that is not needed and reports whether that succeeded. It
-// has its own timeout, as the run may have ended already.
-func (f *Forwarder) releaseCopy(run, address string, handle CopyHandle) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-	defer cancel()
-	err := f.Dialect.Release(ctx, f.Pool, address, handle)
-	f.Log.Emit(time.Now(), logger.RunCopyReleased, run, logger.F("address", address), logger.F("error", err))
-	return err == nil
-}
-
 // finishMove ends a move once its copy has ended: a run that was stopped resumes, another one
 // stays where it is, or resumes from its backup if its engine was lost. finishMove reports
 // whether the stream continues; if not, streamErr is io.EOF if it is complete.
--- a/internal/fleet/forwarder/stream.go
+++ b/internal/fleet/forwarder/stream.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"verbenareach/internal/event/logger"
 	"verbenareach/internal/fleet/sender"
 	"verbenareach/internal/wire/messenger"
 )
@@ -196,96 +195,6 @@
 	return true
 }
 
-// ending returns how a response has ended, io.EOF if it is complete.
-func (s *stream) ending(end eventBatch) error {
-	if !errors.Is(end.err, io.EOF) || s.response.Framed {
-		return end.err
-	}
-	// Nothing but the end of the connection says that the stream is whole.
-	switch {
-	case s.eventsHere == 0:
-		return errNoEvent
-	case s.interrupted.before(end.arrived):
-		return errInterrupted
-	default:
-		return end.err
-	}
-}
-
-// conclude ends a stream that does not continue, as streamErr says.
-func (s *stream) conclude(ctx context.Context) {
-	if errors.Is(s.streamErr, io.EOF) {
-		s.complete()
-		return
-	}
-	s.abort(ctx, s.streamErr)
-}
-
-// logInterrupted logs the end of a response that its engine may have been made to end early.
-func (s *stream) logInterrupted(end eventBatch) {
-	if !s.interrupted.before(end.arrived) {
-		return
-	}
-	s.f.Log.Emit(time.Now(), logger.RunStreamEnded, s.x.id, logger.F("backend", s.backend.Id), logger.F("framed", s.response.Framed),
-		logger.F("events", s.eventsHere), logger.F("last", s.lastEventID), logger.F("since", s.interrupted.age(end.arrived).Round(time.Millisecond)),
-		logger.F("cause", end.err))
-}
-
-// complete ends a stream that is complete.
-func (s *stream) complete() {
-	if s.eventsSent == 0 {
-		s.x.w.Begin(s.response.Status, clientFields(s.response.Header))
-	}
-	s.x.w.Finish()
-	s.recordSettled(time.Now())
-	s.stopReading()
-	s.response.Done()
-	s.x.outcome = "served"
-	s.f.ObservePause(s.expectedGap, s.longestGap)
-	s.f.Log.Emit(time.Now(), logger.ForwardServed, s.x.id, logger.F("backend", s.backend.Id),
-		logger.F("events", s.eventsSent), logger.F("framed", s.response.Framed), logger.F("firstToken", s.firstToken()),
-		logger.F("longestGap", s.longestGap.Round(time.Millisecond)), logger.F("expectedGap", s.expectedGap), logger.F("after", time.Since(s.x.r.Arrived).Round(time.Millisecond)))
-}
-
-// abort ends an incomplete stream so that the client can tell that it is incomplete. If no part
-// of it was sent, the client gets an error status instead.
-func (s *stream) abort(ctx context.Context, cause error) {
-	if !s.x.w.Started() {
-		s.answerFailure(ctx, "engine broke off", cause)
-		return
-	}
-	s.x.outcome = "broken"
-	if clientLeft(ctx) || ctx.Err() == nil && errors.Is(cause, context.Canceled) {
-		s.x.outcome = "left"
-	}
-	s.f.Log.Emit(time.Now(), logger.RunAborted, s.x.id, logger.F("backend", s.backend.Id), logger.F("events", s.eventsSent),
-		logger.F("outcome", s.x.outcome), logger.F("cause", cause), logger.F("firstToken", s.firstToken()),
-		logger.F("longestGap", s.longestGap.Round(time.Millisecond)), logger.F("copy", s.backup.GetId()),
-		logger.F("after", time.Since(s.x.r.Arrived).Round(time.Millisecond)))
-	s.x.w.Abort()
-}
-
-// forwardWhole forwards a response that is not a stream because its status is not 200.
-func (s *stream) forwardWhole(ctx context.Context) {
-	resp, err := s.f.readWhole(ctx, s.response)
-	if err != nil {
-		s.response.Abort()
-		s.answerFailure(ctx, "engine gave no whole answer", err)
-		return
-	}
-	s.response.Done()
-	s.f.deliver(s.x, s.backend, resp)
-}
-
-// firstToken returns the time until the first event was sent to the client, or 0 if none
-// was.
-func (s *stream) firstToken() time.Duration {
-	if s.firstEventAt.IsZero() {
-		return 0
-	}
-	return s.firstEventAt.Sub(s.x.r.Arrived).Round(time.Millisecond)
-}
-
 // reportState reports the state of the generation to the scheduler.
 func (s *stream) reportState(phase messenger.RunState_Phase) {
 	s.f.ReportState(s.recordState(phase))
