fix: a move to the backup that was not sent leaves the stream's end in no doubt

A prompt that was quarantined meanwhile ended the attempt before anything was sent, and still counted as if another engine might have gone on with the run: a whole response without length or chunks would have ended as broken. Only a lost response counts now. Found by reading; the way to it needs a quarantine between placement and order and was not run.

--- a/internal/fleet/forwarder/move.go
+++ b/internal/fleet/forwarder/move.go
@@ -38,7 +38,7 @@
 	if m.Copied {
 		orderedAt := time.Now()
 		if err := s.resume(ctx, to, m.Backup, to.Address+"/"+s.x.id, overlapTimeout); err != nil {
-			if mayHaveRun(err) {
+			if errors.As(err, new(*sender.LostError)) {
 				s.interrupted.begin(orderedAt)
 			}
 			s.backup = nil
