fix: a service's answer whose status HTTP doesn't have counts as no outcome

What callers saw: a service that answers with status 000 to 099 made net/http's WriteHeader panic in the entry, which cut the caller's connection off; 600 to 999, and 101, reached the caller as they were. The reply counted as RAN_YES, so that for a call with a key it was committed as the outcome, and every repetition got it again.

Cause: net/http's client takes any three digits for a status (also +99), and Call passed them on unchecked.

Change: a status outside 200 to 599 gives RAN_UNKNOWN, like an answer that can't be read.

Before: TestAnswerWithAnInvalidStatusCountsAsTheOutcome failed for 000, 001, 099, +99, 101, 600 and 999 with "reply is ran:RAN_YES status:99 body:"body", want ran RAN_UNKNOWN" and the like; 20x, OK, 200, 304 and 599 passed.

--- a/internal/service/connector/connector.go
+++ b/internal/service/connector/connector.go
@@ -25,8 +25,14 @@
 	idleConnections = 64
 	// idleTimeout is how long an idle connection is kept. An open one can go silent without an error.
 	idleTimeout = time.Second
+
+	// minStatus and maxStatus are the first and the last status of an answer.
+	minStatus = 200
+	maxStatus = 599
 )
 
+var errInvalidStatus = errors.New("the service answered with a status that HTTP doesn't have")
+
 type (
 	// Service is the client of one service.
 	Service struct {
@@ -60,7 +66,8 @@
 
 // Call sends one call and returns the reply. Its ran field is RAN_YES if the service's
 // whole reply arrived or was over MaxReplyBytes, which gives status 502; RAN_NO if the call
-// was invalid or no connection was established; else RAN_UNKNOWN. A call with a claim must
+// was invalid or no connection was established; else RAN_UNKNOWN, also for a reply whose status
+// HTTP doesn't have. A call with a claim must
 // not be repeated and is never sent twice.
 func (s *Service) Call(ctx context.Context, req *messenger.CallRequest) *messenger.CallReply {
 	r, err := http.NewRequestWithContext(ctx, req.GetMethod(), "http://"+s.address+req.GetPath(), bytes.NewReader(req.GetBody()))
@@ -79,6 +86,9 @@
 		return failedReply(ranAfter(err), messenger.DeclineReason_DECLINE_REASON_BACKEND_DOWN, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
+		return failedReply(messenger.Ran_RAN_UNKNOWN, messenger.DeclineReason_DECLINE_REASON_BACKEND_DOWN, errInvalidStatus)
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxReplyBytes+1))
 	if err != nil {
 		return failedReply(messenger.Ran_RAN_UNKNOWN, messenger.DeclineReason_DECLINE_REASON_BACKEND_DOWN, err)
--- /dev/null
+++ b/internal/service/connector/status_test.go
@@ -0,0 +1,63 @@
+package connector
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+
+	"verbenareach/internal/wire/messenger"
+)
+
+// listen answers each request with the given text and then closes its connection.
+func listen(t *testing.T, answer string) (address string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = fmt.Fprint(c, answer)
+			}
+			_ = c.Close()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func TestAnswerWithAnInvalidStatusCountsAsTheOutcome(t *testing.T) {
+	tests := []struct {
+		status string
+		ran    messenger.Ran
+	}{
+		{"000", messenger.Ran_RAN_UNKNOWN},
+		{"001", messenger.Ran_RAN_UNKNOWN},
+		{"099", messenger.Ran_RAN_UNKNOWN},
+		{"+99", messenger.Ran_RAN_UNKNOWN},
+		{"101", messenger.Ran_RAN_UNKNOWN},
+		{"600", messenger.Ran_RAN_UNKNOWN},
+		{"999", messenger.Ran_RAN_UNKNOWN},
+		{"20x", messenger.Ran_RAN_UNKNOWN},
+		{"OK", messenger.Ran_RAN_UNKNOWN},
+		{"200", messenger.Ran_RAN_YES},
+		{"304", messenger.Ran_RAN_YES},
+		{"599", messenger.Ran_RAN_YES},
+	}
+	for _, tt := range tests {
+		t.Run(tt.status, func(t *testing.T) {
+			s := New(listen(t, "HTTP/1.1 "+tt.status+" X\r\nContent-Length: 4\r\n\r\nbody"))
+			defer s.Close()
+			if reply := s.Call(t.Context(), &messenger.CallRequest{Method: http.MethodPost, Path: "/"}); reply.GetRan() != tt.ran {
+				t.Errorf("reply is %v, want ran %v", reply, tt.ran)
+			}
+		})
+	}
+}
