fix: an engine's answer without an error status doesn't count as a refusal

What callers saw: each answer to a generation other than 200 was a refusal, which ends the generation and whose status the caller gets with "ran": "no". So an engine's 204 or 304 became the caller's success without a body, 101 and 001 to 099 cut its connection off, as net/http's WriteHeader panics, and 999 reached it.

Cause: Start told apart 200 and all others only.

Change: a refusal has a status from 400 to 599. Any other answer is a BrokenError: the generation may go on elsewhere.

--- a/internal/engine/connector/connector.go
+++ b/internal/engine/connector/connector.go
@@ -30,6 +30,8 @@
 	// maxHeaderBytes bounds the header of a response, maxLoadBytes a load report.
 	maxHeaderBytes = 32 << 10
 	maxLoadBytes   = 64 << 10
+	// maxStatus is the last status of an answer.
+	maxStatus = 599
 )
 
 var (
@@ -73,13 +75,13 @@
 	// RefusedError reports that the engine refused a request without running it, or that
 	// the caller's request was no JSON object and wasn't sent.
 	RefusedError struct {
-		// Status is the HTTP status.
+		// Status is the HTTP status, from 400 to maxStatus for a generation.
 		Status int
 		Body   string
 	}
 
-	// BrokenError reports that the engine couldn't be reached, or that a stream was
-	// malformed or ended without a finish reason.
+	// BrokenError reports that the engine couldn't be reached, answered with a status that is
+	// neither 200 nor an error, or that a stream was malformed or ended without a finish reason.
 	BrokenError struct {
 		Err error
 	}
@@ -179,7 +181,7 @@
 
 // Start begins or resumes a generation. Cancel ctx to stop it at the engine. Start
 // returns a RefusedError if the engine refuses the request and a BrokenError if
-// the engine can't be reached.
+// the engine can't be reached or gives an answer that is neither.
 func (e *Engine) Start(ctx context.Context, start *messenger.GenerateStart) (*Stream, error) {
 	body, err := requestBody(start)
 	if err != nil {
@@ -196,6 +198,9 @@
 	}
 	if resp.StatusCode != http.StatusOK {
 		defer func() { _ = resp.Body.Close() }()
+		if resp.StatusCode < http.StatusBadRequest || resp.StatusCode > maxStatus {
+			return nil, &BrokenError{Err: fmt.Errorf("answer has status %d", resp.StatusCode)}
+		}
 		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
 		return nil, &RefusedError{Status: resp.StatusCode, Body: string(text)}
 	}
