fix: a generation that ends with its caller isn't completed for a caller that still reads

What callers saw: one that closes its side of the connection after its request, as a pipe into netcat does, got a stream that ends as complete without "event: end", or status 200 with an empty body, before the first event and without a stream.

Cause: net/http ends the request's context as soon as nothing more can come from the caller. The relay gave up with a CallerError and the handler returned, which has net/http send the final chunk, or a header with Content-Length: 0.

Change: the handler ends by http.ErrAbortHandler then, so that the connection is closed without the end of the response.

Before: TestGenerationOfACallerThatSendsNoMoreEndsAsComplete failed in all three cases: 'caller got 200 "" as a complete response' and the same with the first token.

--- a/internal/entry/server/generation.go
+++ b/internal/entry/server/generation.go
@@ -116,7 +116,7 @@
 	var callerErr *relayer.CallerError
 	if errors.As(err, &callerErr) {
 		e.Log.Emit(time.Now(), logger.GenerationCancelled, id, logger.F("cause", callerErr))
-		return
+		cutOff()
 	}
 	refusal := refusalOf(err)
 	burn.failed(e, time.Now(), refusal)
@@ -147,7 +147,7 @@
 	var gone *relayer.CallerError
 	if errors.As(err, &gone) {
 		e.Log.Emit(time.Now(), logger.GenerationCancelled, req.Start.GetGenerationId(), logger.F("cause", gone))
-		return
+		cutOff()
 	}
 	if err != nil {
 		burn.failed(e, time.Now(), refusalOf(err))
@@ -165,6 +165,12 @@
 	writeJSON(w, response)
 }
 
+// cutOff ends a handler and closes the connection without the end of the response: one that just
+// returns completes it.
+func cutOff() {
+	panic(http.ErrAbortHandler)
+}
+
 // refuseRequest writes a refusal and logs it.
 func (e *Entry) refuseRequest(w http.ResponseWriter, id, workspace string, refusal *RefusalError) {
 	e.Log.Emit(time.Now(), logger.RequestRefused, id, logger.F("workspace", workspace), logger.F("code", refusal.Code),
