fix: a stream that isn't signed, or is encoded, doesn't reach the client

What callers saw: on streaming routes each answer with status 200 was forwarded, also one without the backend server's signature or with a content encoding, and an empty one as a complete empty stream.

Cause: readWhole, which checks both, reads all answers but those with status 200 on streaming routes. Nothing checked these, neither the first of a generation nor that of an engine that goes on with it.

Change: open checks the header before it hands the response on. Such an answer counts as lost: another engine gets the generation where its route allows that, and the client gets 502 otherwise.

--- a/internal/fleet/forwarder/call.go
+++ b/internal/fleet/forwarder/call.go
@@ -242,10 +242,8 @@
 		err = errDeclined
 	case err != nil:
 		err = &sender.LostError{Cause: err}
-	case resp.Header.Get("Content-Encoding") != "":
-		err = &sender.LostError{Cause: errEncoded}
-	case resp.Status < http.StatusMultipleChoices && resp.Header.Get(f.Dialect.Signature) == "":
-		err = &sender.LostError{Cause: errUnsigned}
+	default:
+		err = f.checkHeader(resp)
 	}
 	if err != nil {
 		f.release(whole)
@@ -254,6 +252,19 @@
 	return whole, nil
 }
 
+// checkHeader returns a sender.LostError if the header of a response shows that its body isn't a backend
+// server's: it is encoded or, with a status below 300, not signed.
+func (f *Forwarder) checkHeader(resp *sender.Response) error {
+	switch {
+	case resp.Header.Get("Content-Encoding") != "":
+		return &sender.LostError{Cause: errEncoded}
+	case resp.Status < http.StatusMultipleChoices && resp.Header.Get(f.Dialect.Signature) == "":
+		return &sender.LostError{Cause: errUnsigned}
+	default:
+		return nil
+	}
+}
+
 // deadlineReached reports whether a backend server may have stopped work on a request by now because of its
 // deadline, which is that of ctx. It was told the time left in whole milliseconds.
 func deadlineReached(ctx context.Context, now time.Time) bool {
--- a/internal/fleet/forwarder/generation.go
+++ b/internal/fleet/forwarder/generation.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -179,7 +180,7 @@
 }
 
 // open sends the request to an engine. It returns errDeclined if the engine states that it
-// did not run the request. Without the response header within the given time the connection is
+// did not run the request, and a sender.LostError if a stream isn't an engine's. Without the response header within the given time the connection is
 // closed, by which the engine learns to stop, and the cause is errAnswerTimeout; 0 sets no limit.
 func (s *stream) open(
 	ctx context.Context, b *messenger.Backend, within time.Duration, extra ...sender.Field,
@@ -209,6 +210,13 @@
 		resp.Abort()
 		return nil, errDeclined
 	}
+	if resp.Status != http.StatusOK {
+		return resp, nil
+	}
+	if err := s.f.checkHeader(resp); err != nil {
+		resp.Abort()
+		return nil, err
+	}
 	return resp, nil
 }
 
