fix: a client of HTTP/1.0 gets a stream without chunks

What callers saw: a client that asks by HTTP/1.0 got a stream in chunks, which that version doesn't know: the sizes of the chunks were part of its body.

Cause: Begin always announced chunks, and the receiver takes requests of HTTP/1.0.

Change: such a response ends with its connection. If it isn't finished, the connection is reset: a plain close would make the part look complete.

--- a/internal/fleet/receiver/receiver.go
+++ b/internal/fleet/receiver/receiver.go
@@ -179,12 +179,16 @@
 		s.refuse(c, err)
 		return false
 	}
-	w := &Writer{conn: c, close: r.close || s.closing.Load(), noBody: r.Method == http.MethodHead}
+	w := &Writer{conn: c, close: r.close || s.closing.Load(), noBody: r.Method == http.MethodHead, noChunks: r.noChunks}
 	ctx, cancel := context.WithCancel(s.baseContext())
 	stopped := s.watchClose(c, cancel)
 	s.Handle(ctx, w, r)
 	cancel()
-	if !stopped() {
+	open := stopped()
+	if w.noChunks && !w.complete {
+		c.reset()
+	}
+	if !open {
 		return false
 	}
 	return w.complete && !w.close && !w.failed
@@ -230,6 +234,13 @@
 	return &bodyMemory{all: &s.bodies, total: max(total, limits.BodyBytes), free: freeBodyBytes}
 }
 
+// reset has the close of the connection reset it, by which a response that ends with it can't look complete.
+func (c *conn) reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // refuse answers a request that is invalid, too large or too slow. It sends nothing if err is
 // another one, such as that of a failed connection.
 func (s *Receiver) refuse(c *conn, err error) {
--- a/internal/fleet/receiver/receiver_test.go
+++ b/internal/fleet/receiver/receiver_test.go
@@ -167,6 +167,43 @@
 	}
 }
 
+func TestClientThatKnowsNoChunksGetsThem(t *testing.T) {
+	tests := []struct {
+		name string
+		end  func(w *Writer)
+		// whole is whether the response looks complete.
+		whole bool
+	}{
+		{"finished", (*Writer).Finish, true},
+		{"aborted", (*Writer).Abort, false},
+		{"neither", func(*Writer) {}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, address := serve(t, func(_ context.Context, w *Writer, _ *Request) {
+				w.Begin(http.StatusOK, nil)
+				w.Write([]byte("part"))
+				w.Write([]byte("ition"))
+				tt.end(w)
+			})
+			c := dial(t, address)
+			_, _ = io.WriteString(c, "GET /a HTTP/1.0\r\nHost: h\r\n\r\n")
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				if tt.whole {
+					t.Error(err)
+				}
+				return
+			}
+			defer resp.Body.Close()
+			body, err := io.ReadAll(resp.Body)
+			if len(resp.TransferEncoding) > 0 || (err == nil) != tt.whole || tt.whole && string(body) != "partition" {
+				t.Errorf("client got %q, %v, in %v", body, err, resp.TransferEncoding)
+			}
+		})
+	}
+}
+
 func TestConnectionsCloseAfterTheirResponses(t *testing.T) {
 	s, address := serve(t, echo)
 	busy, idle := dial(t, address), dial(t, address)
--- a/internal/fleet/receiver/request.go
+++ b/internal/fleet/receiver/request.go
@@ -34,8 +34,10 @@
 		Arrived time.Time
 
 		// close is set if the client wants the connection closed after the response.
-		close   bool
-		chunked bool
+		close bool
+		// noChunks is set if the client can't read a response in chunks.
+		noChunks bool
+		chunked  bool
 		// length is the length of the body in bytes; -1 without a Content-Length field.
 		length int64
 		// expectsContinue is set if the client waits for a 100 response before it sends the body.
@@ -119,7 +121,7 @@
 	switch parts[2] {
 	case "HTTP/1.1":
 	case "HTTP/1.0":
-		r.close = true
+		r.close, r.noChunks = true, true
 	default:
 		return nil, &requestError{http.StatusHTTPVersionNotSupported, "protocol version is not HTTP/1.1"}
 	}
--- a/internal/fleet/receiver/writer.go
+++ b/internal/fleet/receiver/writer.go
@@ -16,6 +16,9 @@
 	close bool
 	// noBody is set if the request method is HEAD.
 	noBody bool
+	// noChunks is set if the client can't read chunks: what Begin starts ends with the connection then,
+	// which is reset if it isn't finished.
+	noChunks bool
 	// started is set by Reply and Begin, complete once all of the response was sent, failed
 	// once it can no longer become complete.
 	started, complete, failed bool
@@ -50,14 +53,21 @@
 // Finish.
 func (w *Writer) Begin(status int, fields []Field) {
 	w.writeHeader(status, fields)
-	w.buf = append(w.buf, "Transfer-Encoding: chunked\r\n\r\n"...)
+	if !w.noChunks {
+		w.buf = append(w.buf, "Transfer-Encoding: chunked\r\n"...)
+	}
+	w.buf = append(w.buf, "\r\n"...)
 }
 
 // Write sends a part of the body of a response that Begin started. It returns false if the
 // response can't become complete anymore. An empty part is no chunk, as that would end the
 // body.
 func (w *Writer) Write(part []byte) bool {
-	if len(part) > 0 && !w.noBody {
+	switch {
+	case len(part) == 0 || w.noBody:
+	case w.noChunks:
+		w.buf = append(w.buf, part...)
+	default:
 		w.buf = strconv.AppendInt(w.buf, int64(len(part)), 16)
 		w.buf = append(w.buf, "\r\n"...)
 		w.buf = append(w.buf, part...)
@@ -69,7 +79,7 @@
 
 // Finish completes a response that Begin started.
 func (w *Writer) Finish() {
-	if !w.noBody {
+	if !w.noBody && !w.noChunks {
 		w.buf = append(w.buf, "0\r\n\r\n"...)
 	}
 	w.flush()
