fix: only an answer with a result's status confirms an operator's change

What callers saw: vr's commands took each JSON object for the result of a change or a question, whatever its status: "{}" with status 000, 099, 404, 500, 502, 600 or 999 counted as a change that is made, or in force at all hosts, as nothing was missing.

Cause: send looked at the status only to find refusals, which have a code.

Change: results come with 200, 409 or 422; any other answer that is no refusal counts as a host that can't be reached, and the change as one that may have been made.

Before: TestAnswerWithoutASuccessStatusConfirmsAChange failed for these seven with "the mark is confirmed"; 304 passed.

--- a/internal/operator/requester/requester.go
+++ b/internal/operator/requester/requester.go
@@ -300,12 +300,21 @@
 		*raw = data
 		return nil
 	}
+	if !carriesResult(resp.StatusCode) {
+		return eris.Errorf("status %d, answer is no result", resp.StatusCode)
+	}
 	if err := json.Unmarshal(data, reply); err != nil {
 		return eris.Wrapf(err, "status %d, answer not understood", resp.StatusCode)
 	}
 	return nil
 }
 
+// carriesResult reports whether a control host sends results with the status. With 409 and 422 the result
+// is that a change wasn't made.
+func carriesResult(status int) bool {
+	return status == http.StatusOK || status == http.StatusConflict || status == http.StatusUnprocessableEntity
+}
+
 func reportQuery(workspace, model string) string {
 	return url.Values{"workspace": {workspace}, "model": {model}}.Encode()
 }
--- a/internal/operator/requester/requester_test.go
+++ b/internal/operator/requester/requester_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -79,3 +80,28 @@
 		})
 	}
 }
+
+func TestAnswerWithoutASuccessStatusConfirmsAChange(t *testing.T) {
+	for _, status := range []string{"000", "099", "304", "404", "500", "502", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				c, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 "+status+" X\r\nContent-Length: 2\r\n\r\n{}")
+				_ = c.Close()
+			})}
+			go func() { _ = s.Serve(l) }()
+			defer func() { _ = s.Close() }()
+			c := &Requester{Addresses: []string{l.Addr().String()}}
+			if r, err := c.SetMark(t.Context(), "engine-1", responder.MarkRequest{}); err == nil {
+				t.Errorf("the mark is confirmed: %+v", r)
+			}
+		})
+	}
+}
