fix: a stream that ends with its connection at the request's deadline isn't whole

What callers saw: a part of a stream as a complete response, where the route's timeout or the client's own time ended it.

Cause: as for answers: the engine is told the time left in whole milliseconds, stops work by it and ends its response up to a millisecond before the host does.

Change: ending doesn't take the end of a connection for that of a response from the last millisecond on.

Before: TestStreamThatItsDeadlineEndedIsComplete failed 5 of 5 with the events 1 to 3 as a complete response. After: 0 of 25 with the race detector.

--- a/internal/fleet/forwarder/deadline_test.go
+++ b/internal/fleet/forwarder/deadline_test.go
@@ -21,6 +21,16 @@
 	return false
 }
 
+func TestStreamThatItsDeadlineEndedIsComplete(t *testing.T) {
+	for range 5 {
+		x := newFixture(t, newStandIn(t, "e1", untilDeadline))
+		x.place = "e1"
+		if got := x.send("/stream/a", key+"T-Left: 200.9\r\n", "prompt"); got.err == nil {
+			t.Errorf("client got %q as a complete response", got.body)
+		}
+	}
+}
+
 func TestAnswerThatItsDeadlineEndedIsComplete(t *testing.T) {
 	for _, path := range []string{"/read/a", "/once/a"} {
 		for i := range 5 {
--- a/internal/fleet/forwarder/ending.go
+++ b/internal/fleet/forwarder/ending.go
@@ -10,7 +10,7 @@
 )
 
 // ending returns how a response has ended, io.EOF if it is complete.
-func (s *stream) ending(end eventBatch) error {
+func (s *stream) ending(ctx context.Context, end eventBatch) error {
 	if !errors.Is(end.err, io.EOF) || s.response.Framed {
 		return end.err
 	}
@@ -20,6 +20,9 @@
 		return errNoEvent
 	case s.interrupted.before(end.arrived):
 		return errInterrupted
+	case deadlineReached(ctx, end.arrived):
+		<-ctx.Done()
+		return ctx.Err()
 	default:
 		return end.err
 	}
--- a/internal/fleet/forwarder/move.go
+++ b/internal/fleet/forwarder/move.go
@@ -136,7 +136,7 @@
 			if !open {
 				return true
 			}
-			if !s.forward(b) && s.streamErr == nil {
+			if !s.forward(ctx, b) && s.streamErr == nil {
 				return false
 			}
 		}
--- a/internal/fleet/forwarder/stream.go
+++ b/internal/fleet/forwarder/stream.go
@@ -124,7 +124,7 @@
 				s.events = nil
 				continue
 			}
-			if s.forward(b) {
+			if s.forward(ctx, b) {
 				continue
 			}
 			if s.streamErr == nil {
@@ -150,11 +150,11 @@
 
 // forward sends a batch to the client. It reports whether the stream is still open on both
 // sides. If not, streamErr is set if the backend server's side has ended, nil if the client left.
-func (s *stream) forward(b eventBatch) bool {
+func (s *stream) forward(ctx context.Context, b eventBatch) bool {
 	defer b.written()
 	if b.err != nil {
 		s.logInterrupted(b)
-		s.streamErr = s.ending(b)
+		s.streamErr = s.ending(ctx, b)
 		return false
 	}
 	if s.x.route.Resumable && !s.order.accept(b.bytes) {
