fix: a move doesn't stop a run whose stream has ended

What callers saw: one that sent its request again under its id, and came to the same engine, had the new run stopped, and its stream ended early; without length or chunks it looked complete.

Cause: copyMemory goes on after its generation has ended, to release the first copy, and then ordered the engine to stop the run by its id, which another run may have by then. Its stream knew of no such order.

Change: with the request over, the first copy is released and the run isn't stopped. It saves an order for each run that ends during its first copy, too. What remains: an order that is on its way as the stream ends.

Before: both cases of TestMoveOfAGenerationStopsTheOneThatFollowsIt failed (the client got events 4 and 5 of 4 to 8, as a complete response without chunks). After: 0 of 4 runs with the race detector.

--- a/internal/fleet/forwarder/copy.go
+++ b/internal/fleet/forwarder/copy.go
@@ -29,21 +29,26 @@
 )
 
 // copyMemory copies a run's memory while the run continues, then stops the run and copies
-// the rest. It continues after the request has ended, as only a completed copy can be
-// released.
-func (f *Forwarder) copyMemory(ctx context.Context, from *messenger.Backend, run string, to *messenger.Backend, interrupted *interruption) copyResult {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), copyTimeout)
+// the rest. The first copy continues after the request has ended, as only a completed copy can be
+// released. The run isn't stopped then: another one may have its id.
+func (f *Forwarder) copyMemory(
+	ctx context.Context, from *messenger.Backend, run string, to *messenger.Backend, interrupted *interruption,
+) copyResult {
+	copying, cancel := context.WithTimeout(context.WithoutCancel(ctx), copyTimeout)
 	defer cancel()
-	partial, err := f.Dialect.Copy(ctx, f.Pool, from.Address, run, to.Address, false)
+	partial, err := f.Dialect.Copy(copying, f.Pool, from.Address, run, to.Address, false)
 	if err != nil {
 		return copyResult{err: err}
 	}
+	if ctx.Err() != nil {
+		return copyResult{err: context.Cause(ctx), released: partial != "" && f.releaseCopy(run, to.Address, partial)}
+	}
 	// The run is stopped from the next call until it resumes, so the connection for that is opened
 	// meanwhile, unless one is idle that will still be young enough then. Without it the run opens its own.
 	if !f.unavailable(time.Now(), to) {
-		go func() { _ = f.Pool.Prepare(ctx, time.Now(), to.Address, maxIdleUnrepeatable/2) }()
+		go func() { _ = f.Pool.Prepare(copying, time.Now(), to.Address, maxIdleUnrepeatable/2) }()
 	}
-	o := f.stopRun(ctx, from, run, to, interrupted)
+	o := f.stopRun(copying, from, run, to, interrupted)
 	switch {
 	case o.err == nil || partial == "":
 	case o.stopped:
