fix: the connection of a process that ended doesn't end its response

What callers saw: a part as a complete response, of a stream or a call without length or chunks, where the process of its backend server had ended.

Cause: the system closes the connections of a process that is killed, or exits in the midst of its work, as the process itself does at the end of such a response. Nothing but a reset told them apart.

Change: once such a response has ended, the host looks whether the process still listens, as it does after a loss; if it does not, the response counts as lost. Each response without length or chunks costs one connection for that, others none. A process that exits within a millisecond of its last response has this one counted as lost, too: weighed, as a part that looks complete can't be undone by the client.

--- a/internal/fleet/forwarder/call.go
+++ b/internal/fleet/forwarder/call.go
@@ -227,15 +227,14 @@
 }
 
 // readWhole reads a response to its end and checks that it is complete, at most maxResponseBytes
-// long, not encoded and, with a status below 300, signed. One that ends with its connection when the
-// time is up is not known to be complete. If a check fails, the error is a sender.LostError. If the body can't be read and the header states that the request did not
-// run, the error is errDeclined. The caller must release the response.
+// long, not encoded and, with a status below 300, signed. If a check fails, the error is a
+// sender.LostError; if the body can't be read and the header states that the request did not run,
+// it is errDeclined. The caller must release the response.
 func (f *Forwarder) readWhole(ctx context.Context, resp *sender.Response) (*wholeResponse, error) {
 	whole := &wholeResponse{status: resp.Status, header: resp.Header}
 	err := f.readBody(ctx, resp.Body, whole)
-	if err == nil && !resp.Framed && deadlineReached(ctx, time.Now()) {
-		<-ctx.Done()
-		err = ctx.Err()
+	if err == nil {
+		err = endedForServer(ctx, resp, time.Now())
 	}
 	switch {
 	case err != nil && f.notRun(resp):
@@ -265,13 +264,6 @@
 	}
 }
 
-// deadlineReached reports whether a backend server may have stopped work on a request by now because of its
-// deadline, which is that of ctx. It was told the time left in whole milliseconds.
-func deadlineReached(ctx context.Context, now time.Time) bool {
-	deadline, set := ctx.Deadline()
-	return set && deadline.Sub(now) < time.Millisecond
-}
-
 // readBody reads the body of a response; its error is errTooLarge beyond maxResponseBytes. A body
 // above smallResponseBytes waits until others of that size have been read and delivered, or ctx ends.
 func (f *Forwarder) readBody(ctx context.Context, body io.Reader, whole *wholeResponse) error {
--- a/internal/fleet/forwarder/ending.go
+++ b/internal/fleet/forwarder/ending.go
@@ -7,8 +7,11 @@
 	"time"
 
 	"verbenareach/internal/event/logger"
+	"verbenareach/internal/fleet/sender"
 )
 
+var errProcessEnded = errors.New("process of the backend server has ended")
+
 // ending returns how a response has ended, io.EOF if it is complete.
 func (s *stream) ending(ctx context.Context, end eventBatch) error {
 	if !errors.Is(end.err, io.EOF) || s.response.Framed {
@@ -20,14 +23,36 @@
 		return errNoEvent
 	case s.interrupted.before(end.arrived):
 		return errInterrupted
-	case deadlineReached(ctx, end.arrived):
+	}
+	if err := endedForServer(ctx, s.response, end.arrived); err != nil {
+		return err
+	}
+	return end.err
+}
+
+// endedForServer returns an error if the end of the connection, read at a time, may not be the backend
+// server's end of a response without length or chunks: its deadline had passed, or its process ended.
+func endedForServer(ctx context.Context, resp *sender.Response, at time.Time) error {
+	switch {
+	case resp.Framed:
+		return nil
+	case deadlineReached(ctx, at):
 		<-ctx.Done()
 		return ctx.Err()
+	case inspectProcess(ctx, resp.Address) == processEnded:
+		return errProcessEnded
 	default:
-		return end.err
+		return nil
 	}
 }
 
+// deadlineReached reports whether a backend server may have stopped work on a request by now because of its
+// deadline, which is that of ctx. It was told the time left in whole milliseconds.
+func deadlineReached(ctx context.Context, now time.Time) bool {
+	deadline, set := ctx.Deadline()
+	return set && deadline.Sub(now) < time.Millisecond
+}
+
 // conclude ends a stream that does not continue, as streamErr says.
 func (s *stream) conclude(ctx context.Context) {
 	if errors.Is(s.streamErr, io.EOF) {
--- a/internal/fleet/sender/response.go
+++ b/internal/fleet/sender/response.go
@@ -43,6 +43,8 @@
 		// Framed is set if a length or chunks tell the end of the body; otherwise it ends with the
 		// connection.
 		Framed bool
+		// Address is where the request was sent.
+		Address string
 
 		pool *Pool
 		conn *Conn
@@ -122,7 +124,7 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = c.SetDeadline(deadline)
 	}
-	resp := &Response{pool: p, conn: c, stopCloseOnDone: stopCloseOnDone, writeDone: make(chan struct{})}
+	resp := &Response{Address: c.address, pool: p, conn: c, stopCloseOnDone: stopCloseOnDone, writeDone: make(chan struct{})}
 	if err := resp.writeRequest(r); err != nil {
 		resp.Abort()
 		return nil, err
