feat: log by which configuration a request was decided, and how late its answer was

No line of a host told for one request which version decided it, when that version came to that host, whose time ended a request, or how late the answer was; an acknowledgement of a version that is not above the one in force left no line at all, and nothing told two contents under one version apart.

VR6302, VR6303, VR6306 and, for calls, VR6305 have version, inForce, decidedAfter, limit and left. VR6201 has former, from, took and content; VR6202 has inForce and content, and is logged for each acknowledgement. Fields only: the number of lines per request is as before.

--- a/internal/fleet/cataloger/catalog.go
+++ b/internal/fleet/cataloger/catalog.go
@@ -14,10 +14,12 @@
 	// Kind is how the requests of a route may be repeated.
 	Kind int
 
-	// Catalog is one version of the configuration. It doesn't change after New.
+	// Catalog is one version of the configuration. It doesn't change once it is in force.
 	Catalog struct {
 		// Version orders catalogs: the one with the highest is in force.
 		Version uint64
+		// InForceSince is when it came into force on this host; zero before.
+		InForceSince time.Time
 		// Services holds the services by name.
 		Services map[string]Service
 		// Limits bounds what a client may send.
--- a/internal/fleet/forwarder/call.go
+++ b/internal/fleet/forwarder/call.go
@@ -322,8 +322,11 @@
 	if resp.status >= http.StatusInternalServerError {
 		x.outcome = "backendError"
 	}
-	f.Log.Emit(time.Now(), logger.ForwardServed, x.id, logger.F("backend", b.Id), logger.F("status", resp.status),
-		logger.F("after", time.Since(x.r.Arrived).Round(time.Millisecond)))
+	now := time.Now()
+	logged := []logger.Field{
+		logger.F("backend", b.Id), logger.F("status", resp.status), logger.F("after", now.Sub(x.r.Arrived).Round(time.Millisecond)),
+	}
+	f.Log.Emit(now, logger.ForwardServed, x.id, append(logged, x.decisionFields(now)...)...)
 	x.w.Reply(resp.status, clientFields(resp.header), resp.body)
 }
 
--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -93,6 +93,9 @@
 		streams map[string]*stream
 	}
 
+	// timeLimit names who bounds the time of a request.
+	timeLimit string
+
 	// refusal is a reason to refuse a request that tells when it may be sent again.
 	refusal interface {
 		error
@@ -114,8 +117,12 @@
 		isBound bool
 		// priority is that of the workspace if it has one, else the route's; 0 is the highest.
 		priority int
-		// deadline is the earlier of the client's deadline and the route's timeout.
+		// catalog is the configuration that decided the request at decidedAt; nil if none was known.
+		catalog   *cataloger.Catalog
+		decidedAt time.Time
+		// deadline is the earlier of the client's deadline and the route's timeout; limit tells whose it is.
 		deadline time.Time
+		limit    timeLimit
 		// mayHaveRun is set once a backend server may have run the request.
 		mayHaveRun bool
 		// outcome is how the request ended: served, backendError (a response with a status of
@@ -143,6 +150,12 @@
 	leavesValue = "1"
 )
 
+// The route's timeout and the client's deadline bound a request's time.
+const (
+	limitOfRoute  timeLimit = "route"
+	limitOfClient timeLimit = "client"
+)
+
 // Handle serves one request.
 func (f *Forwarder) Handle(ctx context.Context, w *receiver.Writer, r *receiver.Request) {
 	x := &exchange{w: w, r: r, id: r.Get(f.Dialect.RequestID)}
@@ -177,6 +190,7 @@
 // field sets none. If the request can't be accepted, admit answers it and returns false.
 func (f *Forwarder) admit(x *exchange) bool {
 	c := f.Catalog()
+	x.catalog, x.decidedAt = c, time.Now()
 	if c == nil {
 		f.refuse(x, http.StatusServiceUnavailable, "no configuration is known yet", retryAfterUnready)
 		return false
@@ -209,9 +223,9 @@
 		return false
 	}
 	x.service = c.Services[route.Pick(rand.Float64())] //nolint:gosec // Not security-relevant: it only splits traffic.
-	x.deadline = x.r.Arrived.Add(route.Timeout)
+	x.deadline, x.limit = x.r.Arrived.Add(route.Timeout), limitOfRoute
 	if left, ok := clientTimeout(x.r.Get(f.Dialect.Deadline)); ok && left < route.Timeout {
-		x.deadline = x.r.Arrived.Add(left)
+		x.deadline, x.limit = x.r.Arrived.Add(left), limitOfClient
 	}
 	return true
 }
@@ -238,7 +252,8 @@
 	if x.isBound {
 		logged = append(logged, logger.F("regions", x.regions))
 	}
-	f.Log.Emit(time.Now(), logger.ForwardRefused, x.id, logged...)
+	now := time.Now()
+	f.Log.Emit(now, logger.ForwardRefused, x.id, append(logged, x.decisionFields(now)...)...)
 	fields := f.localFields(x)
 	if retryAfter > 0 {
 		fields = append(fields, receiver.Field{Name: "Retry-After", Value: fmt.Sprintf("%.3f", retryAfter.Seconds())})
@@ -249,20 +264,43 @@
 // fail answers a request that may have run but got no response that can be forwarded.
 func (f *Forwarder) fail(x *exchange, status int, reason string, cause error) {
 	x.outcome = "failed"
-	f.Log.Emit(time.Now(), logger.ForwardFailed, x.id, logger.F("status", status), logger.F("reason", reason),
-		logger.F("route", x.route.Name), logger.F("service", x.service.Name), logger.F("cause", cause),
-		logger.F("after", time.Since(x.r.Arrived).Round(time.Millisecond)))
+	now := time.Now()
+	logged := []logger.Field{
+		logger.F("status", status), logger.F("reason", reason), logger.F("route", x.route.Name), logger.F("service", x.service.Name),
+		logger.F("cause", cause), logger.F("after", now.Sub(x.r.Arrived).Round(time.Millisecond)),
+	}
+	f.Log.Emit(now, logger.ForwardFailed, x.id, append(logged, x.decisionFields(now)...)...)
 	x.w.Reply(status, f.localFields(x), []byte(reason+"\n"))
 }
 
+// decisionFields returns what tells by which configuration a request was decided, for how long that had
+// been in force here, how long after its first byte the request was decided, and, once it has a deadline,
+// whose that is and how much of its time is left at now; less than 0 is late.
+func (x *exchange) decisionFields(now time.Time) []logger.Field {
+	if x.catalog == nil {
+		return nil
+	}
+	fields := []logger.Field{
+		logger.F("version", x.catalog.Version), logger.F("inForce", x.decidedAt.Sub(x.catalog.InForceSince).Round(time.Millisecond)),
+		logger.F("decidedAfter", x.decidedAt.Sub(x.r.Arrived).Round(time.Millisecond)),
+	}
+	if x.deadline.IsZero() {
+		return fields
+	}
+	return append(fields, logger.F("limit", x.limit), logger.F("left", x.deadline.Sub(now).Round(time.Millisecond)))
+}
+
 // giveUp ends a request that got no response: it aborts the request if the client has left,
 // refuses it if it can't have run, and fails it otherwise.
 func (f *Forwarder) giveUp(ctx context.Context, x *exchange, reason string, cause error) {
 	switch {
 	case clientLeft(ctx):
 		x.outcome = "left"
-		f.Log.Emit(time.Now(), logger.ForwardDisconnected, x.id, logger.F("route", x.route.Name),
-			logger.F("after", time.Since(x.r.Arrived).Round(time.Millisecond)))
+		now := time.Now()
+		logged := []logger.Field{
+			logger.F("route", x.route.Name), logger.F("after", now.Sub(x.r.Arrived).Round(time.Millisecond)),
+		}
+		f.Log.Emit(now, logger.ForwardDisconnected, x.id, append(logged, x.decisionFields(now)...)...)
 		x.w.Abort()
 	case !x.mayHaveRun:
 		retryAfter := retryAfterBusy
--- a/internal/fleet/runner/build.go
+++ b/internal/fleet/runner/build.go
@@ -97,7 +97,8 @@
 func (h *Runner) buildHub() {
 	s := h.Settings
 	h.keeper = &keeper.Keeper{
-		Self: s.Host, Folder: s.DataFolder, MinVoters: 2*s.MaxLostHubs + 1, Candidates: h.linkedHubs, OnChange: h.adopt,
+		Self: s.Host, Folder: s.DataFolder, MinVoters: 2*s.MaxLostHubs + 1, Candidates: h.linkedHubs,
+		OnChange:      func(version uint64, packed []byte) { h.adopt(version, packed, fromLog, time.Now()) },
 		OnEvacuations: h.adoptEvacuations, Log: h.Log,
 	}
 	h.linker.Remembered = h.keeper.MemberAddresses
--- a/internal/fleet/runner/distribution.go
+++ b/internal/fleet/runner/distribution.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"verbenareach/internal/control/recorder"
 	"verbenareach/internal/event/logger"
 	"verbenareach/internal/fleet/cataloger"
@@ -24,6 +27,8 @@
 	// maxFetches bounds the rounds in which a version is requested from the hubs. A later
 	// message of a hub starts new ones.
 	maxFetches = 20
+	// fromLog is the origin of a configuration that came with the replicated log.
+	fromLog = "log"
 )
 
 // Configure stores a configuration durably and returns it decoded. A version that is not
@@ -34,20 +39,30 @@
 	if err != nil {
 		return nil, &InvalidError{Findings: err}
 	}
-	if inForce := h.packed.Load(); inForce != nil && inForce.version >= c.Version {
-		return c, nil
+	begun := time.Now()
+	held := h.version()
+	if held < c.Version {
+		held, err = h.packAndStore(ctx, c.Version, body)
 	}
+	now := time.Now()
+	h.Log.Emit(now, logger.FleetConfigSubmitted, "", logger.F("version", c.Version), logger.F("held", held),
+		logger.F("inForce", h.version()), logger.F("content", contentID(body)), logger.F("bytes", len(body)),
+		logger.F("took", now.Sub(begun).Round(time.Millisecond)), logger.F("error", err))
+	return c, err
+}
+
+// packAndStore stores a configuration as storeConfiguration does.
+func (h *Runner) packAndStore(ctx context.Context, version uint64, body []byte) (held uint64, err error) {
 	packed, err := recorder.Pack(body)
 	if err != nil {
-		return c, err
+		return 0, err
 	}
-	begun := time.Now()
-	held, err := h.storeConfiguration(ctx, c.Version, packed)
-	h.Log.Emit(time.Now(), logger.FleetConfigSubmitted, "", logger.F("version", c.Version), logger.F("held", held),
-		logger.F("bytes", len(body)), logger.F("took", time.Since(begun).Round(time.Millisecond)), logger.F("error", err))
-	return c, err
+	return h.storeConfiguration(ctx, version, packed)
 }
 
+// contentID returns a short text that differs between two contents of a configuration, for the log.
+func contentID(body []byte) string { return fmt.Sprintf("%016x", xxhash.Sum64(body)) }
+
 // InvalidError reports that a configuration is invalid and was not stored.
 type InvalidError struct {
 	Findings error
@@ -246,6 +261,7 @@
 // maxFetches rounds.
 func (h *Runner) fetch(from *messenger.FleetHost, version uint64) {
 	defer h.fetching.Store(false)
+	announced := time.Now()
 	for range maxFetches {
 		if h.version() >= version {
 			return
@@ -258,7 +274,7 @@
 					return err
 				})
 			if err == nil && len(reply.Body) > 0 {
-				h.adopt(reply.Version, reply.Body)
+				h.adopt(reply.Version, reply.Body, hub.Name, announced)
 				break
 			}
 		}
@@ -269,11 +285,13 @@
 }
 
 // adopt puts a configuration into force if its version is above the one in force, and
-// announces its version to the linked hosts.
-func (h *Runner) adopt(version uint64, packed []byte) {
+// announces its version to the linked hosts. from is the hub that sent it, or fromLog; announced is when
+// this host heard of it, or of an older one that it had to fetch.
+func (h *Runner) adopt(version uint64, packed []byte, from string, announced time.Time) {
 	h.adoptMu.Lock()
 	defer h.adoptMu.Unlock()
-	if version <= h.version() {
+	former := h.version()
+	if version <= former {
 		return
 	}
 	body, err := recorder.Unpack(packed)
@@ -286,6 +304,7 @@
 		return
 	}
 	h.packed.Store(&packedConfig{version: version, packed: packed})
+	c.InForceSince = time.Now()
 	h.catalog.Store(c)
 	engines := make(map[string]cataloger.Engine)
 	for name, s := range c.Services {
@@ -296,7 +315,9 @@
 	h.allocator.SetEngines(engines)
 	// fillMessage adds the version to the empty messages.
 	h.linker.EnqueueAll("", func(*messenger.LinkMessage) {})
-	h.Log.Emit(time.Now(), logger.FleetConfigAdopted, "", logger.F("version", version), logger.F("bytes", len(body)))
+	h.Log.Emit(c.InForceSince, logger.FleetConfigAdopted, "", logger.F("version", version), logger.F("former", former),
+		logger.F("from", from), logger.F("took", c.InForceSince.Sub(announced).Round(time.Millisecond)),
+		logger.F("content", contentID(body)), logger.F("bytes", len(body)))
 }
 
 // version returns the version of the configuration in force here; 0 if there is none.
