fix: a request whose body is slow has its answer at its timeout

Callers saw nothing for up to 10 s after they had begun to send a request, whatever the timeout of its route or their own deadline, if the end of the body did not come: the receiver bounded the wait for a body by 10 s only, and no deadline is known before the body is whole.

The route is known once the header is read, so the wait for the body now ends with the earlier of the route's timeout and the client's deadline.

--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -223,13 +223,33 @@
 		return false
 	}
 	x.service = c.Services[route.Pick(rand.Float64())] //nolint:gosec // Not security-relevant: it only splits traffic.
-	x.deadline, x.limit = x.r.Arrived.Add(route.Timeout), limitOfRoute
-	if left, ok := clientTimeout(x.r.Get(f.Dialect.Deadline)); ok && left < route.Timeout {
-		x.deadline, x.limit = x.r.Arrived.Add(left), limitOfClient
-	}
+	x.deadline, x.limit = f.deadlineOf(x.r, route)
 	return true
 }
 
+// Deadline returns when a request, whose body may not have been read yet, must have an answer; zero if no
+// route matches.
+func (f *Forwarder) Deadline(r *receiver.Request) time.Time {
+	c := f.Catalog()
+	if c == nil {
+		return time.Time{}
+	}
+	route, ok := c.Match(r.Host, r.Path)
+	if !ok {
+		return time.Time{}
+	}
+	deadline, _ := f.deadlineOf(r, route)
+	return deadline
+}
+
+// deadlineOf returns the earlier of the client's deadline and the timeout of a request's route, and whose it is.
+func (f *Forwarder) deadlineOf(r *receiver.Request, route cataloger.Route) (time.Time, timeLimit) {
+	if left, ok := clientTimeout(r.Get(f.Dialect.Deadline)); ok && left < route.Timeout {
+		return r.Arrived.Add(left), limitOfClient
+	}
+	return r.Arrived.Add(route.Timeout), limitOfRoute
+}
+
 // clientTimeout parses the time that a client waits, in milliseconds. ok is false if text is no
 // number or the time is longer than maxClientTimeout, which is no limit.
 func clientTimeout(text string) (left time.Duration, ok bool) {
--- a/internal/fleet/forwarder/harness_test.go
+++ b/internal/fleet/forwarder/harness_test.go
@@ -242,7 +242,7 @@
 		t.Fatal(err)
 	}
 	x.address = l.Addr().String()
-	r := &receiver.Receiver{Handle: x.forwarder.Handle, Limits: func() receiver.Limits {
+	r := &receiver.Receiver{Handle: x.forwarder.Handle, Deadline: x.forwarder.Deadline, Limits: func() receiver.Limits {
 		return receiver.Limits{HeaderBytes: 4096, BodyBytes: 4096, HeaderTimeout: time.Second, IdleTimeout: time.Second}
 	}}
 	x.receiver = r
--- a/internal/fleet/receiver/receiver.go
+++ b/internal/fleet/receiver/receiver.go
@@ -36,6 +36,9 @@
 		Handle func(ctx context.Context, w *Writer, r *Request)
 		// Limits returns the limits in force.
 		Limits func() Limits
+		// Deadline returns when a request whose header was read must have an answer; zero if that is not
+		// known. A body that has not arrived by then is refused. It may be nil.
+		Deadline func(r *Request) time.Time
 		// LargeBytes bounds what arrives of all bodies together, without the first freeBodyBytes of
 		// each; 0 means defaultLargeBytes. It counts as at least Limits.BodyBytes.
 		LargeBytes int64
@@ -211,7 +214,8 @@
 	return s.base
 }
 
-// readBody invites the body if the client waits for that, and reads it within bodyTimeout.
+// readBody invites the body if the client waits for that, and reads it within bodyTimeout, and by the time
+// at which the request must have an answer.
 func (s *Receiver) readBody(c *conn, r *Request, limits Limits, memory *bodyMemory) error {
 	if r.length <= 0 && !r.chunked {
 		return nil
@@ -221,10 +225,22 @@
 			return err
 		}
 	}
-	_ = c.SetReadDeadline(time.Now().Add(bodyTimeout))
+	_ = c.SetReadDeadline(s.bodyDeadline(time.Now(), r))
 	return r.readBody(c.br, limits.BodyBytes, memory)
 }
 
+// bodyDeadline returns until when the body of a request is awaited.
+func (s *Receiver) bodyDeadline(now time.Time, r *Request) time.Time {
+	deadline := now.Add(bodyTimeout)
+	if s.Deadline == nil {
+		return deadline
+	}
+	if d := s.Deadline(r); !d.IsZero() && d.Before(deadline) {
+		return d
+	}
+	return deadline
+}
+
 // newBodyMemory returns the memory for the body of one request.
 func (s *Receiver) newBodyMemory(limits Limits) *bodyMemory {
 	total := s.LargeBytes
--- a/internal/fleet/runner/build.go
+++ b/internal/fleet/runner/build.go
@@ -89,7 +89,7 @@
 		LargeBytes: int64(largeShare * float64(s.MemoryBytes)),
 	}
 	h.receiver = &receiver.Receiver{
-		Handle: h.handleRequest, Limits: h.limits, LargeBytes: int64(largeShare * float64(s.MemoryBytes)), OnRefused: h.logMalformed,
+		Handle: h.handleRequest, Limits: h.limits, Deadline: h.forwarder.Deadline, LargeBytes: int64(largeShare * float64(s.MemoryBytes)), OnRefused: h.logMalformed,
 	}
 }
 
