feat: log writes to the disk of the replicated log that take long

Requests for votes were handled seconds late and at the same millisecond on all three hubs, which share one disk in the test. Nothing in a host's log tells a disk that stands still from a host that does (VR6006) or from a network.

VR1425 tells a write that took 250 ms or longer, once for each connection that waited for it.

--- a/internal/control/replicator/flushing.go
+++ b/internal/control/replicator/flushing.go
@@ -2,11 +2,16 @@
 
 import (
 	"errors"
+	"time"
 
 	"verbenareach/internal/control/recorder"
 	"verbenareach/internal/event/logger"
 )
 
+// slowSync is how long a write to the disk takes at least to be logged. A host sends no message that
+// depends on it meanwhile, so others elect a leader without it.
+const slowSync = 250 * time.Millisecond
+
 // flushLoop makes queued records durable, all that are queued at a time.
 func (r *Replicator) flushLoop() {
 	for {
@@ -21,7 +26,7 @@
 		seq, term := r.queuedSeq, r.term
 		last, _ := r.rec.Last()
 		r.mu.Unlock()
-		err := r.rec.Sync(seq)
+		err := r.sync(seq)
 		r.mu.Lock()
 		if err != nil {
 			r.handleDiskError(err)
@@ -41,6 +46,16 @@
 	}
 }
 
+// sync makes queued records durable, as recorder.Recorder.Sync does, and logs if that takes long.
+func (r *Replicator) sync(seq uint64) error {
+	begun := time.Now()
+	err := r.rec.Sync(seq)
+	if took := time.Since(begun); took >= slowSync {
+		r.emit(logger.ControlDiskSlow, logger.F("took", took.Round(time.Millisecond)), logger.F("error", err))
+	}
+	return err
+}
+
 // recordOwnFlush counts the host's own entries up to last, or its own vote, which have
 // become durable in its term.
 func (r *Replicator) recordOwnFlush(last uint64) {
--- a/internal/control/replicator/peer.go
+++ b/internal/control/replicator/peer.go
@@ -180,7 +180,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if err := r.rec.Sync(b.syncSeq); err != nil {
+		if err := r.sync(b.syncSeq); err != nil {
 			// The batch is dropped, like messages that the network loses.
 			r.mu.Lock()
 			r.handleDiskError(err)
--- a/internal/event/logger/replicationevents.go
+++ b/internal/event/logger/replicationevents.go
@@ -20,6 +20,7 @@
 	ControlDiskFull          = Event{1422, log.ErrorLevel, "disk is full, changes are refused"}
 	ControlDiskSpaceFreed    = Event{1423, log.InfoLevel, "disk has free space again"}
 	ControlDiskFailed        = Event{1424, log.ErrorLevel, "control host stops: its log can't be read or written"}
+	ControlDiskSlow          = Event{1425, log.WarnLevel, "write to the disk of the replicated log took long"}
 	ControlStreamOpened      = Event{1431, log.InfoLevel, "message stream to another control host opened"}
 	ControlStreamClosed      = Event{1432, log.WarnLevel, "message stream to another control host ended"}
 	ControlStreamSilent      = Event{1433, log.WarnLevel, "message stream given up: no reply tells that messages are received"}
@@ -29,7 +30,7 @@
 		ControlLeaderElected, ControlLeaderLost, ControlMembersChanged, ControlNotMember, ControlLogOpened, ControlElectionStarted,
 		ControlVoteRequested, ControlVoteAnswered, ControlFollowing, ControlSnapshotSaved,
 		ControlSnapshotInstalled, ControlSnapshotFailed, ControlLogDamaged, ControlDiskFull, ControlDiskSpaceFreed,
-		ControlDiskFailed, ControlStreamOpened, ControlStreamClosed, ControlStreamSilent,
+		ControlDiskFailed, ControlDiskSlow, ControlStreamOpened, ControlStreamClosed, ControlStreamSilent,
 		ControlRequestSilent,
 	}
 )
