fix: an order to stop a former run doesn't end the stream that follows as complete

What callers saw: a part of a stream as a complete response, after they had sent the request again under its id while its former run was being moved.

Cause: the order to stop the former run can be on its way as its stream ends. The engine carries it out on the run that has the id by then, whose stream knew of no order, so that an end without length or chunks was taken for the whole.

Change: the stream that follows takes over what is known of the former one's engine.

--- a/internal/fleet/forwarder/resume.go
+++ b/internal/fleet/forwarder/resume.go
@@ -131,6 +131,8 @@
 	former.end(errSuperseded)
 	select {
 	case <-former.ended:
+		// An order to stop it may still be on its way to its engine.
+		s.interrupted = former.interrupted
 	case <-ctx.Done():
 	}
 }
