fix: an order to stop a run is over only with its answer, and each order counts by itself

What callers saw, or could have: parts of streams without length or chunks as complete responses, and whole ones broken off.

Cause: interruption held one time for all orders. A later order's answer made the host forget an earlier one that was still on its way, as did another engine in between (TestFormerOrderIsForgotten..., two tests). An order that did not reach its engine, as that had just ended, let the end of the response count without the checks that its doubt had left out (TestStreamOfAnEngineThatEndsAsItIsToldToStopIsComplete). A backup's status 500 or 504 did not count as having run (TestStreamEndsAsCompleteAfterItsBackupAnsweredWithAFailure). Chunks that ended although the engine said that it had stopped the run were the whole, or not, by the order of the two (TestStoppedRunWhoseChunksEndIsTakenForWhole). The other way round, an order with an unclear answer put all that followed in doubt (TestWholeStreamIsBrokenOffLongAfterARefusedOrder, TestWholeStreamOfAnEngineThatGotTheRunOnceMoreIsBrokenOff).

Change: interruption counts the orders without an answer, by engine, and remembers an unclear one until an event comes a second after it. During a move the answer to the order decides what the end of a response means, framed or not; without a telling answer, framing proves the end as before. What ends after an order of ours teaches the scheduler nothing of departures (TestEngineThatWasToldToStopIsReportedAsLost). Copies that no stream uses are released (TestCopyOfAStoppedRunWhoseClientLeftIsKept, TestPartialCopyStaysAfterASuccessWithoutAHandle). The stand-ins of successor_test.go answer such calls.

--- a/internal/fleet/forwarder/copy.go
+++ b/internal/fleet/forwarder/copy.go
@@ -17,8 +17,9 @@
 	// stopped is set if the run has stopped at its engine, released if a partial copy was
 	// released.
 	stopped, released bool
-	// runs is set if the engine was told to stop the run, for the first time, and surely did not.
-	runs bool
+	// answered is set if the order to stop the run was answered, or did not reach the engine, so that it
+	// won't be carried out later; notStopped if the engine surely did not carry it out.
+	answered, notStopped bool
 }
 
 const (
@@ -28,6 +29,8 @@
 	releaseTimeout = 150 * time.Millisecond
 )
 
+var errNoHandle = errors.New("copy has no handle")
+
 // copyMemory copies a run's memory while the run continues, then stops the run and copies
 // the rest. The first copy continues after the request has ended, as only a completed copy can be
 // released. The run isn't stopped then: another one may have its id.
@@ -50,6 +53,9 @@
 	}
 	o := f.stopRun(copying, from, run, to, interrupted)
 	switch {
+	case o.stopped && ctx.Err() != nil:
+		// No stream resumes the run.
+		f.releaseCopy(run, from.Address, o.handle)
 	case o.err == nil || partial == "":
 	case o.stopped:
 		// The run is stopped until it resumes, so the release must not delay it.
@@ -65,14 +71,18 @@
 	ctx context.Context, from *messenger.Backend, run string, to *messenger.Backend, interrupted *interruption,
 ) copyResult {
 	orderedAt := time.Now()
-	first := interrupted.begin(orderedAt)
+	interrupted.begin(orderedAt)
 	f.Log.Emit(orderedAt, logger.RunStopOrdered, run, logger.F("from", from.Id), logger.F("to", to.Id))
 	handle, err := f.Dialect.Copy(ctx, f.Pool, from.Address, run, to.Address, true)
+	if err == nil && handle == "" {
+		err = &UnclearStopError{Cause: errNoHandle}
+	}
 	answeredAt := time.Now()
 	f.Log.Emit(answeredAt, logger.RunStopAnswered, run, logger.F("from", from.Id), logger.F("stopped", handle != ""),
 		logger.F("took", answeredAt.Sub(orderedAt).Round(time.Millisecond)), logger.F("cause", err))
 	o := copyResult{handle: handle, err: err, stopped: handle != ""}
-	o.runs = !o.stopped && first && errors.As(err, new(*NotStoppedError))
+	o.notStopped = !o.stopped && errors.As(err, new(*NotStoppedError))
+	o.answered = o.stopped || o.notStopped || errors.As(err, new(*UnclearStopError))
 	return o
 }
 
--- a/internal/fleet/forwarder/dialect.go
+++ b/internal/fleet/forwarder/dialect.go
@@ -49,10 +49,11 @@
 		// Copy has the engine at address copy the memory of a run to the engine at address to,
 		// and returns the handle of the copy. If stop is set, the run stops first. A handle with
 		// an error means that the run has stopped, the copy did not arrive and the source still
-		// holds the memory. A NotStoppedError means that the call did not stop the run. After any other
-		// error the run may have stopped, or may do so later.
+		// holds the memory. With stop, a NotStoppedError means that the call did not stop the run, an
+		// UnclearStopError that it may have; after any other error it may also do so later.
 		Copy func(ctx context.Context, pool *sender.Pool, address, run, to string, stop bool) (CopyHandle, error)
-		// Release has the engine at address, which received a copy of a run's memory, release it.
+		// Release has the engine at address release a copy of a run's memory. If the copy was made from
+		// there, it is released at both engines.
 		Release func(ctx context.Context, pool *sender.Pool, address string, handle CopyHandle) error
 		// Leaving reports whether the engine at address is about to leave.
 		Leaving func(ctx context.Context, pool *sender.Pool, address string) (bool, error)
@@ -64,12 +65,20 @@
 		Cause error
 	}
 
+	// UnclearStopError reports that an engine answered a call to stop a run without telling whether it did.
+	UnclearStopError struct {
+		Cause error
+	}
+
 	// CopyHandle identifies a copy of a run's memory, together with the address of the engine
 	// that it was copied from. It is empty if there is none.
 	CopyHandle string
 )
 
-var _ error = &NotStoppedError{}
+var (
+	_ error = &NotStoppedError{}
+	_ error = &UnclearStopError{}
+)
 
 // hopByHop holds the header fields that concern a single connection or its framing.
 var hopByHop = map[string]bool{
@@ -84,6 +93,12 @@
 // Unwrap returns the cause.
 func (e *NotStoppedError) Unwrap() error { return e.Cause }
 
+// Error returns the text of the cause, with a prefix.
+func (e *UnclearStopError) Error() string { return "unclear whether stopped: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *UnclearStopError) Unwrap() error { return e.Cause }
+
 // reserved reports whether clients may not set a header field; name is in lower case.
 func (d Dialect) reserved(name string) bool {
 	own := []string{d.Deadline, d.Expect, d.Workspace, d.Backup, d.Continue, d.LastEvent}
--- a/internal/fleet/forwarder/ending.go
+++ b/internal/fleet/forwarder/ending.go
@@ -14,16 +14,24 @@
 
 // ending returns how a response has ended, io.EOF if it is complete.
 func (s *stream) ending(ctx context.Context, end eventBatch) error {
-	if !errors.Is(end.err, io.EOF) || s.response.Framed {
+	if !errors.Is(end.err, io.EOF) {
+		return end.err
+	}
+	// During a move, the answer to the order to stop tells what the end means.
+	isInterrupted := s.interrupted.before(end.arrived)
+	if isInterrupted && s.currentMove != nil {
+		return errInterrupted
+	}
+	if s.response.Framed {
 		return end.err
 	}
 	// Nothing but the end of the connection says that the stream is whole.
-	switch {
-	case s.eventsHere == 0:
-		return errNoEvent
-	case s.interrupted.before(end.arrived):
+	if isInterrupted {
 		return errInterrupted
 	}
+	if s.eventsHere == 0 {
+		return errNoEvent
+	}
 	if err := endedForServer(ctx, s.response, end.arrived); err != nil {
 		return err
 	}
--- a/internal/fleet/forwarder/generation.go
+++ b/internal/fleet/forwarder/generation.go
@@ -82,7 +82,7 @@
 	}
 	s := &stream{
 		f: f, x: x, req: req, parts: sharedParts(x, req), place: f.Place, releaseBackend: func() {}, orders: make(chan *messenger.MoveOrder, maxPendingOrders),
-		copyDone: make(chan copyResult, 1), ended: make(chan struct{}),
+		copyDone: make(chan copyResult, 1), ended: make(chan struct{}), interrupted: &interruption{},
 	}
 	s.req.Run, s.req.Service, s.req.Priority, s.req.Workspace = x.id, x.service.Name, int32(x.priority), x.workspace
 	s.req.FailureDomain, s.req.Regions, s.req.GapMs = f.FailureDomain, x.regions, x.route.Gap.Milliseconds()
--- a/internal/fleet/forwarder/harness_test.go
+++ b/internal/fleet/forwarder/harness_test.go
@@ -113,10 +113,14 @@
 		err = fmt.Errorf("status %d", resp.Status)
 	}
 	notRun := resp.Header.Get("T-Not-Run") != ""
-	if notRun || resp.Status == http.StatusNotFound || resp.Status == http.StatusConflict {
-		err = &NotStoppedError{Cause: err}
+	switch {
+	case err == nil || reply.ID != "":
+		return reply.ID, err
+	case notRun || resp.Status == http.StatusNotFound || resp.Status == http.StatusConflict:
+		return "", &NotStoppedError{Cause: err}
+	default:
+		return "", &UnclearStopError{Cause: err}
 	}
-	return reply.ID, err
 }
 
 func newStandIn(t *testing.T, id string, script func(c net.Conn, seen seenRequest) bool) *standIn {
--- a/internal/fleet/forwarder/move.go
+++ b/internal/fleet/forwarder/move.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -56,9 +57,8 @@
 // whether the stream continues; if not, streamErr is io.EOF if it is complete.
 func (s *stream) finishMove(ctx context.Context, o copyResult) bool {
 	m := s.currentMove
-	s.currentMove = nil
 	if !o.stopped {
-		return s.stay(ctx, m, o)
+		return s.stay(ctx, o)
 	}
 	if o.err == nil {
 		s.reportEvent(messenger.RunState_PHASE_COPIED, false)
@@ -66,12 +66,8 @@
 	if !s.forwardRemaining(ctx) {
 		return false
 	}
-	if errors.Is(s.streamErr, io.EOF) {
-		// The response had its end nevertheless.
-		go s.f.releaseCopy(s.x.id, s.f.Tracker.Find(m.To).GetAddress(), o.handle)
-		return false
-	}
-	s.interrupted.withdraw()
+	s.currentMove = nil
+	s.interrupted.answer(time.Now(), true)
 	source := s.backend.Address + "/" + string(o.handle)
 	// If the copy did not arrive, the run resumes on the engine that it was copied from.
 	targets := []string{m.To, m.From}
@@ -90,14 +86,19 @@
 
 // stay ends a move of a run that its engine has not said to have stopped. It reports whether the stream
 // continues, as finishMove does.
-func (s *stream) stay(ctx context.Context, m *messenger.MoveOrder, o copyResult) bool {
+func (s *stream) stay(ctx context.Context, o copyResult) bool {
+	m := s.currentMove
+	s.currentMove = nil
 	s.f.Log.Emit(time.Now(), logger.RunMoveFailed, s.x.id, logger.F("from", m.From), logger.F("to", m.To),
-		logger.F("runs", o.runs), logger.F("cause", o.err))
-	if o.runs {
-		s.interrupted.withdraw()
+		logger.F("notStopped", o.notStopped), logger.F("cause", o.err))
+	if o.answered {
+		s.interrupted.answer(time.Now(), o.notStopped)
+	}
+	if errors.Is(s.streamErr, errInterrupted) {
+		// The answer may have told what the end of the response means.
+		s.streamErr = s.ending(ctx, eventBatch{err: io.EOF, arrived: time.Now()})
 	}
-	if o.runs && errors.Is(s.streamErr, errInterrupted) {
-		s.streamErr = io.EOF
+	if errors.Is(s.streamErr, io.EOF) {
 		return false
 	}
 	if s.streamErr != nil {
@@ -213,8 +214,9 @@
 	return nil
 }
 
-// openStream requests that an engine resume the run, as open does. A status other than 200 is
-// returned as errDeclined, a quarantined part of the prompt as a quarantinedError.
+// openStream requests that an engine resume the run, as open does. A status after which the engine may
+// have run it is returned as a sender.LostError, any other but 200 as errDeclined, a quarantined part of the
+// prompt as a quarantinedError.
 func (s *stream) openStream(
 	ctx context.Context, now time.Time, to *messenger.Backend, within time.Duration, fields []sender.Field,
 ) (*sender.Response, error) {
@@ -228,9 +230,12 @@
 	if err != nil {
 		return nil, err
 	}
-	if resp.Status != http.StatusOK {
-		resp.Abort()
-		return nil, errDeclined
+	if resp.Status == http.StatusOK {
+		return resp, nil
+	}
+	resp.Abort()
+	if resp.Status >= http.StatusInternalServerError && !impliesNotRun(resp.Status) {
+		return nil, &sender.LostError{Cause: fmt.Errorf("engine answered with status %d", resp.Status)}
 	}
-	return resp, nil
+	return nil, errDeclined
 }
--- a/internal/fleet/forwarder/resume.go
+++ b/internal/fleet/forwarder/resume.go
@@ -132,7 +132,7 @@
 	select {
 	case <-former.ended:
 		// An order to stop it may still be on its way to its engine.
-		s.interrupted = former.interrupted
+		s.interruptions = former.interruptions
 	case <-ctx.Done():
 	}
 }
--- a/internal/fleet/forwarder/stream.go
+++ b/internal/fleet/forwarder/stream.go
@@ -29,9 +29,10 @@
 	response    *sender.Response
 	events      <-chan eventBatch
 	stopReading func()
-	// interrupted tells whether something may have made backend end response early. An engine that gets
-	// the run once more may still have an order to stop it.
-	interrupted *interruption
+	// interrupted tells whether something may have made backend end response early, interruptions holds
+	// the newest one of each engine that had the run, by its id.
+	interrupted   *interruption
+	interruptions map[string]*interruption
 	// backend runs the generation, backup holds a copy of its memory.
 	backend *messenger.Backend
 	backup  *messenger.Backend
@@ -84,10 +85,7 @@
 
 // attach makes resp the response whose events are forwarded.
 func (s *stream) attach(resp *sender.Response) {
-	s.response = resp
-	if s.interrupted == nil || s.interrupted.backend != s.backend.Id {
-		s.interrupted = &interruption{backend: s.backend.Id}
-	}
+	s.response, s.interrupted = resp, s.interruptionAt(s.backend.Id)
 	s.begunAt, s.eventsHere, s.healthRecorded = time.Now(), 0, false
 	s.streamErr, s.lostHere = nil, false
 	s.arrivedLast = time.Time{}
@@ -178,6 +176,7 @@
 		s.longestGap = max(s.longestGap, gap)
 		s.f.ObserveGap(gap)
 	}
+	s.interrupted.continued(b.arrived)
 	s.observePace(b)
 	s.lastEventAt = now
 	s.eventsSent += b.count
@@ -206,7 +205,8 @@
 		Run: s.x.id, Backend: s.backend.GetId(), Backup: s.backup.GetId(), Phase: phase,
 		MadeTokens: s.madeTokens(), Request: s.req, Whole: s.x.outcome == "served",
 	}
-	if s.x.outcome == "broken" && s.streamErr != nil {
+	ownEnd := !errors.Is(s.streamErr, errInterrupted) && s.interrupted.age(time.Now()) == 0
+	if s.x.outcome == "broken" && s.streamErr != nil && ownEnd {
 		state.Cause = s.streamErr.Error()
 	}
 	s.lastState.Store(state)
--- a/internal/fleet/forwarder/successor_test.go
+++ b/internal/fleet/forwarder/successor_test.go
@@ -22,6 +22,8 @@
 			follow := sync.OnceFunc(func() { close(following) })
 			e1 := newStandIn(t, "e1", func(c net.Conn, seen seenRequest) bool {
 				switch {
+				case seen.Method == http.MethodDelete:
+					return answer(c, seen, http.StatusOK, "", "")
 				case seen.URL.Path == "/copy" && seen.URL.Query().Get("stop") != "true":
 					close(copying)
 					<-following
@@ -84,6 +86,8 @@
 			follow := sync.OnceFunc(func() { close(following) })
 			e1 := newStandIn(t, "e1", func(c net.Conn, seen seenRequest) bool {
 				switch {
+				case seen.Method == http.MethodDelete:
+					return answer(c, seen, http.StatusOK, "", "")
 				case seen.URL.Path == "/copy" && seen.URL.Query().Get("stop") != "true":
 					return answer(c, seen, http.StatusOK, "", `{"ID":"partial"}`)
 				case seen.URL.Path == "/copy":
