--- a/internal/fleet/sender/sender.go
+++ b/internal/fleet/sender/sender.go
@@ -79,6 +79,15 @@
 	return dialer.DialContext(ctx, "tcp", address)
 }
 
+// Open returns a new connection to address. No byte of a request was sent if Open fails.
+func Open(ctx context.Context, address string) (*Conn, error) {
+	raw, err := Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return newConn(raw, address), nil
+}
+
 // Get returns an idle connection to address, or else a new one. If maxIdle is not 0, an
 // idle connection is used only if it has been idle for less than maxIdle. No byte of a
 // request was sent if Get fails.
@@ -90,11 +99,7 @@
 		}
 		_ = c.Close()
 	}
-	raw, err := Dial(ctx, address)
-	if err != nil {
-		return nil, err
-	}
-	return newConn(raw, address), nil
+	return Open(ctx, address)
 }
 
 // Prepare opens a connection to address for a request that will soon be sent there, unless one has
