fix: a server that says it is cold before the configuration has come counts as cold

It isn't the way of a request: nothing was held or delayed between sending and arrival.

Cause: recordWarmUp drops what a server of a service without a bound says. Before a host has a configuration, or while the newest one lacks the service, no service has a bound. Once the configuration comes, all hosts take the server for a warm one until its next report or answer.

Change: only what servers of a service say that is known to have no bound is dropped.

Before: both cases of TestServerThatSaidItIsColdBeforeTheConfigurationCameCountsAsWarm fail.

--- a/internal/fleet/runner/warmup.go
+++ b/internal/fleet/runner/warmup.go
@@ -16,11 +16,11 @@
 
 // recordWarmUp records what a backend server's report to this host says of how long it is cold; nil if
 // it does not say. A report that is older than the newest one changes nothing. A process whose first
-// report does not say is taken to be cold from then on, unless this host has just started as well. A service without
-// a bound has no warm-ups.
+// report does not say is taken to be cold from then on, unless this host has just started as well. A service
+// that is known to have no bound has no warm-ups; the configuration of others may still come.
 func (h *Runner) recordWarmUp(now time.Time, report *messenger.Backend, cold *time.Duration) {
-	bound := h.warmUp(report.Service)
-	if bound.PerSecond == 0 {
+	bound, isKnown := h.warmUp(report.Service)
+	if isKnown && bound.PerSecond == 0 {
 		return
 	}
 	known := h.tracker.Find(report.Id)
@@ -38,13 +38,15 @@
 	h.throttler.RecordCold(now, now, report, bound.Time, throttler.FromStart)
 }
 
-// warmUp returns the bound on the requests to cold backend servers of a service.
-func (h *Runner) warmUp(service string) cataloger.WarmUp {
+// warmUp returns the bound on the requests to cold backend servers of a service. isKnown is false if no
+// configuration here has the service.
+func (h *Runner) warmUp(service string) (bound cataloger.WarmUp, isKnown bool) {
 	c := h.catalog.Load()
 	if c == nil {
-		return cataloger.WarmUp{}
+		return cataloger.WarmUp{}, false
 	}
-	return c.Services[service].WarmUp
+	known, isKnown := c.Services[service]
+	return known.WarmUp, isKnown
 }
 
 // coldRate returns the requests a second that a backend server takes while it is cold; 0 for no bound.
--- a/internal/fleet/runner/warmup_test.go
+++ b/internal/fleet/runner/warmup_test.go
@@ -51,6 +51,36 @@
 	}
 }
 
+func TestServerThatSaidItIsColdBeforeTheConfigurationCameCountsAsWarm(t *testing.T) {
+	now := time.Unix(1000, 0)
+	const left = 2 * time.Second
+	for _, tt := range []struct {
+		name   string
+		before *cataloger.Catalog
+	}{
+		{"host without a configuration", nil},
+		{"service that is not in it yet", &cataloger.Catalog{}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			h := &Runner{tracker: &tracker.Tracker{Name: "host", SilenceTimeout: time.Second}, startedAt: now}
+			h.throttler = &throttler.Throttler{
+				PublishWarmUps: func(string, []*messenger.WarmUp) {}, ColdRate: h.coldRate, ColdShare: func() float64 { return 1 },
+			}
+			h.catalog.Store(tt.before)
+			report := &messenger.Backend{Id: "s", Service: "rota", Address: "1", Started: 5, Sequence: 7}
+			cold := left
+			h.recordWarmUp(now, report, &cold)
+			h.tracker.Heartbeat(now, report)
+			h.catalog.Store(&cataloger.Catalog{Services: map[string]cataloger.Service{
+				"rota": {Name: "rota", WarmUp: cataloger.WarmUp{Time: left, PerSecond: 10}},
+			}})
+			if got, isCold := h.throttler.IsCold(now, report); !isCold || got != left {
+				t.Errorf("cold: %v, for %v, want %v", isCold, got, left)
+			}
+		})
+	}
+}
+
 func TestHubThatKnowsNoOtherGrantsTheWholeBoundBesideTheLeader(t *testing.T) {
 	self := &messenger.FleetHost{Name: "a", Hub: true}
 	h := &Runner{Settings: Settings{Host: self}, linker: &linker.Linker{Self: self}, keeper: &keeper.Keeper{}}
