fix: a request that reaches its deadline does not count as lost by its backend server

Under load on one processor, about half of the calls that a backend server left open until their deadline failed with "i/o timeout" a moment before their context ended: the connection's own deadline and that of the request are two timers for one moment, and the reader may run first. The host then took the request for lost by the server: it avoided that server for 500 ms, published the loss to the other hosts, drew on the retry budget and sent the request to another server with no time left, which it then avoided as well ("not sent: i/o timeout"). Clients of the same service saw 503 "no backend server is ready". Streams were logged as lost too.

A request now ends only with its context, whose end closes the connection; a failed dial waits for the end of a context whose deadline has passed. The test's context has a late timer and failed before in both cases.

--- a/internal/fleet/sender/response.go
+++ b/internal/fleet/sender/response.go
@@ -120,10 +120,8 @@
 // ends the connection is closed, by which the backend server learns that it may stop
 // working on the request. On an error, an *UnsentError or a *LostError, c is closed.
 func (p *Pool) Send(ctx context.Context, c *Conn, r Request) (*Response, error) {
+	// A deadline of the connection could come before ctx ends, and would then look like a loss.
 	stopCloseOnDone := context.AfterFunc(ctx, func() { _ = c.Close() })
-	if deadline, ok := ctx.Deadline(); ok {
-		_ = c.SetDeadline(deadline)
-	}
 	resp := &Response{Address: c.address, pool: p, conn: c, stopCloseOnDone: stopCloseOnDone, writeDone: make(chan struct{})}
 	if err := resp.writeRequest(r); err != nil {
 		resp.Abort()
--- a/internal/fleet/sender/sender.go
+++ b/internal/fleet/sender/sender.go
@@ -83,6 +83,7 @@
 func Open(ctx context.Context, address string) (*Conn, error) {
 	raw, err := Dial(ctx, address)
 	if err != nil {
+		awaitEnd(ctx, time.Now())
 		return nil, err
 	}
 	return newConn(raw, address), nil
@@ -102,6 +103,14 @@
 	return Open(ctx, address)
 }
 
+// awaitEnd returns once ctx has ended if its deadline has passed: its timer may be a little late, and a
+// failure before its end would look like one of the backend server.
+func awaitEnd(ctx context.Context, now time.Time) {
+	if deadline, ok := ctx.Deadline(); ok && !now.Before(deadline) {
+		<-ctx.Done()
+	}
+}
+
 // Prepare opens a connection to address for a request that will soon be sent there, unless one has
 // been idle for less than maxIdle.
 func (p *Pool) Prepare(ctx context.Context, now time.Time, address string, maxIdle time.Duration) error {
@@ -122,7 +131,6 @@
 
 // Put keeps a connection for a later request, or closes it if maxIdlePerAddress are kept.
 func (p *Pool) Put(now time.Time, c *Conn) {
-	_ = c.SetDeadline(time.Time{})
 	timeout := p.IdleTimeout
 	if c.serverIdleTimeout > 0 {
 		timeout = min(timeout, c.serverIdleTimeout-idleMargin)
--- a/internal/fleet/sender/sender_test.go
+++ b/internal/fleet/sender/sender_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -139,3 +140,44 @@
 		})
 	}
 }
+
+// lateContext is a context whose timer runs late.
+type lateContext struct {
+	context.Context
+
+	deadline time.Time
+}
+
+func (c lateContext) Deadline() (time.Time, bool) { return c.deadline, true }
+
+// A request that ended before its context was taken for one that its server lost, and was sent to another one.
+func TestRequestEndsBeforeItsContext(t *testing.T) {
+	tests := []struct {
+		name string
+		call func(ctx context.Context, p *Pool) error
+	}{
+		{"while the response is awaited", func(ctx context.Context, p *Pool) error {
+			near, far := net.Pipe()
+			defer func() { _ = far.Close() }()
+			go func() { _, _ = http.ReadRequest(bufio.NewReader(far)) }()
+			_, err := p.Send(ctx, newConn(near, "b"), Request{Method: http.MethodGet, Target: "/", Host: "h"})
+			return err
+		}},
+		{"while a connection is opened", func(ctx context.Context, p *Pool) error {
+			time.Sleep(50 * time.Millisecond)
+			_, err := p.Get(ctx, time.Now(), "127.0.0.1:1", 0)
+			return err
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			now := time.Now()
+			ended, cancel := context.WithDeadline(t.Context(), now.Add(200*time.Millisecond))
+			defer cancel()
+			ctx := lateContext{Context: ended, deadline: now.Add(20 * time.Millisecond)}
+			if err := tt.call(ctx, new(Pool)); err == nil || ctx.Err() == nil {
+				t.Errorf("ended with %v while the context is at %v", err, ctx.Err())
+			}
+		})
+	}
+}
