feat: log which request was refused before its body had come, and how late

Since a slow body is answered at the request's timeout, the line has the id if the header was read, the time since the first byte, and what was left of the request's time.

--- a/internal/fleet/receiver/receiver.go
+++ b/internal/fleet/receiver/receiver.go
@@ -42,8 +42,9 @@
 		// LargeBytes bounds what arrives of all bodies together, without the first freeBodyBytes of
 		// each; 0 means defaultLargeBytes. It counts as at least Limits.BodyBytes.
 		LargeBytes int64
-		// OnRefused is called for each request that is refused before Handle; it may be nil.
-		OnRefused func(status int, reason string)
+		// OnRefused is called for each request that is refused before Handle; it may be nil. r is nil if
+		// its header was not read.
+		OnRefused func(r *Request, status int, reason string)
 
 		// closing is set once connections are to be closed after their next response.
 		closing atomic.Bool
@@ -174,12 +175,14 @@
 	r, err := readHeader(c.br, limits.HeaderBytes)
 	memory := s.newBodyMemory(limits)
 	defer memory.release()
-	if err == nil {
+	if r != nil {
 		r.Arrived = arrived
+	}
+	if err == nil {
 		err = s.readBody(c, r, limits, memory)
 	}
 	if err != nil {
-		s.refuse(c, err)
+		s.refuse(c, r, err)
 		return false
 	}
 	w := &Writer{conn: c, close: r.close || s.closing.Load(), noBody: r.Method == http.MethodHead, noChunks: r.noChunks}
@@ -258,8 +261,8 @@
 }
 
 // refuse answers a request that is invalid, too large or too slow. It sends nothing if err is
-// another one, such as that of a failed connection.
-func (s *Receiver) refuse(c *conn, err error) {
+// another one, such as that of a failed connection. r is nil if its header was not read.
+func (s *Receiver) refuse(c *conn, r *Request, err error) {
 	rejection := new(requestError)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		rejection = &requestError{http.StatusRequestTimeout, "request was not sent in time"}
@@ -267,7 +270,7 @@
 		return
 	}
 	if s.OnRefused != nil {
-		s.OnRefused(rejection.status, rejection.reason)
+		s.OnRefused(r, rejection.status, rejection.reason)
 	}
 	w := &Writer{conn: c, close: true}
 	var fields []Field
--- a/internal/fleet/runner/runner.go
+++ b/internal/fleet/runner/runner.go
@@ -390,9 +390,19 @@
 	_ = recoverer.Run(h.Log, "", func() { h.receiveMessage(from, m) })
 }
 
-// logMalformed logs a request that the receiver refused.
-func (h *Runner) logMalformed(status int, reason string) {
-	h.Log.Emit(time.Now(), logger.ForwardMalformed, "", logger.F("status", status), logger.F("reason", reason))
+// logMalformed logs a request that the receiver refused; r is nil if its header was not read.
+func (h *Runner) logMalformed(r *receiver.Request, status int, reason string) {
+	now := time.Now()
+	fields := []logger.Field{logger.F("status", status), logger.F("reason", reason)}
+	if r == nil {
+		h.Log.Emit(now, logger.ForwardMalformed, "", fields...)
+		return
+	}
+	fields = append(fields, logger.F("after", now.Sub(r.Arrived).Round(time.Millisecond)))
+	if deadline := h.forwarder.Deadline(r); !deadline.IsZero() {
+		fields = append(fields, logger.F("left", deadline.Sub(now).Round(time.Millisecond)))
+	}
+	h.Log.Emit(now, logger.ForwardMalformed, r.Get(h.Dialect.RequestID), fields...)
 }
 
 // isEngineService reports whether the backend servers of a service are engines.
