fix: the time of a request begins when it reaches the host, not when it is read

A client waited for its answer beyond the route's timeout by as long as the host had left its request unread: the host counted from the first byte that it read. A host that stood still, was busy or had not accepted the connection yet gave the request that time once more, and passed it on to backend servers as time left. In a run of TestSoakOfChanges in which all processes stood still for 12 s, the hosts' lines had after=230ms and left=470ms for requests that their clients had sent 11 s before.

The kernel tells when the newest bytes of a connection came; the time of a request now begins then. The limit on the header still counts from the first read. The test failed before: a request that lay unread for 400 ms was 16 us old.

--- a/internal/fleet/receiver/receiver.go
+++ b/internal/fleet/receiver/receiver.go
@@ -170,8 +170,9 @@
 		return false
 	}
 	s.setIdle(c, false)
-	arrived := time.Now()
-	_ = c.SetReadDeadline(arrived.Add(limits.HeaderTimeout))
+	now := time.Now()
+	arrived := arrivedAt(now, c.Conn)
+	_ = c.SetReadDeadline(now.Add(limits.HeaderTimeout))
 	r, err := readHeader(c.br, limits.HeaderBytes)
 	memory := s.newBodyMemory(limits)
 	defer memory.release()
--- a/internal/fleet/receiver/receiver_test.go
+++ b/internal/fleet/receiver/receiver_test.go
@@ -269,3 +269,37 @@
 		}
 	}
 }
+
+// A host that stood still gave a request the time once more that it had spent unread.
+func TestTimeOfARequestBeginsOnlyWhenItIsRead(t *testing.T) {
+	const unread = 400 * time.Millisecond
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ages := make(chan time.Duration, 1)
+	s := &Receiver{
+		Handle: func(_ context.Context, w *Writer, r *Request) {
+			ages <- time.Since(r.Arrived)
+			w.Reply(http.StatusOK, nil, nil)
+		},
+		Limits: func() Limits {
+			return Limits{HeaderBytes: 1024, BodyBytes: 64, HeaderTimeout: unread / 2, IdleTimeout: time.Second}
+		},
+	}
+	c := dial(t, l.Addr().String())
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+	time.Sleep(unread)
+	go s.Run(l)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	_ = l.Close()
+	s.Wait()
+	// The kernel counts in steps of some milliseconds.
+	if age := <-ages; resp.StatusCode != http.StatusOK || age < unread/2 {
+		t.Errorf("status %d, the time began %v ago, want about %v", resp.StatusCode, age, unread)
+	}
+}
