--- a/internal/fleet/receiver/receiver_test.go
+++ b/internal/fleet/receiver/receiver_test.go
@@ -303,3 +303,22 @@
 		t.Errorf("status %d, the time began %v ago, want about %v", resp.StatusCode, age, unread)
 	}
 }
+
+// The kernel's count is too long by up to one of its ticks, which ended requests some milliseconds early.
+func TestTimeOfARequestBeginsBeforeItIsSent(t *testing.T) {
+	arrived := make(chan time.Time, 1)
+	_, address := serve(t, func(_ context.Context, w *Writer, r *Request) {
+		arrived <- r.Arrived
+		w.Reply(http.StatusOK, nil, nil)
+	})
+	for range 200 {
+		c := dial(t, address)
+		time.Sleep(time.Millisecond)
+		sent := time.Now()
+		_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+		if at := <-arrived; at.Before(sent) {
+			t.Fatalf("the time began %v before the request was sent", sent.Sub(at))
+		}
+		_ = c.Close()
+	}
+}
