fix: a redirect by an engine doesn't send its generation elsewhere

What callers could have seen: their prompt sent to any address that an engine names with 307 or 308, beside the agent of that address. Cause: the engine's client follows redirects by default, as net/http does; the services' client did not. Change: a redirect is an answer with a status that is neither success nor refusal.

TestRedirectSendsAGenerationElsewhere failed ("sent elsewhere: true") and passes.

--- a/internal/engine/connector/connector.go
+++ b/internal/engine/connector/connector.go
@@ -133,11 +133,16 @@
 // NewClient returns a client for one engine that keeps the given number of idle connections for the
 // given time.
 func NewClient(idleConns int, idleTimeout time.Duration) *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
 		MaxIdleConnsPerHost: idleConns, IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
 	}}
 }
 
+// noRedirect returns redirects as they are: following one would send a generation to any address.
+func noRedirect(*http.Request, []*http.Request) error {
+	return http.ErrUseLastResponse
+}
+
 // Load fetches the engine's latest load report.
 func (e *Engine) Load(ctx context.Context) (Load, error) {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Address+"/v1/load", nil)
--- a/internal/engine/connector/refusal_test.go
+++ b/internal/engine/connector/refusal_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -60,3 +61,16 @@
 		})
 	}
 }
+
+func TestRedirectSendsAGenerationElsewhere(t *testing.T) {
+	reached := false
+	other := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { reached = true }))
+	defer other.Close()
+	engine := httptest.NewServer(http.RedirectHandler(other.URL, http.StatusTemporaryRedirect))
+	defer engine.Close()
+	e := &Engine{Address: engine.Listener.Addr().String(), Client: NewClient(0, time.Second)}
+	_, err := e.Start(t.Context(), &messenger.GenerateStart{Path: "/v1/completions", Request: []byte("{}")})
+	if broken := new(BrokenError); reached || !errors.As(err, &broken) {
+		t.Errorf("got %v, sent elsewhere: %t", err, reached)
+	}
+}
