test: the mark is looked at on hosts that have it

It asked each host as soon as the agent had the mark. A host that has not applied it yet has no mark of the server, whose number is 0, and reports number 0 as confirmed, which is right. The test waits until the host has the mark, and looks at its confirmation in that answer: as strict for the mark itself.

--- a/internal/control/controller/partition_test.go
+++ b/internal/control/controller/partition_test.go
@@ -12,6 +12,7 @@
 	"verbenareach/internal/config/parser"
 	"verbenareach/internal/control/follower"
 	"verbenareach/internal/control/registrar"
+	"verbenareach/internal/operator/responder"
 	"verbenareach/internal/wire/messenger"
 )
 
@@ -261,17 +262,23 @@
 	if _, err := cluster.hosts[0].Propose(context.Background(), registrar.Command{SetMark: &mark}); err != nil {
 		t.Fatal(err)
 	}
-	confirmedAt := func(i int) (confirmed bool) {
+	statusAt := func(i int) (status responder.Server) {
 		for _, s := range cluster.hosts[i].servers(context.Background(), time.Now()).Servers {
 			if s.Name == agent.Self.Name {
-				confirmed = s.Confirmed
+				status = s
 			}
 		}
-		return confirmed
+		return status
 	}
+	confirmedAt := func(i int) bool { return statusAt(i).Confirmed }
 	eventually(t, "the mark at the agent", func() bool { return agent.View().Mark(agent.Self.Name).Leaving })
 	for i := range cluster.hosts {
-		if confirmedAt(i) {
+		var status responder.Server
+		eventually(t, "the mark at the host", func() bool {
+			status = statusAt(i)
+			return status.Mark.Leaving
+		})
+		if status.Confirmed {
 			t.Errorf("host %d reports the mark as confirmed before the agent confirms it", i)
 		}
 	}
