revert: the time of a request begins when it is read, as before

A likely cause is the kernel's tick, which is itself late on a loaded virtual machine; it was not traced further. A request that ends too early is worse than one that ends late by the time it lay unread, so the idea needs another clock. The finding stays open: a host that stood still gives a request that time once more.

--- a/internal/fleet/receiver/receiver.go
+++ b/internal/fleet/receiver/receiver.go
@@ -170,9 +170,8 @@
 		return false
 	}
 	s.setIdle(c, false)
-	now := time.Now()
-	arrived := arrivedAt(now, c.Conn)
-	_ = c.SetReadDeadline(now.Add(limits.HeaderTimeout))
+	arrived := time.Now()
+	_ = c.SetReadDeadline(arrived.Add(limits.HeaderTimeout))
 	r, err := readHeader(c.br, limits.HeaderBytes)
 	memory := s.newBodyMemory(limits)
 	defer memory.release()
--- a/internal/fleet/receiver/request.go
+++ b/internal/fleet/receiver/request.go
@@ -30,7 +30,7 @@
 		Fields []Field
 		// Body is the whole body, without the framing of chunks.
 		Body []byte
-		// Arrived is when the first bytes that were read reached this machine.
+		// Arrived is when the first byte was read.
 		Arrived time.Time
 
 		// close is set if the client wants the connection closed after the response.
