--- a/internal/fleet/forwarder/ending.go
+++ b/internal/fleet/forwarder/ending.go
@@ -91,9 +91,13 @@
 	s.response.Done()
 	s.x.outcome = "served"
 	s.f.ObservePause(s.expectedGap, s.longestGap)
-	s.f.Log.Emit(time.Now(), logger.ForwardServed, s.x.id, logger.F("backend", s.backend.Id),
-		logger.F("events", s.eventsSent), logger.F("framed", s.response.Framed), logger.F("firstToken", s.firstToken()),
-		logger.F("longestGap", s.longestGap.Round(time.Millisecond)), logger.F("expectedGap", s.expectedGap), logger.F("after", time.Since(s.x.r.Arrived).Round(time.Millisecond)))
+	now := time.Now()
+	logged := []logger.Field{
+		logger.F("backend", s.backend.Id), logger.F("events", s.eventsSent), logger.F("framed", s.response.Framed),
+		logger.F("firstToken", s.firstToken()), logger.F("longestGap", s.longestGap.Round(time.Millisecond)),
+		logger.F("expectedGap", s.expectedGap), logger.F("after", now.Sub(s.x.r.Arrived).Round(time.Millisecond)),
+	}
+	s.f.Log.Emit(now, logger.ForwardServed, s.x.id, append(logged, s.x.decisionFields(now)...)...)
 }
 
 // abort ends an incomplete stream so that the client can tell that it is incomplete. If no part
@@ -107,10 +111,13 @@
 	if clientLeft(ctx) || ctx.Err() == nil && errors.Is(cause, context.Canceled) {
 		s.x.outcome = "left"
 	}
-	s.f.Log.Emit(time.Now(), logger.RunAborted, s.x.id, logger.F("backend", s.backend.Id), logger.F("events", s.eventsSent),
-		logger.F("outcome", s.x.outcome), logger.F("cause", cause), logger.F("firstToken", s.firstToken()),
-		logger.F("longestGap", s.longestGap.Round(time.Millisecond)), logger.F("copy", s.backup.GetId()),
-		logger.F("after", time.Since(s.x.r.Arrived).Round(time.Millisecond)))
+	now := time.Now()
+	logged := []logger.Field{
+		logger.F("backend", s.backend.Id), logger.F("events", s.eventsSent), logger.F("outcome", s.x.outcome), logger.F("cause", cause),
+		logger.F("firstToken", s.firstToken()), logger.F("longestGap", s.longestGap.Round(time.Millisecond)),
+		logger.F("copy", s.backup.GetId()), logger.F("after", now.Sub(s.x.r.Arrived).Round(time.Millisecond)),
+	}
+	s.f.Log.Emit(now, logger.RunAborted, s.x.id, append(logged, s.x.decisionFields(now)...)...)
 	s.x.w.Abort()
 }
 
