test: a stand-in that outlives its test doesn't end the tests that follow

go test -run TestEngineLeftForABackupIsNoAttempt -count 60 panicked ("Log in goroutine after ... has completed"): a stand-in that waits for events of a stream that has ended reports that up to 2 s later, when its test is over. It stops waiting with its test now; while the test runs it reports as before. 60 of 60 plays pass.

--- a/internal/fleet/forwarder/move_test.go
+++ b/internal/fleet/forwarder/move_test.go
@@ -29,9 +29,12 @@
 	}
 }
 
-// awaitEvents waits until the client of a generation has a number of events.
+// awaitEvents waits until the client of a generation has a number of events, or the test has ended.
 func (x *fixture) awaitEvents(run string, count int32) {
 	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if x.t.Context().Err() != nil {
+			return
+		}
 		x.forwarder.mu.Lock()
 		s := x.forwarder.streams[run]
 		x.forwarder.mu.Unlock()
