--- a/internal/fleet/forwarder/call.go
+++ b/internal/fleet/forwarder/call.go
@@ -234,7 +234,7 @@
 	whole := &wholeResponse{status: resp.Status, header: resp.Header}
 	err := f.readBody(ctx, resp.Body, whole)
 	if err == nil {
-		err = endedForServer(ctx, resp, time.Now())
+		err = checkEnd(ctx, resp, time.Now())
 	}
 	switch {
 	case err != nil && f.notRun(resp):
--- a/internal/fleet/forwarder/ending.go
+++ b/internal/fleet/forwarder/ending.go
@@ -32,15 +32,15 @@
 	if s.eventsHere == 0 {
 		return errNoEvent
 	}
-	if err := endedForServer(ctx, s.response, end.arrived); err != nil {
+	if err := checkEnd(ctx, s.response, end.arrived); err != nil {
 		return err
 	}
 	return end.err
 }
 
-// endedForServer returns an error if the end of the connection, read at a time, may not be the backend
-// server's end of a response without length or chunks: its deadline had passed, or its process ended.
-func endedForServer(ctx context.Context, resp *sender.Response, at time.Time) error {
+// checkEnd returns an error if the end of the connection, read at a time, doesn't prove that the backend
+// server ended a response without length or chunks: its deadline had passed, or its process ended.
+func checkEnd(ctx context.Context, resp *sender.Response, at time.Time) error {
 	switch {
 	case resp.Framed:
 		return nil
--- a/internal/fleet/forwarder/generation.go
+++ b/internal/fleet/forwarder/generation.go
@@ -180,8 +180,9 @@
 }
 
 // open sends the request to an engine. It returns errDeclined if the engine states that it
-// did not run the request, and a sender.LostError if a stream isn't an engine's. Without the response header within the given time the connection is
-// closed, by which the engine learns to stop, and the cause is errAnswerTimeout; 0 sets no limit.
+// did not run the request, and a sender.LostError if a stream isn't an engine's. Without the
+// response header within the given time the connection is closed, by which the engine learns to
+// stop, and the cause is errAnswerTimeout; 0 sets no limit.
 func (s *stream) open(
 	ctx context.Context, b *messenger.Backend, within time.Duration, extra ...sender.Field,
 ) (*sender.Response, error) {
--- a/internal/service/connector/connector.go
+++ b/internal/service/connector/connector.go
@@ -67,8 +67,7 @@
 // Call sends one call and returns the reply. Its ran field is RAN_YES if the service's
 // whole reply arrived or was over MaxReplyBytes, which gives status 502; RAN_NO if the call
 // was invalid or no connection was established; else RAN_UNKNOWN, also for a reply whose status
-// HTTP doesn't have. A call with a claim must
-// not be repeated and is never sent twice.
+// HTTP doesn't have. A call with a claim must not be repeated and is never sent twice.
 func (s *Service) Call(ctx context.Context, req *messenger.CallRequest) *messenger.CallReply {
 	r, err := http.NewRequestWithContext(ctx, req.GetMethod(), "http://"+s.address+req.GetPath(), bytes.NewReader(req.GetBody()))
 	if err != nil {
