--- a/internal/fleet/forwarder/interruption_test.go
+++ b/internal/fleet/forwarder/interruption_test.go
@@ -85,6 +85,15 @@
 	return func(c net.Conn, seen seenRequest) bool { return answer(c, seen, status, "", body) }
 }
 
+// beginMoving sends the first events of a response without length or chunks, and orders the run to move to e2
+// once the client has them.
+func (x *fixture) beginMoving(c net.Conn, seen seenRequest) {
+	beginUntilClose(c, seen)
+	_, _ = io.WriteString(c, events(1, 3))
+	x.awaitEvents("id-1", 3)
+	_ = x.forwarder.Move(&messenger.MoveOrder{Run: "id-1", From: "e1", To: "e2"})
+}
+
 func TestStreamOfAStoppedRunEndsAsComplete(t *testing.T) {
 	tests := []struct {
 		name   string
--- a/internal/fleet/forwarder/stoporder_test.go
+++ b/internal/fleet/forwarder/stoporder_test.go
@@ -66,10 +66,7 @@
 			}
 			return answer(c, seen, http.StatusOK, "", `{"ID":"partial"}`)
 		}
-		beginUntilClose(c, seen)
-		_, _ = io.WriteString(c, events(1, 3))
-		(*x).awaitEvents("id-1", 3)
-		_ = (*x).forwarder.Move(&messenger.MoveOrder{Run: "id-1", From: "e1", To: "e2"})
+		(*x).beginMoving(c, seen)
 		for n := 4; n <= 8; n++ {
 			time.Sleep(after / 5)
 			_, _ = io.WriteString(c, event(n))
@@ -120,10 +117,7 @@
 		case seen.Method == http.MethodDelete:
 			return answer(c, seen, http.StatusOK, "", "")
 		case seen.URL.Path != "/copy":
-			beginUntilClose(c, seen)
-			_, _ = io.WriteString(c, events(1, 3))
-			x.awaitEvents("id-1", 3)
-			_ = x.forwarder.Move(&messenger.MoveOrder{Run: "id-1", From: "e1", To: "e2"})
+			x.beginMoving(c, seen)
 			_, _ = io.Copy(io.Discard, c)
 			return false
 		case seen.URL.Query().Get("stop") == "true":
@@ -176,10 +170,7 @@
 			}
 			return answer(c, seen, http.StatusServiceUnavailable, "", `{"ID":"handle"}`)
 		case runs.Add(1) == 1:
-			beginUntilClose(c, seen)
-			_, _ = io.WriteString(c, events(1, 3))
-			x.awaitEvents("id-1", 3)
-			_ = x.forwarder.Move(&messenger.MoveOrder{Run: "id-1", From: "e1", To: "e2"})
+			x.beginMoving(c, seen)
 			<-answered
 			time.Sleep(50 * time.Millisecond)
 			_ = x.forwarder.Move(&messenger.MoveOrder{Run: "id-1", From: "e1", To: "e2"})
@@ -213,10 +204,7 @@
 			defer close(stopped)
 			return answer(c, seen, http.StatusInternalServerError, "", "failed")
 		case runs.Add(1) == 1:
-			beginUntilClose(c, seen)
-			_, _ = io.WriteString(c, events(1, 3))
-			x.awaitEvents("id-1", 3)
-			_ = x.forwarder.Move(&messenger.MoveOrder{Run: "id-1", From: "e1", To: "e2"})
+			x.beginMoving(c, seen)
 			<-stopped
 			time.Sleep(20 * time.Millisecond)
 			return false
@@ -247,10 +235,7 @@
 			defer close(stopped)
 			return reset(c)
 		case runs.Add(1) == 1:
-			beginUntilClose(c, seen)
-			_, _ = io.WriteString(c, events(1, 3))
-			x.awaitEvents("id-1", 3)
-			_ = x.forwarder.Move(&messenger.MoveOrder{Run: "id-1", From: "e1", To: "e2"})
+			x.beginMoving(c, seen)
 			<-stopped
 			time.Sleep(50 * time.Millisecond)
 			_ = x.forwarder.Move(&messenger.MoveOrder{Run: "id-1", From: "e1", To: "e3", Copied: true})
--- a/internal/fleet/forwarder/unreached_test.go
+++ b/internal/fleet/forwarder/unreached_test.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"testing"
 	"time"
 
 	"verbenareach/internal/fleet/sender"
-	"verbenareach/internal/wire/messenger"
 )
 
 // The order doesn't reach the engine, as its process ends at that moment.
@@ -18,10 +16,7 @@
 	var e1 *standIn
 	ordered, ended := make(chan struct{}), make(chan struct{})
 	e1 = newStandIn(t, "e1", func(c net.Conn, seen seenRequest) bool {
-		beginUntilClose(c, seen)
-		_, _ = io.WriteString(c, events(1, 3))
-		x.awaitEvents("id-1", 3)
-		_ = x.forwarder.Move(&messenger.MoveOrder{Run: "id-1", From: "e1", To: "e2"})
+		x.beginMoving(c, seen)
 		<-ordered
 		_ = e1.listener.Close()
 		_ = c.Close()
