fix: an early response that is reset during the upload is not whole

Callers saw: a backend server answered a long upload at once, without length or chunks, sent a part of its body and reset the connection; the client got the part as a complete response, status 200 or 500 and signed.

Cause: a socket tells its error once, to whichever call comes first. A body above 8 KiB is written while the response is read, and the write took the reset. The next read then finds a mere end, io.EOF, which is how a response without length or chunks ends. The same holds for a connection that the kernel gives up as its peer doesn't acknowledge (userTimeout; read, not tested).

TestResetThatAWriteMeetsLooksLikeAnEnd brings it about without a race, by a write that fails before the read: "part", then no error.

Change: validator.Conn, through which all responses of backend servers are read, asks the kernel for the state of the connection when a read finds its end. A socket that was reset or given up is closed; one whose peer ended its side is not. It needs no record of the writes' errors, so it doesn't depend on whose call took the error.

A peer that closes the whole connection answers what is still on its way by a reset; that comes at once, so the end is held back for it while bytes are on their way, 0.2 s at most, and then is no proof.

Where a kernel doesn't tell the state, an end is one as before.

--- a/internal/fleet/forwarder/harness_test.go
+++ b/internal/fleet/forwarder/harness_test.go
@@ -35,6 +35,8 @@
 		// open.
 		script   func(c net.Conn, seen seenRequest) bool
 		listener net.Listener
+		// early is set if script gets a request once its header was read. The rest is in its Body.
+		early bool
 		// fixture is what the stand-in belongs to.
 		fixture *fixture
 
@@ -124,12 +126,27 @@
 }
 
 func newStandIn(t *testing.T, id string, script func(c net.Conn, seen seenRequest) bool) *standIn {
+	t.Helper()
+	s := &standIn{id: id, script: script}
+	s.listen(t)
+	return s
+}
+
+// newEarlyStandIn returns a stand-in that may answer before it has read the body of the request.
+func newEarlyStandIn(t *testing.T, id string, script func(c net.Conn, seen seenRequest) bool) *standIn {
+	t.Helper()
+	s := &standIn{id: id, script: script, early: true}
+	s.listen(t)
+	return s
+}
+
+func (s *standIn) listen(t *testing.T) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &standIn{id: id, address: l.Addr().String(), script: script, listener: l}
+	s.address, s.listener = l.Addr().String(), l
 	t.Cleanup(func() { _ = l.Close() })
 	go func() {
 		for {
@@ -143,7 +160,6 @@
 			go s.serve(c)
 		}
 	}()
-	return s
 }
 
 func (s *standIn) serve(c net.Conn) {
@@ -154,7 +170,10 @@
 		if err != nil {
 			return
 		}
-		body, err := io.ReadAll(r.Body)
+		var body []byte
+		if !s.early {
+			body, err = io.ReadAll(r.Body)
+		}
 		if err != nil {
 			return
 		}
@@ -184,6 +203,12 @@
 
 const signed = "T-Signed: s\r\n"
 
+// longUploadBytes is the length of a body that is still being written while its response comes.
+const longUploadBytes = 8 << 20
+
+// routesOfEachKind holds a path of each kind of route.
+var routesOfEachKind = []string{"/read/a", "/once/a", "/stream/a", "/plain-stream/a", "/resume/a"}
+
 func answerOK(c net.Conn, seen seenRequest) bool {
 	return answer(c, seen, http.StatusOK, signed, "whole")
 }
@@ -247,7 +272,7 @@
 	}
 	x.address = l.Addr().String()
 	r := &receiver.Receiver{Handle: x.forwarder.Handle, Deadline: x.forwarder.Deadline, Limits: func() receiver.Limits {
-		return receiver.Limits{HeaderBytes: 4096, BodyBytes: 4096, HeaderTimeout: time.Second, IdleTimeout: time.Second}
+		return receiver.Limits{HeaderBytes: 4096, BodyBytes: longUploadBytes, HeaderTimeout: time.Second, IdleTimeout: time.Second}
 	}}
 	x.receiver = r
 	go r.Run(l)
@@ -270,6 +295,14 @@
 	}
 }
 
+// newFixtureOfOne returns a fixture in which the backend server of each route is such a stand-in.
+func newFixtureOfOne(t *testing.T, newOne func(id string) *standIn) *fixture {
+	t.Helper()
+	x := newFixture(t, newOne("e1"), newOne("s"))
+	x.place = "e1"
+	return x
+}
+
 // occupy adds an outstanding request to a backend server, so that others are chosen first.
 func (x *fixture) occupy(id string) {
 	x.forwarder.Balancer.Choose(time.Now(), []*messenger.Backend{{Id: id}}, nil)
--- a/internal/fleet/sender/sender.go
+++ b/internal/fleet/sender/sender.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"verbenareach/internal/wire/validator"
 )
 
 type (
@@ -28,7 +30,7 @@
 
 	// Conn is a connection to a backend server. Only one request uses it at a time.
 	Conn struct {
-		net.Conn
+		*validator.Conn
 		address string
 		// br reads from limited, which bounds what one response header may take.
 		br      *bufio.Reader
@@ -62,8 +64,9 @@
 )
 
 func newConn(raw net.Conn, address string) *Conn {
-	limited := &limitedReader{r: raw, left: unlimited}
-	return &Conn{Conn: raw, address: address, limited: limited, br: bufio.NewReaderSize(limited, readBufferBytes)}
+	checked := &validator.Conn{Conn: raw}
+	limited := &limitedReader{r: checked, left: unlimited}
+	return &Conn{Conn: checked, address: address, limited: limited, br: bufio.NewReaderSize(limited, readBufferBytes)}
 }
 
 // Dial opens a TCP connection that fails, instead of blocking, when its peer becomes
@@ -188,7 +191,7 @@
 	if c.br.Buffered() > 0 {
 		return false
 	}
-	tcp, ok := c.Conn.(*net.TCPConn)
+	tcp, ok := c.Conn.Conn.(*net.TCPConn)
 	if !ok {
 		return true
 	}
