fix: a response with a malformed name of a field is none

Callers saw: a backend server's response whose head held a line such as "X-A B: v", "X-A : v" or " X-A: v" came as a response. The line was passed on; or, where the name was that of a length, of chunks or of an encoding, the body was framed without it, with its chunk sizes or longer than its length; or a line that begins with a blank became a part of the value before it, such as the signature.

Cause: http.ReadResponse, which reads all heads of backend servers, accepts names that hold a blank, doesn't know them then, and joins a line that begins with a blank to the one before. All other malformed names it refuses.

This is the one place where heads are read for streams, calls, copies, releases, reports and probes, informational and skipped responses. A head that can't be read counts as a loss of its server, and its cause is logged, as before.

--- a/internal/fleet/sender/limit.go
+++ b/internal/fleet/sender/limit.go
@@ -8,11 +8,12 @@
 
 type (
 	// limitedReader reads at most left bytes, and stops once lines ends of lines were read, or reads
-	// without a limit while left is unlimited.
+	// without a limit while left is unlimited. With a limit it keeps what it has read.
 	limitedReader struct {
 		r     io.Reader
 		left  int64
 		lines int
+		read  []byte
 	}
 
 	// bodyReader reads a response body and notes that its end was reached.
@@ -39,6 +40,11 @@
 	l.left, l.lines = maxHeaderBytes, maxHeaderLines
 }
 
+// allowAll ends the limit.
+func (l *limitedReader) allowAll() {
+	l.left, l.read = unlimited, nil
+}
+
 // Read reads up to the limit. Beyond it the error is errHeaderTooLarge.
 func (l *limitedReader) Read(p []byte) (int, error) {
 	if l.left == unlimited {
@@ -50,6 +56,7 @@
 	n, err := l.r.Read(p[:min(int64(len(p)), l.left)])
 	l.left -= int64(n)
 	l.lines -= bytes.Count(p[:n], lineEnd)
+	l.read = append(l.read, p[:n]...)
 	return n, err
 }
 
--- a/internal/fleet/sender/response.go
+++ b/internal/fleet/sender/response.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"verbenareach/internal/wire/validator"
 )
 
 type (
@@ -199,15 +201,12 @@
 func (resp *Response) readHeader(r Request) error {
 	skipped := 0
 	resp.conn.limited.allowHeader()
-	defer func() { resp.conn.limited.left = unlimited }()
+	defer resp.conn.limited.allowAll()
 	for {
-		next, err := http.ReadResponse(resp.conn.br, &http.Request{Method: r.Method}) //nolint:bodyclose,nolintlint // Done and Abort close the connection.
+		next, err := resp.conn.readHead(r.Method) //nolint:bodyclose,nolintlint // Done and Abort close the connection.
 		if err != nil {
 			return err
 		}
-		if next.StatusCode < minStatus || next.StatusCode > maxStatus {
-			return errInvalidStatus
-		}
 		if next.StatusCode < http.StatusOK {
 			continue
 		}
@@ -234,9 +233,28 @@
 	}
 }
 
+// readHead reads the head of the next response to a request with a method. It returns an error unless the
+// head is in the protocol.
+func (c *Conn) readHead(method string) (*http.Response, error) {
+	buffered, err := c.br.Peek(c.br.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	c.limited.read = append(c.limited.read[:0], buffered...)
+	next, err := http.ReadResponse(c.br, &http.Request{Method: method})
+	if err != nil {
+		return nil, err
+	}
+	if next.StatusCode < minStatus || next.StatusCode > maxStatus {
+		return nil, errInvalidStatus
+	}
+	head := c.limited.read[:len(c.limited.read)-c.br.Buffered()]
+	return next, validator.CheckHead(head)
+}
+
 // skipBody reads the body of a response to another request, and then allows another header.
 func (resp *Response) skipBody(body io.Reader) error {
-	resp.conn.limited.left = unlimited
+	resp.conn.limited.allowAll()
 	n, err := io.Copy(io.Discard, io.LimitReader(body, maxSkippedBytes))
 	if err != nil {
 		return err
--- a/internal/fleet/sender/sender_test.go
+++ b/internal/fleet/sender/sender_test.go
@@ -58,6 +58,7 @@
 // A header of many short lines takes ten times its bytes in memory.
 func TestHeaderOfManyLinesIsRead(t *testing.T) {
 	const length = "Content-Length: 4000\r\n"
+	long := "A: " + strings.Repeat("b", 2*readBufferBytes) + "\r\n"
 	tests := []struct {
 		name     string
 		response string
@@ -66,6 +67,8 @@
 		{"200 lines", "HTTP/1.1 200 X\r\n" + length + strings.Repeat("A: b\r\n", 200) + "\r\n" + strings.Repeat("c", 4000), false},
 		{"a body of lines behind a short header", "HTTP/1.1 200 X\r\n" + length + "\r\n" + strings.Repeat("\n", 4000), false},
 		{"5000 lines", "HTTP/1.1 200 X\r\n" + strings.Repeat("A:\r\n", 5000) + length + "\r\n" + strings.Repeat("c", 4000), true},
+		{"longer than one read", "HTTP/1.1 200 X\r\n" + length + long + "\r\n" + strings.Repeat("c", 4000), false},
+		{"longer than one read, malformed at its end", "HTTP/1.1 200 X\r\n" + length + long + "A B: c\r\n\r\n" + strings.Repeat("c", 4000), true},
 		{"many informational responses", strings.Repeat("HTTP/1.1 102 X\r\n\r\n", 1500) + "HTTP/1.1 200 X\r\n" + length + "\r\n", true},
 	}
 	for _, tt := range tests {
--- a/internal/wire/validator/conn.go
+++ b/internal/wire/validator/conn.go
@@ -1,5 +1,5 @@
-// Package validator tells responses over HTTP/1.1 from what only looks like one: a connection that ends by a
-// reset instead of by its peer.
+// Package validator tells responses over HTTP/1.1 from what only looks like one: a head that is not in the
+// protocol, and a connection that ends by a reset instead of by its peer.
 package validator
 
 import (
