fix: own interface: an early reply that is reset during the upload is no outcome

Callers saw: a service answered a long call at once, without length or chunks, sent a part of its body and reset the connection 20 or 200 ms later: the part was the outcome of the call ("ran": "yes"), also of one with a claim, for good.

Cause: the one of the forwarder's routes. net/http writes a request while it reads the response, its write took the reset, and its read found a mere end.

Change: validator.Transport, whose connections are validator.Conns, is the transport of the clients of services and engines.

--- a/internal/engine/connector/connector.go
+++ b/internal/engine/connector/connector.go
@@ -18,6 +18,7 @@
 	"github.com/valyala/fastjson"
 
 	"verbenareach/internal/wire/messenger"
+	"verbenareach/internal/wire/validator"
 )
 
 const (
@@ -133,9 +134,9 @@
 // NewClient returns a client for one engine that keeps the given number of idle connections for the
 // given time.
 func NewClient(idleConns int, idleTimeout time.Duration) *http.Client {
-	return &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
+	return &http.Client{CheckRedirect: noRedirect, Transport: validator.NewTransport(&http.Transport{
 		MaxIdleConnsPerHost: idleConns, IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
-	}}
+	})}
 }
 
 // noRedirect returns redirects as they are: following one would send a generation to any address.
--- a/internal/service/connector/connector.go
+++ b/internal/service/connector/connector.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"verbenareach/internal/wire/messenger"
+	"verbenareach/internal/wire/validator"
 )
 
 const (
@@ -50,12 +51,12 @@
 func New(address string) *Service {
 	return &Service{
 		address: address,
-		pooled: &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
+		pooled: &http.Client{CheckRedirect: noRedirect, Transport: validator.NewTransport(&http.Transport{
 			MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxHeaderBytes,
-		}},
-		unpooled: &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
+		})},
+		unpooled: &http.Client{CheckRedirect: noRedirect, Transport: validator.NewTransport(&http.Transport{
 			DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes,
-		}},
+		})},
 	}
 }
 
