fix: own interface: a reply with a malformed name of a field is no outcome

Callers saw: a service's reply whose head held "X-A B: v", "X-A : v" or " Content-Length: 3" was the outcome of the call ("ran": "yes"); with "Content-Length : 3" its body was longer than that, with "Transfer-Encoding : chunked" it held the chunk sizes. An engine's answer with such a head was taken too.

Cause: net/http reads heads as http.ReadResponse does.

Evidence: TestReplyWithAMalformedFieldIsTheOutcome failed before in 6 of 11 forms, each for calls with and without a claim, and TestMalformedHeadOnAUsedConnectionIsTaken in 3 of 4 (both without the check in headConn.Read).

Change: a connection of validator.Transport collects the head of the response that follows each request (httptrace.GotConn tells when one begins) and has validator.CheckHead judge it, before net/http has read its end.

After: all pass; a head that arrives byte by byte, a long one, informational responses and bodies of lines that look like fields are read as before.

Tried: the same test with GET passed the second, sound answer of another connection: net/http sends an idempotent request again if a used connection fails. It does so for calls that may be repeated only; said on Transport.

--- a/internal/wire/validator/transport.go
+++ b/internal/wire/validator/transport.go
@@ -4,10 +4,12 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 )
 
-// Transport sends requests by net/http. A response that ends with its connection is whole only if the server
-// ended that.
+// Transport sends requests by net/http. A response with a malformed head is an error, and one that ends with its
+// connection is whole only if the server ended that. After a malformed head on a used connection, net/http may
+// send an idempotent request again, as it does after one that failed.
 type Transport struct {
 	*http.Transport
 }
@@ -20,11 +22,22 @@
 	return &Transport{Transport: base}
 }
 
-// dial opens a connection with a checked end.
+// RoundTrip sends a request and returns the response.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	// From here on the connection is this request's alone.
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if c, ok := info.Conn.(*headConn); ok {
+			c.awaitHead()
+		}
+	}}
+	return t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+}
+
+// dial opens a connection with a checked end and checked heads.
 func dial(ctx context.Context, network, address string) (net.Conn, error) {
 	c, err := new(net.Dialer).DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{Conn: c}, nil
+	return &headConn{Conn: Conn{Conn: c}}, nil
 }
