fix: own interface: an engine's refusal counts only if it is an answer that came whole

Callers saw: the part of a refusal whose connection broke off was the refusal, "ran": "no"; an operator's order that an engine answered with status 000 or 999 was told as refused.

Cause: the error of reading a refusal's text was dropped, and the answer to an order had no check of its status, as the answer to a generation has.

Evidence: TestAnswerThatIsNoneIsARefusal failed before in 6 of 14 cases, TestEarlyAnswerThatIsResetIsTaken in 1 of 3; a stream without its finish reason was broken before too, and that test is kept.

Change: one function tells what a response without success means, for generations and orders. A response that is none leaves it open whether the engine has acted.

After: all pass, three times with the race detector.

--- a/internal/engine/connector/connector.go
+++ b/internal/engine/connector/connector.go
@@ -76,13 +76,14 @@
 	// RefusedError reports that the engine refused a request without running it, or that
 	// the caller's request was no JSON object and wasn't sent.
 	RefusedError struct {
-		// Status is the HTTP status, from 400 to maxStatus for a generation.
+		// Status is the HTTP status, from 400 to maxStatus.
 		Status int
 		Body   string
 	}
 
-	// BrokenError reports that the engine couldn't be reached, answered with a status that is
-	// neither 200 nor an error, or that a stream was malformed or ended without a finish reason.
+	// BrokenError reports that the engine couldn't be reached, that its answer had a status of
+	// neither success nor an error or did not arrive whole, or that a stream was malformed or ended
+	// without a finish reason.
 	BrokenError struct {
 		Err error
 	}
@@ -163,7 +164,8 @@
 	return load, eris.Wrap(err, "engine load")
 }
 
-// Order sends an order. It returns a RefusedError if the engine refuses it.
+// Order sends an order. It returns a RefusedError if the engine refuses it; after any other error the order may
+// have been carried out.
 func (e *Engine) Order(ctx context.Context, order Order) error {
 	body, err := json.Marshal(order)
 	if err != nil {
@@ -179,8 +181,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode/100 != 2 {
-		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
-		return &RefusedError{Status: resp.StatusCode, Body: string(text)}
+		return refusal(resp)
 	}
 	return nil
 }
@@ -204,11 +205,7 @@
 	}
 	if resp.StatusCode != http.StatusOK {
 		defer func() { _ = resp.Body.Close() }()
-		if resp.StatusCode < http.StatusBadRequest || resp.StatusCode > maxStatus {
-			return nil, &BrokenError{Err: fmt.Errorf("answer has status %d", resp.StatusCode)}
-		}
-		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
-		return nil, &RefusedError{Status: resp.StatusCode, Body: string(text)}
+		return nil, refusal(resp)
 	}
 	cached, _ := strconv.ParseUint(resp.Header.Get("X-Cached-Tokens"), 10, 32)
 	return &Stream{CachedTokens: uint32(cached), body: resp.Body, reader: bufio.NewReaderSize(resp.Body, readBufferBytes)}, nil
@@ -266,6 +263,19 @@
 	}
 }
 
+// refusal returns what a response without success means: a RefusedError, or a BrokenError if its status is no
+// error or its body did not arrive whole.
+func refusal(resp *http.Response) error {
+	if resp.StatusCode < http.StatusBadRequest || resp.StatusCode > maxStatus {
+		return &BrokenError{Err: fmt.Errorf("answer has status %d", resp.StatusCode)}
+	}
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	if err != nil {
+		return &BrokenError{Err: err}
+	}
+	return &RefusedError{Status: resp.StatusCode, Body: string(text)}
+}
+
 // eventIndex parses an event's id as a token index; -1 if it isn't one.
 func eventIndex(id []byte) int64 {
 	index, err := strconv.ParseInt(string(bytes.TrimSpace(id)), 10, 64)
