fix: a response whose first line is not in the protocol is none

Callers saw: a response that began with HTTP/9.9, HTTP/2.0 or HTTP/0.9, or whose reason held a NUL, a DEL or a bare CR, came as a response, with another reason; on the own interface it was the outcome of a call.

Cause: http.ReadResponse accepts any two digits as a version and any bytes as a reason.

Change: validator.CheckHead judges the first line, too, so both readers of heads do.

A first line without a reason, with minor version 2 or with bytes beyond ASCII in the reason is read as before.

--- a/internal/fleet/forwarder/malformedhead_test.go
+++ b/internal/fleet/forwarder/malformedhead_test.go
@@ -110,3 +110,32 @@
 		t.Run(status, func(t *testing.T) { checkFirstLineAndLines(t, "HTTP/1.1 "+status+" X", "", false) })
 	}
 }
+
+func TestAnswerWithAMalformedFirstLineIsForwarded(t *testing.T) {
+	tests := []struct {
+		name, line string
+		sound      bool
+	}{
+		{"version 9.9", "HTTP/9.9 200 X", false},
+		{"version 2.0", "HTTP/2.0 200 X", false},
+		{"version 0.9", "HTTP/0.9 200 X", false},
+		{"version without a minor one", "HTTP/1. 200 X", false},
+		{"version with two digits", "HTTP/1.10 200 X", false},
+		{"another protocol", "HTTQ/1.1 200 X", false},
+		{"lower case", "http/1.1 200 X", false},
+		{"no version", "200 X", false},
+		{"blank before it", " HTTP/1.1 200 X", false},
+		{"NUL in the reason", "HTTP/1.1 200 X\x00Y", false},
+		{"CR in the reason", "HTTP/1.1 200 X\rY", false},
+		{"DEL in the reason", "HTTP/1.1 200 X\x7f", false},
+		{"version 1.2", "HTTP/1.2 200 X", true},
+		{"no reason", "HTTP/1.1 200 ", true},
+		{"no reason and no blank", "HTTP/1.1 200", true},
+		{"blanks, tabs and bytes beyond ASCII in the reason", "HTTP/1.1 200 A\tB C \xe4", true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			checkFirstLineAndLines(t, tt.line, "", tt.sound)
+		})
+	}
+}
--- a/internal/wire/validator/head.go
+++ b/internal/wire/validator/head.go
@@ -19,32 +19,56 @@
 var (
 	_ error = &HeadError{}
 
-	lineEnd        = []byte{'\n'}
-	carriageReturn = []byte{'\r'}
-	fieldSeparator = []byte{':'}
+	lineEnd          = []byte{'\n'}
+	carriageReturn   = []byte{'\r'}
+	fieldSeparator   = []byte{':'}
+	blank            = []byte{' '}
+	versionSeparator = []byte{'.'}
+	majorVersion     = []byte("HTTP/1")
 )
 
-// CheckHead returns a HeadError unless each line of a head after its first is a field whose name is a token, up
-// to the empty line. A length, say, whose name holds a blank is one to some readers only. A line that begins
-// with a blank goes on with the value before it in old forms of the protocol, and is refused too.
+// CheckHead returns a HeadError unless a head begins with a version 1 of the protocol and has no control
+// character in its first line, and each further line up to the empty one is a field whose name is a token. A
+// length, say, whose name holds a blank is one to some readers only. A line that begins with a blank goes on with
+// the value before it in old forms of the protocol, and is refused too. The status is not checked.
 func CheckHead(head []byte) error {
-	_, lines, _ := bytes.Cut(head, lineEnd)
+	first, lines := cutLine(head)
+	if !isFirstLine(first) {
+		return newHeadError(first)
+	}
 	for len(lines) > 0 {
 		var line []byte
-		line, lines, _ = bytes.Cut(lines, lineEnd)
-		line = bytes.TrimSuffix(line, carriageReturn)
+		line, lines = cutLine(lines)
 		if len(line) == 0 {
 			return nil
 		}
 		name, _, found := bytes.Cut(line, fieldSeparator)
 		if !found || !httpguts.ValidHeaderFieldName(string(name)) {
-			return &HeadError{Line: string(line[:min(len(line), maxQuotedBytes)])}
+			return newHeadError(line)
 		}
 	}
 	return nil
 }
 
+func newHeadError(line []byte) *HeadError {
+	return &HeadError{Line: string(line[:min(len(line), maxQuotedBytes)])}
+}
+
 // Error returns a message with the line.
 func (e *HeadError) Error() string {
 	return fmt.Sprintf("response has a malformed header line %q", e.Line)
 }
+
+// cutLine returns the line that b begins with, without its end, and what follows it.
+func cutLine(b []byte) (line, rest []byte) {
+	line, rest, _ = bytes.Cut(b, lineEnd)
+	return bytes.TrimSuffix(line, carriageReturn), rest
+}
+
+// isFirstLine reports whether a line begins with a version 1 of the protocol and has no control character.
+func isFirstLine(line []byte) bool {
+	version, status, _ := bytes.Cut(line, blank)
+	major, minor, found := bytes.Cut(version, versionSeparator)
+	isVersion := found && bytes.Equal(major, majorVersion) && len(minor) == 1 && minor[0] >= '0' && minor[0] <= '9'
+	return isVersion && httpguts.ValidHeaderFieldValue(string(status))
+}
--- a/internal/wire/validator/head_test.go
+++ b/internal/wire/validator/head_test.go
@@ -27,13 +27,35 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			err, line := CheckHead([]byte("HTTP/1.1 200 X\r\n"+tt.lines)), ""
-			if malformed := new(HeadError); errors.As(err, &malformed) {
-				line = malformed.Line
-			}
-			if line != tt.line || (err == nil) != (tt.line == "") {
-				t.Errorf("got %v, want %q", err, tt.line)
+			checkMalformed(t, "HTTP/1.1 200 X\r\n"+tt.lines, tt.line)
+		})
+	}
+}
+
+func TestFirstLineOfAnotherProtocolIsTaken(t *testing.T) {
+	for line, sound := range map[string]bool{
+		"HTTP/1.1 200 X": true, "HTTP/1.0 200 X": true, "HTTP/1.1 200": true, "HTTP/1.1 200 A\tb \xe4": true,
+		"HTTP/2.0 200 X": false, "HTTP/0.9 200 X": false, "HTTP/1.10 200 X": false, "HTTP/1 200 X": false, "HTTP/1.x 200 X": false,
+		"http/1.1 200 X": false, "200 X": false, "HTTP/1.1 200 X\x00": false, "HTTP/1.1 200 X\rY": false,
+	} {
+		t.Run(line, func(t *testing.T) {
+			want := line
+			if sound {
+				want = ""
 			}
+			checkMalformed(t, line+"\r\nA: b\r\n\r\n", want)
 		})
 	}
 }
+
+// checkMalformed checks that a head's first line that is not in the protocol is the given one; empty for none.
+func checkMalformed(t *testing.T, head, want string) {
+	t.Helper()
+	err, line := CheckHead([]byte(head)), ""
+	if malformed := new(HeadError); errors.As(err, &malformed) {
+		line = malformed.Line
+	}
+	if line != want || (err == nil) != (want == "") {
+		t.Errorf("got %v, want %q", err, want)
+	}
+}
--- a/internal/wire/validator/headconn.go
+++ b/internal/wire/validator/headconn.go
@@ -61,21 +61,18 @@
 
 // headLength returns the length of the head that b begins with, with its empty line; 0 if b does not hold all of it.
 func headLength(b []byte) int {
-	for n := 0; ; {
-		end := bytes.IndexByte(b[n:], '\n')
-		if end < 0 {
-			return 0
-		}
-		line := b[n : n+end]
-		n += end + 1
-		if len(bytes.TrimSuffix(line, carriageReturn)) == 0 {
-			return n
+	for rest := b; bytes.IndexByte(rest, lineEnd[0]) >= 0; {
+		var line []byte
+		line, rest = cutLine(rest)
+		if len(line) == 0 {
+			return len(b) - len(rest)
 		}
 	}
+	return 0
 }
 
 // isInformational reports whether a head is that of an informational (1xx) response.
 func isInformational(head []byte) bool {
-	_, status, _ := bytes.Cut(head, []byte{' '})
+	_, status, _ := bytes.Cut(head, blank)
 	return len(status) > 0 && status[0] == informational
 }
