fix: a response of HTTP/1.0 in chunks is none

Callers saw: a response that began with HTTP/1.0 and came in chunks had the chunk sizes in its body, as a whole one (calls), or with events that no engine made (streams); on the own interface it was the outcome of a call.

Cause: http.ReadResponse passes over the field Transfer-Encoding in HTTP/1.0, and the body ends with its connection. RFC 9112, 6.1: a client must treat the framing of such a message as faulty.

Change: validator.CheckHead refuses the field in that version. With a length, or ended by its connection, HTTP/1.0 is read as before.

--- a/internal/fleet/forwarder/malformedhead_test.go
+++ b/internal/fleet/forwarder/malformedhead_test.go
@@ -27,21 +27,27 @@
 }
 
 // checkFirstLineAndLines checks that responses with a first line and further header lines are forwarded, or
-// that the client gets a status of this host.
+// that the client gets a status of this host, whatever tells the end of the body.
 func checkFirstLineAndLines(t *testing.T, firstLine, lines string, sound bool) {
 	t.Helper()
 	for _, framing := range []string{"length", "chunks", "connection"} {
-		for _, path := range routesOfEachKind {
-			x := newFixtureOfOne(t, func(id string) *standIn {
-				return newStandIn(t, id, answerWithHead(firstLine, lines, framing))
-			})
-			got := x.send(path, key, "prompt")
-			switch {
-			case sound && (got.err != nil || got.status != http.StatusOK || got.body != events(1, 2)):
-				t.Errorf("%s framed by %s: client got %d %q, %v", path, framing, got.status, got.body, got.err)
-			case !sound && (got.err != nil || got.status != http.StatusBadGateway || got.header.Get("T-Signed") != ""):
-				t.Errorf("%s framed by %s: client got %d %q, %v, want 502", path, framing, got.status, got.body, got.err)
-			}
+		checkFramedBy(t, framing, firstLine, lines, sound)
+	}
+}
+
+// checkFramedBy is like checkFirstLineAndLines for one framing.
+func checkFramedBy(t *testing.T, framing, firstLine, lines string, sound bool) {
+	t.Helper()
+	for _, path := range routesOfEachKind {
+		x := newFixtureOfOne(t, func(id string) *standIn {
+			return newStandIn(t, id, answerWithHead(firstLine, lines, framing))
+		})
+		got := x.send(path, key, "prompt")
+		switch {
+		case sound && (got.err != nil || got.status != http.StatusOK || got.body != events(1, 2)):
+			t.Errorf("%s framed by %s: client got %d %q, %v", path, framing, got.status, got.body, got.err)
+		case !sound && (got.err != nil || got.status != http.StatusBadGateway || got.header.Get("T-Signed") != ""):
+			t.Errorf("%s framed by %s: client got %d %q, %v, want 502", path, framing, got.status, got.body, got.err)
 		}
 	}
 }
@@ -139,3 +145,10 @@
 		})
 	}
 }
+
+// Version 1.0 has no chunks: their sizes would be a part of the body.
+func TestAnswerOfVersion10InChunksIsForwarded(t *testing.T) {
+	for framing, sound := range map[string]bool{"length": true, "connection": true, "chunks": false} {
+		t.Run(framing, func(t *testing.T) { checkFramedBy(t, framing, "HTTP/1.0 200 X", "", sound) })
+	}
+}
--- a/internal/service/connector/malformedreply_test.go
+++ b/internal/service/connector/malformedreply_test.go
@@ -21,6 +21,7 @@
 		{"control character in a name", first + "X-\x01A: v\r\nContent-Length: 4\r\n\r\nbody", messenger.Ran_RAN_UNKNOWN},
 		{"another version", "HTTP/2.0 200 X\r\nContent-Length: 4\r\n\r\nbody", messenger.Ran_RAN_UNKNOWN},
 		{"control character in the reason", "HTTP/1.1 200 X\x00\r\nContent-Length: 4\r\n\r\nbody", messenger.Ran_RAN_UNKNOWN},
+		{"version 1.0 in chunks", "HTTP/1.0 200 X\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", messenger.Ran_RAN_UNKNOWN},
 		{"informational response", "HTTP/1.1 102 X\r\nX-A B: v\r\n\r\n" + first + "Content-Length: 4\r\n\r\nbody", messenger.Ran_RAN_UNKNOWN},
 		{"sound informational response", "HTTP/1.1 102 X\r\nX-A: v\r\n\r\n" + first + "Content-Length: 4\r\n\r\nbody", messenger.Ran_RAN_YES},
 		{"blanks in a value", first + "X-A: v w\tx \r\nContent-Length: 4\r\n\r\nbody", messenger.Ran_RAN_YES},
--- a/internal/wire/validator/head.go
+++ b/internal/wire/validator/head.go
@@ -25,17 +25,21 @@
 	blank            = []byte{' '}
 	versionSeparator = []byte{'.'}
 	majorVersion     = []byte("HTTP/1")
+	oldVersion       = []byte("HTTP/1.0")
+	transferEncoding = []byte("Transfer-Encoding")
 )
 
 // CheckHead returns a HeadError unless a head begins with a version 1 of the protocol and has no control
 // character in its first line, and each further line up to the empty one is a field whose name is a token. A
 // length, say, whose name holds a blank is one to some readers only. A line that begins with a blank goes on with
-// the value before it in old forms of the protocol, and is refused too. The status is not checked.
+// the value before it in old forms of the protocol, and is refused too, as are chunks in version 1.0, which has
+// none. The status is not checked.
 func CheckHead(head []byte) error {
 	first, lines := cutLine(head)
 	if !isFirstLine(first) {
 		return newHeadError(first)
 	}
+	hasChunks := !bytes.HasPrefix(first, oldVersion)
 	for len(lines) > 0 {
 		var line []byte
 		line, lines = cutLine(lines)
@@ -43,7 +47,8 @@
 			return nil
 		}
 		name, _, found := bytes.Cut(line, fieldSeparator)
-		if !found || !httpguts.ValidHeaderFieldName(string(name)) {
+		isField := found && httpguts.ValidHeaderFieldName(string(name))
+		if !isField || !hasChunks && bytes.EqualFold(name, transferEncoding) {
 			return newHeadError(line)
 		}
 	}
--- a/internal/wire/validator/head_test.go
+++ b/internal/wire/validator/head_test.go
@@ -48,6 +48,12 @@
 	}
 }
 
+func TestChunksOfAnOldVersionAreTaken(t *testing.T) {
+	const encoding = "transfer-encoding: chunked"
+	checkMalformed(t, "HTTP/1.0 200 X\r\n"+encoding+"\r\n\r\n", encoding)
+	checkMalformed(t, "HTTP/1.1 200 X\r\n"+encoding+"\r\n\r\n", "")
+}
+
 // checkMalformed checks that a head's first line that is not in the protocol is the given one; empty for none.
 func checkMalformed(t *testing.T, head, want string) {
 	t.Helper()
