--- a/internal/fleet/receiver/request.go
+++ b/internal/fleet/receiver/request.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 type (
@@ -110,7 +112,8 @@
 
 func parseRequestLine(line string) (*Request, error) {
 	parts := strings.Split(line, " ")
-	if len(parts) != 3 || !isToken(parts[0]) || !isPrintable(parts[1]) {
+	// A method is a token, as a name is.
+	if len(parts) != 3 || !httpguts.ValidHeaderFieldName(parts[0]) || !isPrintable(parts[1]) {
 		return nil, badRequest("request line is malformed")
 	}
 	if !strings.HasPrefix(parts[1], "/") {
@@ -130,7 +133,7 @@
 
 func (r *Request) addField(line string) error {
 	name, value, ok := strings.Cut(line, ":")
-	if !ok || !isToken(name) {
+	if !ok || !httpguts.ValidHeaderFieldName(name) {
 		return badRequest("header field is malformed")
 	}
 	value = strings.Trim(value, " \t")
@@ -259,18 +262,6 @@
 	return strings.ToLower(value)
 }
 
-// isToken reports whether s is a token of HTTP, as names and methods are.
-func isToken(s string) bool {
-	for i := range len(s) {
-		c := s[i]
-		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
-		if !letter && !strings.ContainsRune("!#$%&'*+-.^_`|~", rune(c)) {
-			return false
-		}
-	}
-	return s != ""
-}
-
 // isPrintable reports whether s consists of visible ASCII characters and is not empty.
 func isPrintable(s string) bool {
 	for i := range len(s) {
