--- a/internal/wire/validator/conn.go
+++ b/internal/wire/validator/conn.go
@@ -4,7 +4,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"sync/atomic"
@@ -38,7 +37,7 @@
 	_ net.Conn = &Conn{}
 
 	errNoSocket = errors.New("connection is no socket")
-	errReset    = fmt.Errorf("connection did not end in order: %w", syscall.ECONNRESET)
+	errReset    = errors.New("connection was reset or given up")
 )
 
 // Read reads into p. The error is io.EOF only if the peer ended the connection.
