--- a/internal/engine/connector/refusal_test.go
+++ b/internal/engine/connector/refusal_test.go
@@ -1,10 +1,7 @@
 package connector
 
 import (
-	"bufio"
 	"errors"
-	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -37,23 +34,8 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.status, func(t *testing.T) {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer func() { _ = l.Close() }()
-			go func() {
-				c, err := l.Accept()
-				if err != nil {
-					return
-				}
-				defer func() { _ = c.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					_, _ = fmt.Fprintf(c, "HTTP/1.1 %s X\r\nConnection: close\r\n\r\n", tt.status)
-				}
-			}()
-			e := &Engine{Address: l.Addr().String(), Client: NewClient(0, time.Second)}
-			_, err = e.Start(t.Context(), &messenger.GenerateStart{Path: "/v1/completions", Request: []byte("{}")})
+			e := newEngine(t, "HTTP/1.1 "+tt.status+" X\r\nConnection: close\r\n\r\n")
+			_, err := e.Start(t.Context(), &messenger.GenerateStart{Path: "/v1/completions", Request: []byte("{}")})
 			refused, broken := new(RefusedError), new(BrokenError)
 			if errors.As(err, &refused) != tt.refused || errors.As(err, &broken) == tt.refused {
 				t.Errorf("got %v, want a refusal: %t", err, tt.refused)
--- a/internal/service/connector/status_test.go
+++ b/internal/service/connector/status_test.go
@@ -1,8 +1,7 @@
 package connector
 
 import (
-	"bufio"
-	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -13,24 +12,7 @@
 // listen answers each request with the given text and then closes its connection.
 func listen(t *testing.T, answer string) (address string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-				_, _ = fmt.Fprint(c, answer)
-			}
-			_ = c.Close()
-		}
-	}()
-	return l.Addr().String()
+	return answerEarly(t, func(c *net.TCPConn, _ *http.Request) { _, _ = io.WriteString(c, answer) })
 }
 
 func TestAnswerWithAnInvalidStatusCountsAsTheOutcome(t *testing.T) {
