--- a/internal/fleet/receiver/request.go
+++ b/internal/fleet/receiver/request.go
@@ -137,10 +137,8 @@
 		return badRequest("header field is malformed")
 	}
 	value = strings.Trim(value, " \t")
-	for i := range len(value) {
-		if value[i] < ' ' && value[i] != '\t' || value[i] == 0x7f {
-			return badRequest("header field holds a control character")
-		}
+	if !httpguts.ValidHeaderFieldValue(value) {
+		return badRequest("header field holds a control character")
 	}
 	r.Fields = append(r.Fields, Field{Name: name, Value: value})
 	return nil
