--- a/internal/fleet/sender/limit.go
+++ b/internal/fleet/sender/limit.go
@@ -4,16 +4,18 @@
 	"bytes"
 	"errors"
 	"io"
+
+	"verbenareach/internal/wire/validator"
 )
 
 type (
 	// limitedReader reads at most left bytes, and stops once lines ends of lines were read, or reads
-	// without a limit while left is unlimited. With a limit it keeps what it has read.
+	// without a limit while left is unlimited. What it reads with a limit, head checks.
 	limitedReader struct {
 		r     io.Reader
 		left  int64
 		lines int
-		read  []byte
+		head  validator.HeadChecker
 	}
 
 	// bodyReader reads a response body and notes that its end was reached.
@@ -40,11 +42,6 @@
 	l.left, l.lines = maxHeaderBytes, maxHeaderLines
 }
 
-// allowAll ends the limit.
-func (l *limitedReader) allowAll() {
-	l.left, l.read = unlimited, nil
-}
-
 // Read reads up to the limit. Beyond it the error is errHeaderTooLarge.
 func (l *limitedReader) Read(p []byte) (int, error) {
 	if l.left == unlimited {
@@ -56,7 +53,7 @@
 	n, err := l.r.Read(p[:min(int64(len(p)), l.left)])
 	l.left -= int64(n)
 	l.lines -= bytes.Count(p[:n], lineEnd)
-	l.read = append(l.read, p[:n]...)
+	l.head.Check(p[:n])
 	return n, err
 }
 
--- a/internal/fleet/sender/response.go
+++ b/internal/fleet/sender/response.go
@@ -201,7 +201,7 @@
 func (resp *Response) readHeader(r Request) error {
 	skipped := 0
 	resp.conn.limited.allowHeader()
-	defer resp.conn.limited.allowAll()
+	defer func() { resp.conn.limited.left = unlimited }()
 	for {
 		next, err := resp.conn.readHead(r.Method) //nolint:bodyclose,nolintlint // Done and Abort close the connection.
 		if err != nil {
@@ -240,7 +240,8 @@
 	if err != nil {
 		return nil, err
 	}
-	c.limited.read = append(c.limited.read[:0], buffered...)
+	c.limited.head = validator.HeadChecker{}
+	c.limited.head.Check(buffered)
 	next, err := http.ReadResponse(c.br, &http.Request{Method: method})
 	if err != nil {
 		return nil, err
@@ -248,13 +249,12 @@
 	if next.StatusCode < minStatus || next.StatusCode > maxStatus {
 		return nil, errInvalidStatus
 	}
-	head := c.limited.read[:len(c.limited.read)-c.br.Buffered()]
-	return next, validator.CheckHead(head)
+	return next, c.limited.head.Err()
 }
 
 // skipBody reads the body of a response to another request, and then allows another header.
 func (resp *Response) skipBody(body io.Reader) error {
-	resp.conn.limited.allowAll()
+	resp.conn.limited.left = unlimited
 	n, err := io.Copy(io.Discard, io.LimitReader(body, maxSkippedBytes))
 	if err != nil {
 		return err
--- a/internal/wire/validator/head_test.go
+++ b/internal/wire/validator/head_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -54,14 +55,21 @@
 	checkMalformed(t, "HTTP/1.1 200 X\r\n"+encoding+"\r\n\r\n", "")
 }
 
-// checkMalformed checks that a head's first line that is not in the protocol is the given one; empty for none.
+// checkMalformed checks that a head's first line that is not in the protocol is the given one; empty for none. The
+// head arrives at once and byte by byte.
 func checkMalformed(t *testing.T, head, want string) {
 	t.Helper()
-	err, line := CheckHead([]byte(head)), ""
-	if malformed := new(HeadError); errors.As(err, &malformed) {
-		line = malformed.Line
-	}
-	if line != want || (err == nil) != (want == "") {
-		t.Errorf("got %v, want %q", err, want)
+	for _, size := range []int{len(head), 1} {
+		h := new(HeadChecker)
+		for part := range slices.Chunk([]byte(head), size) {
+			h.Check(part)
+		}
+		line := ""
+		if malformed := new(HeadError); errors.As(h.Err(), &malformed) {
+			line = malformed.Line
+		}
+		if line != want || h.Ended() != (want == "") {
+			t.Errorf("in parts of %d bytes: got %v, want %q", size, h.Err(), want)
+		}
 	}
 }
