test: a stand-in of heads leaves no goroutine, and one more early reply uses the service's stand-in

The pipe of TestMalformedHeadInPartsIsTaken kept its writer for good after a malformed head. TestReplyThatTheEndOfItsCallCutOffIsWhole had the listener of answerEarly once more. Assertions are as before; both packages pass with the race detector.

--- a/internal/service/connector/unframed_test.go
+++ b/internal/service/connector/unframed_test.go
@@ -1,7 +1,6 @@
 package connector
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
@@ -15,25 +14,12 @@
 // A reply without length or chunks ends with its connection, which is closed at the end of the call too.
 func TestReplyThatTheEndOfItsCallCutOffIsWhole(t *testing.T) {
 	for _, claim := range []*messenger.Claim{nil, {Key: "key"}} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer func() { _ = l.Close() }()
-		go func() {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			defer func() { _ = c.Close() }()
-			br := bufio.NewReader(c)
-			if _, err := http.ReadRequest(br); err != nil {
-				return
-			}
+		address := answerEarly(t, func(c *net.TCPConn, _ *http.Request) {
 			_, _ = io.WriteString(c, "HTTP/1.1 200 X\r\n\r\npart")
-			_, _ = br.ReadByte()
-		}()
-		s := New(l.Addr().String())
+			// The read lasts until the call closes the connection.
+			_, _ = c.Read(make([]byte, 1))
+		})
+		s := New(address)
 		defer s.Close()
 		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 		defer cancel()
--- a/internal/wire/validator/transport_test.go
+++ b/internal/wire/validator/transport_test.go
@@ -90,6 +90,8 @@
 		c.awaitHead()
 		_ = c.SetDeadline(time.Now().Add(5 * time.Second))
 		got, err := io.ReadAll(iotest.OneByteReader(c))
+		// After a malformed head the rest is never read.
+		_ = c.Close()
 		if sound := err == nil && string(got) == head; sound != want {
 			t.Errorf("read %q, then %v, want it to be sound: %t", got, err, want)
 		}
