feat: the loss of a link tells its cause and how long the link was up, a departure who has it

Now VR6102 has cause and up, the histogram link_up_seconds shows links that come and go, and VR6119 names the hosts that have a departure by call.

--- a/internal/event/meter/meter.go
+++ b/internal/event/meter/meter.go
@@ -122,6 +122,13 @@
 	return m.scope.Gauge(name)
 }
 
+// LinkUp records how long a link to another host was up, at its end.
+func (m *Meter) LinkUp(d time.Duration) {
+	if m != nil {
+		m.scope.Histogram("link_up_seconds", firstTokenBuckets()).RecordDuration(d)
+	}
+}
+
 // Pause records the longest pause of a whole generation beside what was forecast, if anything was.
 func (m *Meter) Pause(forecast, longest time.Duration) {
 	if m != nil && forecast > 0 {
--- a/internal/fleet/informer/informer.go
+++ b/internal/fleet/informer/informer.go
@@ -9,7 +9,6 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"verbenareach/internal/event/logger"
@@ -212,10 +211,11 @@
 
 // confirm informs other hosts of a departure. It returns ErrNotLinked if none acknowledges it.
 func (i *Informer) confirm(ctx context.Context, id string, req *messenger.InformRequest) error {
-	ok := i.Alone() || i.inform(ctx, req)
+	hosts, err := i.informOthers(ctx, req)
+	i.Log.Emit(time.Now(), logger.FleetDeparture, "", logger.F("backend", id), logger.F("hosts", hosts), logger.F("error", err))
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if ok {
+	if err == nil {
 		delete(i.unconfirmed, id)
 		return nil
 	}
@@ -223,17 +223,30 @@
 		i.unconfirmed = make(map[string]bool)
 	}
 	i.unconfirmed[id] = true
-	return ErrNotLinked
+	return err
 }
 
-// inform calls the relays at the same time, within confirmTimeout, and reports whether one of them
+// informOthers informs other hosts and returns the names of those that acknowledged the request. The error
+// is ErrNotLinked if there are others and none did.
+func (i *Informer) informOthers(ctx context.Context, req *messenger.InformRequest) ([]string, error) {
+	if i.Alone() {
+		return nil, nil
+	}
+	hosts := i.inform(ctx, req)
+	if len(hosts) == 0 {
+		return nil, ErrNotLinked
+	}
+	return hosts, nil
+}
+
+// inform calls the relays at the same time, within confirmTimeout, and returns the names of those that
 // acknowledged the request. It waits for all: the first to answer may be cut off itself.
-func (i *Informer) inform(ctx context.Context, req *messenger.InformRequest) bool {
+func (i *Informer) inform(ctx context.Context, req *messenger.InformRequest) (acknowledged []string) {
 	req.From = i.Self.Name
 	req.WarmUps = i.WarmUps(time.Now(), req.Backends)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), confirmTimeout)
 	defer cancel()
-	var acknowledged atomic.Bool
+	var mu sync.Mutex
 	var calls sync.WaitGroup
 	for _, host := range i.relays() {
 		calls.Go(func() {
@@ -242,11 +255,13 @@
 				i.Log.Emit(time.Now(), logger.FleetInformFailed, "", logger.F("host", host.Name), logger.F("error", err))
 				return
 			}
-			acknowledged.Store(true)
+			mu.Lock()
+			defer mu.Unlock()
+			acknowledged = append(acknowledged, host.Name)
 		})
 	}
 	calls.Wait()
-	return acknowledged.Load()
+	return acknowledged
 }
 
 // relays chooses the hosts that pass a report on: linked hubs and, for a hub, hosts that are none,
--- a/internal/fleet/linker/link.go
+++ b/internal/fleet/linker/link.go
@@ -20,6 +20,8 @@
 		// host is the other host; nil until its first message is received. Only receive sets
 		// it, under Linker.mu; other goroutines read it under Linker.mu.
 		host *messenger.FleetHost
+		// since is when the first message was received; it is set and read as host is.
+		since time.Time
 		// ended is set once the link has ended. Linker.mu guards it.
 		ended bool
 		// wake is signaled when a message becomes pending. A signal without a pending message
@@ -31,6 +33,14 @@
 		pending *messenger.LinkMessage
 	}
 
+	// LinkEnd tells how a link ended.
+	LinkEnd struct {
+		// Cause is why; if both sides fail, what this host noticed first.
+		Cause error
+		// Up is how long the link was up.
+		Up time.Duration
+	}
+
 	// messageStream is either side of a link's stream.
 	messageStream interface {
 		Send(m *messenger.LinkMessage) error
@@ -38,7 +48,12 @@
 	}
 )
 
-var errLinkEnded = eris.New("link has ended")
+var (
+	errLinkEnded = eris.New("link has ended")
+	errSilent    = eris.Errorf("nothing was received for %v", receiveTimeout)
+	errUnnamed   = eris.New("first message names no host")
+	errReplaced  = eris.New("another link to the host replaces this one")
+)
 
 const (
 	// pingInterval is the longest time between two messages on a link. A link on which none
@@ -61,8 +76,8 @@
 // serve runs a link until it fails, ctx ends or nothing was received for receiveTimeout.
 // closer closes the connection on the dialing side; it is nil on the accepting side.
 func (l *Linker) serve(ctx context.Context, stream messageStream, closer io.Closer) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
 	if closer != nil {
 		stop := context.AfterFunc(ctx, func() { _ = closer.Close() })
 		defer stop()
@@ -77,39 +92,34 @@
 	receiveDone := make(chan struct{})
 	go func() {
 		defer close(receiveDone)
-		l.receive(stream, k, received)
+		end(l.receive(stream, k, received))
 	}()
-	l.send(ctx, stream, k, received, receiveDone)
-	cancel()
-	if closer == nil {
-		// On the accepting side Recv fails only once this function has returned, so waiting
-		// for receiveDone would deadlock.
-		l.unregister(k)
-		return
+	end(l.send(ctx, stream, k, received))
+	// On the accepting side Recv fails only once this function has returned, so waiting for
+	// receiveDone would deadlock.
+	if closer != nil {
+		<-receiveDone
 	}
-	<-receiveDone
-	l.unregister(k)
+	l.unregister(time.Now(), k, context.Cause(ctx))
 }
 
 // send sends pending messages at once and, every pingInterval, a message that may be empty
-// as a ping. It returns when the link fails, ctx ends or nothing was received for
+// as a ping. It returns why it stopped: the link failed, ctx ended or nothing was received for
 // receiveTimeout.
-func (l *Linker) send(ctx context.Context, stream messageStream, k *link, received, receiveDone <-chan struct{}) {
+func (l *Linker) send(ctx context.Context, stream messageStream, k *link, received <-chan struct{}) error {
 	ping := time.NewTicker(pingInterval)
 	defer ping.Stop()
 	lastReceived := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
-			return
-		case <-receiveDone:
-			return
+			return context.Cause(ctx)
 		case <-received:
 			lastReceived = time.Now()
 			continue
 		case <-ping.C:
 			if time.Since(lastReceived) > receiveTimeout {
-				return
+				return errSilent
 			}
 		case <-k.wake:
 		}
@@ -117,7 +127,7 @@
 		l.Fill(m)
 		l.tellSent(k, m)
 		if err := stream.Send(m); err != nil {
-			return
+			return eris.Wrap(err, "send")
 		}
 	}
 }
@@ -136,23 +146,26 @@
 }
 
 // receive handles the messages of a link until the stream fails or the link is replaced or
-// has ended. It signals received for each message.
-func (l *Linker) receive(stream messageStream, k *link, received chan<- struct{}) {
+// has ended, and returns which. It signals received for each message.
+func (l *Linker) receive(stream messageStream, k *link, received chan<- struct{}) error {
 	for {
 		m, err := stream.Recv()
 		if err != nil {
-			return
+			return eris.Wrap(err, "receive")
 		}
 		select {
 		case received <- struct{}{}:
 		default:
 		}
 		// The first message names the other host.
-		if k.host == nil && (m.Host.GetName() == "" || !l.register(k, m)) {
-			return
+		if k.host == nil && m.Host.GetName() == "" {
+			return errUnnamed
+		}
+		if k.host == nil && !l.register(time.Now(), k, m) {
+			return errLinkEnded
 		}
 		if !l.isCurrent(k) {
-			return
+			return errReplaced
 		}
 		l.learnHubs(time.Now(), m.Hubs)
 		l.Receive(k.host, m)
@@ -161,7 +174,7 @@
 
 // register makes the link the current one to the host named by its first message and calls
 // LinkUp. It returns false if the link has ended. A link that is replaced gets no LinkDown.
-func (l *Linker) register(k *link, m *messenger.LinkMessage) bool {
+func (l *Linker) register(now time.Time, k *link, m *messenger.LinkMessage) bool {
 	l.changing.Lock()
 	defer l.changing.Unlock()
 	l.mu.Lock()
@@ -169,7 +182,7 @@
 		l.mu.Unlock()
 		return false
 	}
-	k.host = m.Host
+	k.host, k.since = m.Host, now
 	if l.links == nil {
 		l.links = make(map[string]*link)
 	}
@@ -188,9 +201,9 @@
 	return !k.ended && l.links[k.host.Name] == k
 }
 
-// unregister marks a link as ended. If it is the current one to its host, it is removed and
-// LinkDown is called.
-func (l *Linker) unregister(k *link) {
+// unregister marks a link as ended by a cause. If it is the current one to its host, it is removed
+// and LinkDown is called.
+func (l *Linker) unregister(now time.Time, k *link, cause error) {
 	l.changing.Lock()
 	defer l.changing.Unlock()
 	l.mu.Lock()
@@ -202,7 +215,7 @@
 	}
 	l.mu.Unlock()
 	if current {
-		l.LinkDown(host)
+		l.LinkDown(host, LinkEnd{Cause: cause, Up: now.Sub(k.since)})
 	}
 }
 
--- a/internal/fleet/linker/link_test.go
+++ b/internal/fleet/linker/link_test.go
@@ -29,7 +29,7 @@
 	return &Linker{
 		Self: &messenger.FleetHost{Name: "self"}, Fill: func(*messenger.LinkMessage) {},
 		HubLearned: func(*messenger.FleetHost) {}, DialFailed: func(*messenger.FleetHost, error) {},
-		LinkUp: func(*messenger.FleetHost) {}, LinkDown: func(*messenger.FleetHost) {},
+		LinkUp: func(*messenger.FleetHost) {}, LinkDown: func(*messenger.FleetHost, LinkEnd) {},
 		Receive: func(*messenger.FleetHost, *messenger.LinkMessage) {},
 	}
 }
@@ -53,7 +53,12 @@
 	s := &stubStream{release: make(chan struct{}, 1)}
 	s.release <- struct{}{}
 	down := make(chan string, 1)
-	l.LinkDown = func(host *messenger.FleetHost) { down <- host.Name }
+	l.LinkDown = func(host *messenger.FleetHost, end LinkEnd) {
+		if !errors.Is(end.Cause, errSilent) || end.Up < receiveTimeout {
+			t.Errorf("the end is told as %+v", end)
+		}
+		down <- host.Name
+	}
 	begun := time.Now()
 	go l.serve(context.Background(), s, nil)
 	select {
@@ -116,20 +121,20 @@
 	ending, proceed := make(chan struct{}), make(chan struct{})
 	told := make(chan string, 3)
 	l.LinkUp = func(*messenger.FleetHost) { told <- "up" }
-	l.LinkDown = func(*messenger.FleetHost) {
+	l.LinkDown = func(*messenger.FleetHost, LinkEnd) {
 		close(ending)
 		<-proceed
 		told <- "down"
 	}
 	first := &messenger.LinkMessage{Host: &messenger.FleetHost{Name: "late"}}
 	older, newer := &link{wake: make(chan struct{}, 1)}, &link{wake: make(chan struct{}, 1)}
-	l.register(older, first)
-	go l.unregister(older)
+	l.register(start, older, first)
+	go l.unregister(start, older, errLinkEnded)
 	<-ending
 	registered := make(chan struct{})
 	go func() {
 		defer close(registered)
-		l.register(newer, first)
+		l.register(start, newer, first)
 	}()
 	select {
 	case <-registered:
--- a/internal/fleet/linker/linker.go
+++ b/internal/fleet/linker/linker.go
@@ -46,7 +46,7 @@
 		// LinkUp is called when a link to a host is up, LinkDown once the host's last link is
 		// down. A link that replaces another one gets another LinkUp.
 		LinkUp   func(host *messenger.FleetHost)
-		LinkDown func(host *messenger.FleetHost)
+		LinkDown func(host *messenger.FleetHost, end LinkEnd)
 		// Receive handles a message. It is called for one message of a link at a time. While a
 		// link replaces another one, the last message of the old link may still be handled.
 		Receive func(from *messenger.FleetHost, m *messenger.LinkMessage)
--- a/internal/fleet/runner/distribution.go
+++ b/internal/fleet/runner/distribution.go
@@ -11,6 +11,7 @@
 	"verbenareach/internal/control/recorder"
 	"verbenareach/internal/event/logger"
 	"verbenareach/internal/fleet/cataloger"
+	"verbenareach/internal/fleet/linker"
 	"verbenareach/internal/wire/dialer"
 	"verbenareach/internal/wire/messenger"
 )
@@ -229,9 +230,11 @@
 }
 
 // linkDown tells the allocator that a host is no longer linked.
-func (h *Runner) linkDown(host *messenger.FleetHost) {
+func (h *Runner) linkDown(host *messenger.FleetHost, end linker.LinkEnd) {
 	now := time.Now()
-	h.Log.Emit(now, logger.FleetUnlinked, "", logger.F("host", host.Name), logger.F("address", host.Address))
+	h.Log.Emit(now, logger.FleetUnlinked, "", logger.F("host", host.Name), logger.F("address", host.Address),
+		logger.F("cause", end.Cause), logger.F("up", end.Up.Round(time.Millisecond)))
+	h.meter.LinkUp(end.Up)
 	h.evacuationAcks.Forget(host.Name)
 	h.subscriber.Forget(host.Name)
 	h.subscribe(h.subscriber.Begin(h.linker.Linked()))
--- a/internal/fleet/runner/subscription_test.go
+++ b/internal/fleet/runner/subscription_test.go
@@ -46,7 +46,7 @@
 		subscriber: &subscriber.Subscriber{Self: self},
 		linker: &linker.Linker{
 			Self: self, Fill: func(*messenger.LinkMessage) {}, HubLearned: func(*messenger.FleetHost) {},
-			LinkUp: func(*messenger.FleetHost) { close(up) }, LinkDown: func(*messenger.FleetHost) {},
+			LinkUp: func(*messenger.FleetHost) { close(up) }, LinkDown: func(*messenger.FleetHost, linker.LinkEnd) {},
 			Receive: func(*messenger.FleetHost, *messenger.LinkMessage) {},
 		},
 	}
