fix: an entry that can't be sent or read no longer ends its link

Cause: a message between hosts holds entries of many sources. One text in it that is not UTF-8, and the whole message can't be marshalled: the link ended. The link after it sent all reports again, that entry among them, and ended after 150 ms, and so on at each host that held the entry. Departures reach most hosts over links only, so that hosts never heard of them. A message beyond 16 MiB did the same.

Now a message is encoded before anything of it is sent. If it can't be, or is larger than 512 KiB, it goes out without the entries that can't be encoded, in parts. A received message loses only the fields that can't be read. Either way VR6120 tells what was left out, and the link goes on: an entry costs itself.

--- a/internal/event/logger/fleetevents.go
+++ b/internal/event/logger/fleetevents.go
@@ -32,6 +32,7 @@
 	FleetTraffic        = Event{6117, log.InfoLevel, "bytes sent over the links to other hosts"}
 	FleetSubscribed     = Event{6118, log.InfoLevel, "reports of backend servers are taken from another hub"}
 	FleetDeparture      = Event{6119, log.InfoLevel, "departure of a backend server passed on by call"}
+	FleetLeftOut        = Event{6120, log.ErrorLevel, "entries were left out of a message between hosts"}
 
 	// FleetDeparturePlanned is logged by the host that decides.
 	FleetDeparturePlanned = Event{6121, log.InfoLevel, "departure of engines planned"}
@@ -106,7 +107,7 @@
 	fleetEvents = []Event{
 		FleetStarted, FleetStopping, FleetStopped, FleetReloaded, FleetReadiness, FleetPaused, TaskPanicked, FleetLinked, FleetUnlinked,
 		FleetMemberChanged, FleetLogFailed, FleetBackendChanged, FleetDeciderChanged, FleetInformFailed,
-		FleetUnknownGone, FleetEngineProbed, FleetMemberChanging, FleetHubLearned, FleetDialFailed, FleetIdentifyFailed, FleetBackendLeaving, FleetReportOutdated, FleetCallSilent, FleetDeparture,
+		FleetUnknownGone, FleetEngineProbed, FleetMemberChanging, FleetHubLearned, FleetDialFailed, FleetIdentifyFailed, FleetBackendLeaving, FleetReportOutdated, FleetCallSilent, FleetDeparture, FleetLeftOut,
 		FleetTraffic, FleetSubscribed, FleetDeparturePlanned, FleetConfigAdopted,
 		FleetConfigSubmitted, FleetConfigRefused, FleetConfigRead, FleetConfigRejected, FleetReportRefused,
 		ForwardMalformed, ForwardRefused, ForwardFailed, ForwardAttemptFailed, ForwardServed, ForwardDisconnected, ForwardLost,
--- a/internal/fleet/linker/link.go
+++ b/internal/fleet/linker/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"sync"
 	"time"
@@ -40,12 +41,6 @@
 		// Up is how long the link was up.
 		Up time.Duration
 	}
-
-	// messageStream is either side of a link's stream.
-	messageStream interface {
-		Send(m *messenger.LinkMessage) error
-		Recv() (*messenger.LinkMessage, error)
-	}
 )
 
 var (
@@ -62,14 +57,12 @@
 	receiveTimeout = 800 * time.Millisecond
 	// writeTimeout bounds a write to another host.
 	writeTimeout = time.Second
-	// maxMessageBytes bounds a message between hosts.
-	maxMessageBytes = 16 << 20
 )
 
 // Accept serves a link that another host opened, until it ends. It always returns an
 // error, which ends the stream for both sides.
 func (l *Linker) Accept(stream messenger.DRPCFleet_LinkStream) error {
-	l.serve(stream.Context(), stream, nil)
+	l.serve(stream.Context(), linkStream{stream}, nil)
 	return errLinkEnded
 }
 
@@ -85,7 +78,7 @@
 	k := &link{wake: make(chan struct{}, 1)}
 	first := &messenger.LinkMessage{Host: l.Self, Hubs: l.Hubs()}
 	l.Fill(first)
-	if err := stream.Send(first); err != nil {
+	if err := l.transmit(stream, k, first); err != nil {
 		return
 	}
 	received := make(chan struct{}, 1)
@@ -126,7 +119,7 @@
 		m := k.takePending()
 		l.Fill(m)
 		l.tellSent(k, m)
-		if err := stream.Send(m); err != nil {
+		if err := l.transmit(stream, k, m); err != nil {
 			return eris.Wrap(err, "send")
 		}
 	}
@@ -150,7 +143,8 @@
 func (l *Linker) receive(stream messageStream, k *link, received chan<- struct{}) error {
 	for {
 		m, err := stream.Recv()
-		if err != nil {
+		partial := new(unreadableError)
+		if err != nil && !errors.As(err, &partial) {
 			return eris.Wrap(err, "receive")
 		}
 		select {
@@ -167,6 +161,7 @@
 		if !l.isCurrent(k) {
 			return errReplaced
 		}
+		l.tellLeftOut(k, false, partial.entries())
 		l.learnHubs(time.Now(), m.Hubs)
 		l.Receive(k.host, m)
 	}
--- a/internal/fleet/linker/link_test.go
+++ b/internal/fleet/linker/link_test.go
@@ -16,7 +16,7 @@
 	release chan struct{}
 }
 
-func (s *stubStream) Send(*messenger.LinkMessage) error { return nil }
+func (s *stubStream) Send(*messenger.LinkMessage, int) error { return nil }
 
 func (s *stubStream) Recv() (*messenger.LinkMessage, error) {
 	if _, open := <-s.release; !open {
@@ -30,7 +30,7 @@
 		Self: &messenger.FleetHost{Name: "self"}, Fill: func(*messenger.LinkMessage) {},
 		HubLearned: func(*messenger.FleetHost) {}, DialFailed: func(*messenger.FleetHost, error) {},
 		LinkUp: func(*messenger.FleetHost) {}, LinkDown: func(*messenger.FleetHost, LinkEnd) {},
-		Receive: func(*messenger.FleetHost, *messenger.LinkMessage) {},
+		Receive: func(*messenger.FleetHost, *messenger.LinkMessage) {}, LeftOut: func(LeftOut) {},
 	}
 }
 
--- a/internal/fleet/linker/linker.go
+++ b/internal/fleet/linker/linker.go
@@ -43,6 +43,8 @@
 		DialFailed func(hub *messenger.FleetHost, err error)
 		// CallSilenced is called for each connection for calls that is given up as silent; it may be nil.
 		CallSilenced func(now time.Time, s dialer.Silence)
+		// LeftOut is called for each message of which entries were left out.
+		LeftOut func(LeftOut)
 		// LinkUp is called when a link to a host is up, LinkDown once the host's last link is
 		// down. A link that replaces another one gets another LinkUp.
 		LinkUp   func(host *messenger.FleetHost)
@@ -389,7 +391,7 @@
 	if err != nil {
 		return err
 	}
-	l.serve(ctx, stream, raw)
+	l.serve(ctx, linkStream{stream}, raw)
 	return nil
 }
 
--- a/internal/fleet/runner/build.go
+++ b/internal/fleet/runner/build.go
@@ -40,7 +40,7 @@
 	h.linker = &linker.Linker{
 		Self: s.Host, Seeds: func() []string { return *h.seeds.Load() }, Bootstrap: s.Bootstrap,
 		MinFounders: 2*s.MaxLostHubs + 1, Fill: h.fillMessage, HubLearned: h.hubLearned, DialFailed: h.dialFailed,
-		LinkUp: h.linkUp, LinkDown: h.linkDown, Receive: h.receiveSafely, CallSilenced: h.callSilenced, Sent: h.countSent,
+		LinkUp: h.linkUp, LinkDown: h.linkDown, Receive: h.receiveSafely, CallSilenced: h.callSilenced, Sent: h.countSent, LeftOut: h.entriesLeftOut,
 	}
 	h.subscriber = &subscriber.Subscriber{Self: s.Host, Regions: s.Regions}
 	h.throttler = &throttler.Throttler{
--- a/internal/fleet/runner/distribution.go
+++ b/internal/fleet/runner/distribution.go
@@ -208,6 +208,12 @@
 	h.Log.Emit(now, logger.FleetCallSilent, "", s.Fields(now)...)
 }
 
+// entriesLeftOut logs that entries were left out of a message to or from another host.
+func (h *Runner) entriesLeftOut(l linker.LeftOut) {
+	h.Log.Emit(time.Now(), logger.FleetLeftOut, "", logger.F("host", l.Host.GetName()), logger.F("sent", l.Sent),
+		logger.F("entries", len(l.Entries)), logger.F("first", l.Entries[0]))
+}
+
 // linkUp sends the evacuations, the limits of all backend servers, what is known of prompts that crash
 // engines and, to a hub, what it may lack of the states of backend servers to a host that has just been
 // linked. The link may replace another one.
--- a/internal/fleet/runner/subscription_test.go
+++ b/internal/fleet/runner/subscription_test.go
@@ -6,6 +6,9 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+	"storj.io/drpc"
+
 	"verbenareach/internal/fleet/linker"
 	"verbenareach/internal/fleet/subscriber"
 	"verbenareach/internal/fleet/tracker"
@@ -22,18 +25,19 @@
 
 func (s *linkStub) Context() context.Context { return s.ctx }
 
-func (s *linkStub) Send(m *messenger.LinkMessage) error {
-	s.sent <- m
+func (s *linkStub) MsgSend(m drpc.Message, _ drpc.Encoding) error {
+	s.sent <- m.(*messenger.LinkMessage)
 	return nil
 }
 
-func (s *linkStub) Recv() (*messenger.LinkMessage, error) {
-	if m := s.first; m != nil {
+func (s *linkStub) MsgRecv(m drpc.Message, _ drpc.Encoding) error {
+	if first := s.first; first != nil {
 		s.first = nil
-		return m, nil
+		proto.Merge(m.(*messenger.LinkMessage), first)
+		return nil
 	}
 	<-s.ctx.Done()
-	return nil, errors.New("link has ended")
+	return errors.New("link has ended")
 }
 
 // newLinkedHub returns a hub that knows reports, is linked to a host, and what it sends to that host.
@@ -47,7 +51,7 @@
 		linker: &linker.Linker{
 			Self: self, Fill: func(*messenger.LinkMessage) {}, HubLearned: func(*messenger.FleetHost) {},
 			LinkUp: func(*messenger.FleetHost) { close(up) }, LinkDown: func(*messenger.FleetHost, linker.LinkEnd) {},
-			Receive: func(*messenger.FleetHost, *messenger.LinkMessage) {},
+			Receive: func(*messenger.FleetHost, *messenger.LinkMessage) {}, LeftOut: func(linker.LeftOut) {},
 		},
 	}
 	h.Settings.Host = self
