--- a/internal/fleet/forwarder/fields.go
+++ b/internal/fleet/forwarder/fields.go
@@ -14,8 +14,8 @@
 // localFields returns the header fields of a response that this host makes itself.
 func (f *Forwarder) localFields(x *exchange) []receiver.Field {
 	fields := []receiver.Field{{Name: "Content-Type", Value: "text/plain"}}
-	if x.id != "" {
-		fields = append(fields, receiver.Field{Name: f.Dialect.RequestID, Value: x.id})
+	if x.givenID != "" {
+		fields = append(fields, receiver.Field{Name: f.Dialect.RequestID, Value: x.givenID})
 	}
 	return fields
 }
@@ -25,7 +25,7 @@
 // that clients may not set, and adds extra.
 func (f *Forwarder) backendRequest(x *exchange, now time.Time, backendID string, extra ...sender.Field) sender.Request {
 	out := sender.Request{
-		Method: x.r.Method, Target: x.r.Target, Host: x.r.Get("Host"), Body: x.r.Body, Echo: f.Dialect.RequestID, ID: x.id,
+		Method: x.r.Method, Target: x.r.Target, Host: x.r.Get("Host"), Body: x.r.Body, Echo: f.Dialect.RequestID, ID: x.givenID,
 	}
 	connectionFields := listItems(strings.ToLower(x.r.Get("Connection")))
 	for _, field := range x.r.Fields {
--- a/internal/fleet/forwarder/forwarder.go
+++ b/internal/fleet/forwarder/forwarder.go
@@ -29,6 +29,7 @@
 	"verbenareach/internal/fleet/sender"
 	"verbenareach/internal/fleet/throttler"
 	"verbenareach/internal/fleet/tracker"
+	"verbenareach/internal/wire/escaper"
 	"verbenareach/internal/wire/messenger"
 )
 
@@ -106,8 +107,11 @@
 	exchange struct {
 		w *receiver.Writer
 		r *receiver.Request
-		// id is the request's id, as the client set it; it is also the run id of a generation.
-		id      string
+		// givenID is the request's id as the client set it; engines and the client know it by this. id is the
+		// one in logs and messages between hosts, where it is also the run id of a generation: givenID, or a
+		// quoted form of it if it is not UTF-8.
+		givenID, id string
+
 		route   cataloger.Route
 		service cataloger.Service
 		// workspace is the workspace of the API key; empty if no key is required.
@@ -158,7 +162,8 @@
 
 // Handle serves one request.
 func (f *Forwarder) Handle(ctx context.Context, w *receiver.Writer, r *receiver.Request) {
-	x := &exchange{w: w, r: r, id: r.Get(f.Dialect.RequestID)}
+	given := r.Get(f.Dialect.RequestID)
+	x := &exchange{w: w, r: r, givenID: given, id: escaper.Text(given)}
 	f.awaitStartup(ctx, func() bool { return f.Catalog() != nil })
 	if !f.admit(x) {
 		return
--- a/internal/fleet/forwarder/move.go
+++ b/internal/fleet/forwarder/move.go
@@ -38,7 +38,7 @@
 		logger.F("copied", m.Copied), logger.F("events", s.eventsSent))
 	if m.Copied {
 		orderedAt := time.Now()
-		if err := s.resume(ctx, to, m.Backup, to.Address+"/"+s.x.id, overlapTimeout); err != nil {
+		if err := s.resume(ctx, to, m.Backup, to.Address+"/"+s.x.givenID, overlapTimeout); err != nil {
 			if errors.As(err, new(*sender.LostError)) {
 				s.interrupted.begin(orderedAt)
 			}
@@ -49,7 +49,7 @@
 	}
 	s.currentMove = m
 	from, interrupted := s.backend, s.interrupted
-	go func() { s.copyDone <- s.f.copyMemory(ctx, from, s.x.id, to, interrupted) }()
+	go func() { s.copyDone <- s.f.copyMemory(ctx, from, s.x.givenID, to, interrupted) }()
 }
 
 // finishMove ends a move once its copy has ended: a run that was stopped resumes, another one
@@ -180,7 +180,7 @@
 func (s *stream) resumeFromBackup(ctx context.Context) bool {
 	b := s.backup
 	s.backup = nil
-	return s.f.permittedCold(ctx, b) && s.resume(ctx, b, "", b.Address+"/"+s.x.id, resumeTimeout) == nil
+	return s.f.permittedCold(ctx, b) && s.resume(ctx, b, "", b.Address+"/"+s.x.givenID, resumeTimeout) == nil
 }
 
 // resume continues the run on an engine with the memory that source names, as in the Continue
--- a/internal/fleet/forwarder/stream.go
+++ b/internal/fleet/forwarder/stream.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"verbenareach/internal/fleet/sender"
+	"verbenareach/internal/wire/escaper"
 	"verbenareach/internal/wire/messenger"
 )
 
@@ -207,7 +208,7 @@
 	}
 	ownEnd := !errors.Is(s.streamErr, errInterrupted) && s.interrupted.age(time.Now()) == 0
 	if s.x.outcome == "broken" && s.streamErr != nil && ownEnd {
-		state.Cause = s.streamErr.Error()
+		state.Cause = escaper.Text(s.streamErr.Error())
 	}
 	s.lastState.Store(state)
 	return state
--- a/internal/fleet/runner/runner.go
+++ b/internal/fleet/runner/runner.go
@@ -38,6 +38,7 @@
 	"verbenareach/internal/fleet/subscriber"
 	"verbenareach/internal/fleet/throttler"
 	"verbenareach/internal/fleet/tracker"
+	"verbenareach/internal/wire/escaper"
 	"verbenareach/internal/wire/messenger"
 	"verbenareach/internal/wire/recoverer"
 )
@@ -379,7 +380,7 @@
 
 // handleRequest serves one client request. If that panics, the response stays incomplete.
 func (h *Runner) handleRequest(ctx context.Context, w *receiver.Writer, r *receiver.Request) {
-	if recoverer.Run(h.Log, r.Get(h.Dialect.RequestID), func() { h.forwarder.Handle(ctx, w, r) }) != nil {
+	if recoverer.Run(h.Log, escaper.Text(r.Get(h.Dialect.RequestID)), func() { h.forwarder.Handle(ctx, w, r) }) != nil {
 		w.Abort()
 	}
 }
@@ -402,7 +403,7 @@
 	if deadline := h.forwarder.Deadline(r); !deadline.IsZero() {
 		fields = append(fields, logger.F("left", deadline.Sub(now).Round(time.Millisecond)))
 	}
-	h.Log.Emit(now, logger.ForwardMalformed, r.Get(h.Dialect.RequestID), fields...)
+	h.Log.Emit(now, logger.ForwardMalformed, escaper.Text(r.Get(h.Dialect.RequestID)), fields...)
 }
 
 // isEngineService reports whether the backend servers of a service are engines.
