fix: an engine's words that are no text reach the caller

A token, a finish reason or a refusal with bytes that are not UTF-8, or a refusal of 4 KiB that is cut within a character, could not be put into the agent's message: the entry took the engine for lost, and tried the generation at the next one.

Cause: the agent copied the engine's words into proto3 strings as they came.

Now the client of the engine replaces what is no character, as JSON does.

TestTokenThatIsNoTextBreaksItsStream and TestRefusalThatIsNoTextCountsAsALostEngine failed before (token "a\xff"; "string field contains invalid UTF-8" for both refusals), and pass.

--- a/internal/engine/connector/connector.go
+++ b/internal/engine/connector/connector.go
@@ -12,7 +12,9 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fastjson"
@@ -273,7 +275,7 @@
 	if err != nil {
 		return &BrokenError{Err: err}
 	}
-	return &RefusedError{Status: resp.StatusCode, Body: string(text)}
+	return &RefusedError{Status: resp.StatusCode, Body: readable(text)}
 }
 
 // eventIndex parses an event's id as a token index; -1 if it isn't one.
@@ -292,12 +294,16 @@
 		index = tokenIndex.GetInt64()
 	}
 	return Token{
-		Text:         string(choice.GetStringBytes("text")) + string(choice.GetStringBytes("delta", "content")),
-		FinishReason: string(choice.GetStringBytes("finish_reason")),
+		Text:         readable(choice.GetStringBytes("text")) + readable(choice.GetStringBytes("delta", "content")),
+		FinishReason: readable(choice.GetStringBytes("finish_reason")),
 		Index:        index,
 	}
 }
 
+// readable returns an engine's words with replacement characters for what is not UTF-8, which messages between
+// processes can't hold.
+func readable(words []byte) string { return strings.ToValidUTF8(string(words), string(utf8.RuneError)) }
+
 // requestBody returns the caller's body with the fields that start determines, such as
 // the seed and the tokens to resume after, which replace the caller's. It returns a
 // RefusedError if the caller's body is no JSON object.
