fix: a service's answer is not lost with a type that is no text

A call whose answer had a Content-Type with a byte that is not UTF-8 ran, and its caller was told that the outcome is unknown.

Cause: the field went into a proto3 string; the agent's reply could not be marshalled.

Now the reply goes on without such a type, which names none.

--- a/internal/service/connector/connector.go
+++ b/internal/service/connector/connector.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"time"
+	"unicode/utf8"
 
 	"verbenareach/internal/wire/messenger"
 	"verbenareach/internal/wire/validator"
@@ -97,7 +98,8 @@
 		return &messenger.CallReply{Ran: messenger.Ran_RAN_YES, Status: http.StatusBadGateway, Detail: "the service's reply is too large"}
 	}
 	reply := &messenger.CallReply{Ran: messenger.Ran_RAN_YES, Status: uint32(resp.StatusCode), Body: body}
-	if contentType := resp.Header.Get("Content-Type"); contentType != "" {
+	// Messages between processes hold texts only.
+	if contentType := resp.Header.Get("Content-Type"); contentType != "" && utf8.ValidString(contentType) {
 		reply.Headers = []*messenger.Header{{Name: "Content-Type", Value: contentType}}
 	}
 	return reply
