fix: no failure domain has a name that is no text

Where the settings name no failure domains, an order to evacuate one whose name is not UTF-8 was answered with 503 without end: no message to a hub, and no entry of the log, can hold the name.

Now it is refused as unknown, with 404, like any name that no failure domain has.

TestEvacuationOfAnUnreadableNameIsWorthTryingAgain failed before ("no hub with a quorum answers"), and passes.

--- a/internal/fleet/runner/evacuation.go
+++ b/internal/fleet/runner/evacuation.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"verbenareach/internal/event/logger"
 	"verbenareach/internal/fleet/evacuator"
@@ -56,7 +57,8 @@
 // domain has that name; after any other error it may have been stored or not.
 func (h *Runner) Evacuate(ctx context.Context, domain string, end bool) error {
 	begun := time.Now()
-	if known := h.knownDomains(); len(known) > 0 && !slices.Contains(known, domain) {
+	known := h.knownDomains()
+	if !utf8.ValidString(domain) || len(known) > 0 && !slices.Contains(known, domain) {
 		err := &UnknownDomainError{FailureDomain: domain, Known: known}
 		h.Log.Emit(begun, logger.EvacuationRefused, "", logger.F("failureDomain", domain), logger.F("end", end), logger.F("error", err))
 		return err
