fix: a decision that is older than a departure is looked at again

Cause: before a host sends, it asks again whether the backend server may get the request; that answer held what it had said in answers, pauses and evacuations, not its reports. Between choice and sending a call may wait for a limit for half of its objective, and a run for an order to stop that ends without an answer after two seconds, before it goes on at its backup.

Now tracker.Leaving is the one answer for reports and answers, with the time of the notice. Nothing new goes to a backend server that is known to leave.

--- a/internal/fleet/forwarder/call.go
+++ b/internal/fleet/forwarder/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -49,6 +50,7 @@
 	errEncoded   = errors.New("response has a content encoding")
 	errNoBackend = errors.New("no backend server is ready")
 	errDeclined  = errors.New("backend server declined")
+	errTakesNone = fmt.Errorf("engine takes no run: it leaves, pauses or is evacuated: %w", errDeclined)
 	errTooLarge  = errors.New("response is too large")
 	errInternal  = errors.New("backend server returned status 500")
 	errFull      = errors.New("all backend servers are full")
--- a/internal/fleet/forwarder/copy.go
+++ b/internal/fleet/forwarder/copy.go
@@ -48,7 +48,7 @@
 	}
 	// The run is stopped from the next call until it resumes, so the connection for that is opened
 	// meanwhile, unless one is idle that will still be young enough then. Without it the run opens its own.
-	if !f.unavailable(time.Now(), to) {
+	if !f.unresumable(time.Now(), to) {
 		go func() { _ = f.Pool.Prepare(copying, time.Now(), to.Address, maxIdleUnrepeatable/2) }()
 	}
 	o := f.stopRun(copying, from, run, to, interrupted)
--- a/internal/fleet/forwarder/leaving_test.go
+++ b/internal/fleet/forwarder/leaving_test.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -81,3 +82,60 @@
 		t.Errorf("answered with %d, %d requests reached the engine that leaves", got.status, len(e1.requests()))
 	}
 }
+
+// reportState has a stand-in report a state at a time.
+func (x *fixture) reportState(at time.Time, s *standIn, state messenger.Backend_State) {
+	known := x.tracker.Find(s.id)
+	x.tracker.Heartbeat(at, &messenger.Backend{
+		Id: s.id, Service: known.Service, Address: s.address, Sequence: known.Sequence + 1, State: state,
+	})
+}
+
+func TestCallThatWaitedIsSentToAServerThatReportedMeanwhileThatItLeaves(t *testing.T) {
+	for _, state := range []messenger.Backend_State{messenger.Backend_STATE_DRAINING, messenger.Backend_STATE_GONE} {
+		t.Run(state.String(), func(t *testing.T) {
+			s := newStandIn(t, "s", saying(http.StatusOK, "T-Limit: 10\r\n"))
+			x := newFixture(t, s)
+			x.send("/once/a", key, "")
+			x.forwarder.Permit = func(context.Context, *messenger.Backend, time.Duration) (time.Duration, bool) {
+				x.reportState(time.Now(), s, state)
+				return 10 * time.Millisecond, true
+			}
+			got := x.send("/once/a", key, "")
+			if got.status != http.StatusServiceUnavailable || len(s.requests()) > 1 {
+				t.Errorf("answered with %d, %d requests reached it", got.status, len(s.requests())-1)
+			}
+		})
+	}
+}
+
+func TestOlderDecisionIsSentToAnEngineThatReportedThatItLeaves(t *testing.T) {
+	e1, e2 := newStandIn(t, "e1", streams(1, 3)), newStandIn(t, "e2", streams(1, 3))
+	x := newFixture(t, e1, e2)
+	x.reportState(time.Now(), e1, messenger.Backend_STATE_DRAINING)
+	x.placeInOrder("e1", "e2")
+	if got := x.send("/stream/a", key, ""); got.status != http.StatusOK || len(e1.requests()) > 0 {
+		t.Errorf("answered with %d, %d requests reached the engine that leaves", got.status, len(e1.requests()))
+	}
+}
+
+func TestRunResumesAtABackupLongAfterItReportedThatItLeaves(t *testing.T) {
+	for _, tt := range []struct {
+		age     time.Duration
+		resumes bool
+	}{{0, true}, {2 * resumableTime, false}} {
+		t.Run(tt.age.String(), func(t *testing.T) {
+			e1, e2, e3 := newStandIn(t, "e1", nil), newStandIn(t, "e2", streams(3, 5)), newStandIn(t, "e3", streams(3, 5))
+			x := newFixture(t, e1, e2, e3)
+			e1.script = func(c net.Conn, seen seenRequest) bool {
+				x.reportState(time.Now().Add(-tt.age), e2, messenger.Backend_STATE_DRAINING)
+				return truncates(2)(c, seen)
+			}
+			x.placeInOrder("e1", "e3")
+			x.copy = "e2"
+			if got := x.send("/resume/a", key, ""); got.body != events(1, 5) || (len(e2.requests()) > 0) != tt.resumes {
+				t.Errorf("got %q, %d requests reached the engine that leaves", got.body, len(e2.requests()))
+			}
+		})
+	}
+}
--- a/internal/fleet/forwarder/move.go
+++ b/internal/fleet/forwarder/move.go
@@ -216,15 +216,15 @@
 
 // openStream requests that an engine resume the run, as open does. A status after which the engine may
 // have run it is returned as a sender.LostError, any other but 200 as errDeclined, a quarantined part of the
-// prompt as a quarantinedError.
+// prompt as a quarantinedError. It is errTakesNone if the engine is not asked.
 func (s *stream) openStream(
 	ctx context.Context, now time.Time, to *messenger.Backend, within time.Duration, fields []sender.Field,
 ) (*sender.Response, error) {
 	if d := s.f.Quarantine.Check(now, s.x.id, s.parts); !d.Admitted() {
 		return nil, &quarantinedError{decision: d}
 	}
-	if s.f.unavailable(now, to) {
-		return nil, errDeclined
+	if s.f.unresumable(now, to) {
+		return nil, errTakesNone
 	}
 	resp, err := s.open(ctx, to, within, fields...)
 	if err != nil {
--- a/internal/fleet/forwarder/placement.go
+++ b/internal/fleet/forwarder/placement.go
@@ -92,7 +92,11 @@
 // takesWork reports whether the engine where the generation was placed takes new work, as far as this host
 // knows: the decision may be older than that.
 func (s *stream) takesWork() bool {
-	return s.backend != nil && !s.f.Tracker.IsLeaving(s.backend) && !s.f.Tracker.IsEvacuated(s.backend)
+	if s.backend == nil {
+		return false
+	}
+	_, leaves := s.f.Tracker.Leaving(time.Now(), s.backend)
+	return !leaves && !s.f.Tracker.IsEvacuated(s.backend)
 }
 
 // budgetError returns the cause for which a generation is not sent again, with why that was needed.
--- a/internal/fleet/tracker/tracker.go
+++ b/internal/fleet/tracker/tracker.go
@@ -42,6 +42,9 @@
 		// leaving is set once the process has said in an answer to this host that it leaves. Only
 		// another process ends that.
 		leaving bool
+		// leavesSince is when this host learned that the process leaves or has left, by a report or an
+		// answer; zero if it does not.
+		leavesSince time.Time
 		// pausedUntil is the end of the pause for which the process has asked this host.
 		pausedUntil time.Time
 		// stateChanged is when the state last changed; entries that are gone or silent are
@@ -138,18 +141,23 @@
 		return nil, false
 	}
 	e.leaving = true
+	e.noteLeaving(now)
 	if e.report.State != messenger.Backend_STATE_READY {
 		return nil, true
 	}
 	return t.setState(now, e, messenger.Backend_STATE_DRAINING), true
 }
 
-// IsLeaving reports whether a process has said in an answer to this host that it leaves.
-func (t *Tracker) IsLeaving(b *messenger.Backend) bool {
+// Leaving returns for how long this host has known that a process leaves or has left, by a report or an answer.
+// known is false if it does not know that.
+func (t *Tracker) Leaving(now time.Time, b *messenger.Backend) (since time.Duration, known bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.entries[b.Id]
-	return e != nil && e.leaving && e.report.Started == b.Started
+	if e == nil || e.report.Started != b.Started || e.leavesSince.IsZero() {
+		return 0, false
+	}
+	return now.Sub(e.leavesSince), true
 }
 
 // IsEvacuated reports whether a backend server is in an evacuated failure domain.
@@ -311,13 +319,14 @@
 		t.entries[r.Id] = e
 	}
 	if e.report != nil && e.report.Started != r.Started {
-		e.leaving, e.pausedUntil = false, time.Time{}
+		e.leaving, e.leavesSince, e.pausedUntil = false, time.Time{}, time.Time{}
 	}
 	if e.report == nil || e.report.State != r.State || e.report.Started != r.Started {
 		e.stateChanged = now
 		e.avoidUntil = time.Time{}
 	}
 	e.report = r
+	e.noteLeaving(now)
 	t.owners[r.Address] = r.Id
 	return true
 }
@@ -349,6 +358,7 @@
 	r := proto.CloneOf(e.report)
 	r.State = state
 	e.report, e.stateChanged = r, now
+	e.noteLeaving(now)
 	return r
 }
 
@@ -367,3 +377,15 @@
 	}
 	return e.report.Service == service && e.report.State == messenger.Backend_STATE_READY && !e.leaving
 }
+
+// noteLeaving keeps leavesSince in step with the report and with what the process has said.
+func (e *entry) noteLeaving(now time.Time) {
+	state := e.report.State
+	leaves := e.leaving || state == messenger.Backend_STATE_DRAINING || state == messenger.Backend_STATE_GONE
+	switch {
+	case leaves && e.leavesSince.IsZero():
+		e.leavesSince = now
+	case !leaves && state == messenger.Backend_STATE_READY:
+		e.leavesSince = time.Time{}
+	}
+}
--- a/internal/fleet/tracker/tracker_test.go
+++ b/internal/fleet/tracker/tracker_test.go
@@ -165,11 +165,34 @@
 		t.Error("an answer of an earlier process is news")
 	}
 	here.Merge(start, []*messenger.Backend{report("a", "1", 6, 1, ready)})
-	if here.IsLeaving(process) || len(here.Ready(start, "engine")) != 1 {
+	if _, leaves := here.Leaving(start, process); leaves || len(here.Ready(start, "engine")) != 1 {
 		t.Error("another process of the same id is left out")
 	}
 }
 
+func TestNoticeOfADepartureKeepsItsTime(t *testing.T) {
+	tr := newTracker()
+	process := report("a", "1", 5, 1, ready)
+	for i, tt := range []struct {
+		state messenger.Backend_State
+		since time.Duration
+		known bool
+	}{
+		{ready, 0, false}, {draining, 0, true}, {draining, time.Second, true}, {ready, 0, false},
+		{silent, 0, false}, {draining, 0, true}, {silent, time.Second, true}, {gone, 2 * time.Second, true},
+	} {
+		now := start.Add(time.Duration(i) * time.Second)
+		tr.Merge(now, []*messenger.Backend{report("a", "1", 5, int64(i)+1, tt.state)})
+		if since, known := tr.Leaving(now, process); since != tt.since || known != tt.known {
+			t.Errorf("step %d: leaves for %v: %v, want %v: %v", i, since, known, tt.since, tt.known)
+		}
+	}
+	tr.Merge(start, []*messenger.Backend{report("a", "1", 6, 1, ready)})
+	if _, known := tr.Leaving(start, process); known {
+		t.Error("the notice of an earlier process counts for another one")
+	}
+}
+
 // A backend server may tell its end to another host than its keeper, which may be lost. That host answers
 // those that lack the mark, also the keeper.
 func TestEndToldToAnotherHostThanTheKeeperIsKeptByNobody(t *testing.T) {
