refactor: what a backend server may get stands in one file

availability.go holds the three questions that were in pause.go and, said once more, in placement.go: what is shut, what is unavailable, what is unresumable. The linker asks for the host of a link in one place. No change of behaviour; forwarder, linker and tracker pass with the race detector.

--- a/internal/fleet/forwarder/pause.go
+++ b/internal/fleet/forwarder/pause.go
@@ -20,13 +20,8 @@
 
 var _ refusal = &pausedError{}
 
-const (
-	// maxPause bounds the pause that a backend server may ask for.
-	maxPause = time.Hour
-	// resumableTime is half of the shortest time for which backend servers that leave serve on: hosts hear of
-	// the departure at different times.
-	resumableTime = time.Second
-)
+// maxPause bounds the pause that a backend server may ask for.
+const maxPause = time.Hour
 
 // Error returns a text with the time until the first pause ends.
 func (e *pausedError) Error() string {
@@ -48,25 +43,6 @@
 	}
 }
 
-// unavailable reports whether this host may send nothing new to a backend server, by its reports and what it
-// said in its answers, or as its failure domain is evacuated.
-func (f *Forwarder) unavailable(now time.Time, b *messenger.Backend) bool {
-	_, leaves := f.Tracker.Leaving(now, b)
-	return leaves || f.closed(now, b)
-}
-
-// unresumable is unavailable for a run that has begun: it may go on at a backend server for resumableTime after
-// the notice that this one leaves.
-func (f *Forwarder) unresumable(now time.Time, b *messenger.Backend) bool {
-	since, leaves := f.Tracker.Leaving(now, b)
-	return leaves && since > resumableTime || f.closed(now, b)
-}
-
-// closed reports whether a backend server gets nothing from this host though it stays.
-func (f *Forwarder) closed(now time.Time, b *messenger.Backend) bool {
-	return f.Tracker.IsEvacuated(b) || f.Tracker.PauseLeft(now, b) > 0
-}
-
 // parsePause returns the longest of the pauses in the values of a field, in seconds with or without
 // decimals, at most maxPause; 0 if there is none. Dates and other numbers are none.
 func parsePause(values []string) (longest time.Duration) {
--- a/internal/fleet/forwarder/placement.go
+++ b/internal/fleet/forwarder/placement.go
@@ -61,7 +61,8 @@
 			break
 		}
 		s.adoptPlacement(now, p)
-		if !s.takesWork() {
+		// The decision may be older than what this host has heard since.
+		if s.backend == nil || s.f.isShut(time.Now(), s.backend) {
 			s.returnPlacement(p.Backend)
 			continue
 		}
@@ -89,16 +90,6 @@
 	return reason, cause
 }
 
-// takesWork reports whether the engine where the generation was placed takes new work, as far as this host
-// knows: the decision may be older than that.
-func (s *stream) takesWork() bool {
-	if s.backend == nil {
-		return false
-	}
-	_, leaves := s.f.Tracker.Leaving(time.Now(), s.backend)
-	return !leaves && !s.f.Tracker.IsEvacuated(s.backend)
-}
-
 // budgetError returns the cause for which a generation is not sent again, with why that was needed.
 func budgetError(cause error) error {
 	if errors.Is(cause, errNoBackend) {
--- a/internal/fleet/linker/link.go
+++ b/internal/fleet/linker/link.go
@@ -130,14 +130,18 @@
 	if l.Sent == nil {
 		return
 	}
-	l.mu.Lock()
-	host := k.host
-	l.mu.Unlock()
-	if host != nil {
+	if host := l.hostOf(k); host != nil {
 		l.Sent(host, m)
 	}
 }
 
+// hostOf returns the host at the other end of a link; nil if it has not named itself yet.
+func (l *Linker) hostOf(k *link) *messenger.FleetHost {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return k.host
+}
+
 // receive handles the messages of a link until the stream fails or the link is replaced or
 // has ended, and returns which. It signals received for each message.
 func (l *Linker) receive(stream messageStream, k *link, received chan<- struct{}) error {
--- a/internal/fleet/linker/stream.go
+++ b/internal/fleet/linker/stream.go
@@ -158,11 +158,7 @@
 
 // tellLeftOut calls LeftOut if entries were left out of a message.
 func (l *Linker) tellLeftOut(k *link, sent bool, entries []string) {
-	if len(entries) == 0 {
-		return
+	if len(entries) > 0 {
+		l.LeftOut(LeftOut{Host: l.hostOf(k), Sent: sent, Entries: entries})
 	}
-	l.mu.Lock()
-	host := k.host
-	l.mu.Unlock()
-	l.LeftOut(LeftOut{Host: host, Sent: sent, Entries: entries})
 }
