refactor: one question decides whether a value of a message stays

prune and soundEntries both asked whether a value is invalid and then looked into it, prune twice for each invalid one. pruneValue answers for both. No change of behaviour; the package's tests are unchanged and pass.

--- a/internal/wire/salvager/salvager.go
+++ b/internal/wire/salvager/salvager.go
@@ -30,37 +30,44 @@
 // message itself that is not valid is removed, too.
 func prune(m protoreflect.Message) (lost []string) {
 	m.Range(func(fd protoreflect.FieldDescriptor, v protoreflect.Value) bool {
-		switch {
-		case fd.IsList():
-			list, bad := soundEntries(m.NewField(fd).List(), fd, v.List())
-			lost = append(lost, bad...)
-			m.Set(fd, protoreflect.ValueOfList(list))
-		case len(invalid(fd, v)) > 0:
-			lost = append(lost, invalid(fd, v)...)
+		if fd.IsList() {
+			sound := m.NewField(fd)
+			lost = append(lost, appendSound(sound.List(), fd, v.List())...)
+			m.Set(fd, sound)
+			return true
+		}
+		bad, stays := pruneValue(fd, v)
+		lost = append(lost, bad...)
+		if !stays {
 			m.Clear(fd)
-		case fd.Message() != nil:
-			lost = append(lost, prune(v.Message())...)
 		}
 		return true
 	})
 	return lost
 }
 
-// soundEntries appends the entries of a list that can be encoded to an empty one. An entry stays without
-// those of its own entries that can't be.
-func soundEntries(sound protoreflect.List, fd protoreflect.FieldDescriptor, list protoreflect.List) (_ protoreflect.List, lost []string) {
+// appendSound appends the entries of a list that can be encoded to another one, and returns what was lost.
+func appendSound(sound protoreflect.List, fd protoreflect.FieldDescriptor, list protoreflect.List) (lost []string) {
 	for i := range list.Len() {
-		v := list.Get(i)
-		bad := invalid(fd, v)
+		bad, stays := pruneValue(fd, list.Get(i))
 		lost = append(lost, bad...)
-		if len(bad) == 0 {
-			if fd.Message() != nil {
-				lost = append(lost, prune(v.Message())...)
-			}
-			sound.Append(v)
+		if stays {
+			sound.Append(list.Get(i))
 		}
 	}
-	return sound, lost
+	return lost
+}
+
+// pruneValue reports whether a value stays, which it does without those of its entries that can't be encoded,
+// and what was lost: these, or the texts for which it does not stay.
+func pruneValue(fd protoreflect.FieldDescriptor, v protoreflect.Value) (lost []string, stays bool) {
+	if bad := invalid(fd, v); len(bad) > 0 {
+		return bad, false
+	}
+	if fd.Message() == nil {
+		return nil, true
+	}
+	return prune(v.Message()), true
 }
 
 // invalid returns the invalid texts of a value: its own and those of its fields, but for those of its lists.
