test: one server answers for linkers in tests

linkServer of unsendable_test.go was the server of dialing_test.go again, and newLinkedPair started a hub as startHubAt does. runAt serves both, with the limits of the product's connections, which startHubAt left out, and awaits the end of both goroutines. Assertions are unchanged.

--- a/internal/fleet/linker/dialing_test.go
+++ b/internal/fleet/linker/dialing_test.go
@@ -45,19 +45,27 @@
 	l := newBareLinker()
 	l.Self = &messenger.FleetHost{Name: name, Address: address, Hub: true}
 	l.Seeds = func() []string { return seeds }
+	runAt(t, l, listener)
+	return l
+}
+
+// runAt runs a linker, and answers the calls of other hosts on a listener, until the test ends.
+func runAt(t *testing.T, l *Linker, listener net.Listener) {
+	t.Helper()
 	mux := drpcmux.New()
 	if err := messenger.DRPCRegisterFleet(mux, &server{linker: l}); err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var done sync.WaitGroup
-	done.Go(func() { _ = drpcserver.NewWithOptions(mux, drpcserver.Options{}).Serve(ctx, listener) })
+	done.Go(func() {
+		_ = drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: connOptions().Manager}).Serve(ctx, listener)
+	})
 	done.Go(func() { l.Run(ctx) })
 	t.Cleanup(func() {
 		cancel()
 		done.Wait()
 	})
-	return l
 }
 
 // silentAddress returns an address at which calls get no answer.
--- a/internal/fleet/linker/unsendable_test.go
+++ b/internal/fleet/linker/unsendable_test.go
@@ -1,31 +1,15 @@
 package linker
 
 import (
-	"context"
 	"fmt"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
-	"storj.io/drpc/drpcmux"
-	"storj.io/drpc/drpcserver"
-
 	"verbenareach/internal/wire/messenger"
 )
 
-// linkServer has a hub answer other hosts.
-type linkServer struct {
-	messenger.DRPCFleetUnimplementedServer
-	hub *Linker
-}
-
-func (s *linkServer) Introduce(_ context.Context, req *messenger.IntroduceRequest) (*messenger.IntroduceReply, error) {
-	return s.hub.HandleIntroduction(time.Now(), req), nil
-}
-
-func (s *linkServer) Link(stream messenger.DRPCFleet_LinkStream) error { return s.hub.Accept(stream) }
-
 // linkedPair is a hub and a host that is linked to it.
 type linkedPair struct {
 	host *Linker
@@ -61,13 +45,7 @@
 			p.received[b.Id] = true
 		}
 	}
-	mux := drpcmux.New()
-	if err := messenger.DRPCRegisterFleet(mux, &linkServer{hub: hub}); err != nil {
-		t.Fatal(err)
-	}
-	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: connOptions().Manager})
-	go func() { _ = server.Serve(t.Context(), front) }()
-	go hub.Run(t.Context())
+	runAt(t, hub, front)
 	go host.Run(t.Context())
 	<-up
 	return p
